--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -3,7 +3,7 @@
 import ast
 from pathlib import Path
 
-RULES = Path(__file__).parent.parent / "brookcourse" / "rules.py"
+RULES = Path(__file__).parent.parent / "wheatstile" / "rules.py"
 
 
 def test_module_keeps_its_line_and_width_limits() -> None:
@@ -13,11 +13,11 @@
 
 
 def test_head_names_the_interface_file() -> None:
-    assert "brookcourse/interface.py" in RULES.read_text().split('"""')[1]
+    assert "wheatstile/interface.py" in RULES.read_text().split('"""')[1]
 
 
 def test_library_does_no_io_and_reads_no_clock() -> None:
-    allowed = {"collections.abc", "dataclasses", "math", "typing", "random", "zlib", "brookcourse"}
+    allowed = {"collections.abc", "dataclasses", "math", "typing", "random", "zlib", "wheatstile"}
     for path in (RULES, RULES.with_name("interface.py")):
         for node in ast.walk(ast.parse(path.read_text())):
             if isinstance(node, ast.Import):
--- a/tests/test_ratio_rule.py
+++ b/tests/test_ratio_rule.py
@@ -5,8 +5,8 @@
 import pytest
 from world import SECOND, World, entries, of
 
-from brookcourse import interface as api
-from brookcourse.rules import BETA, GAMMA_CAP, SLOT, Balancer, chance_to_return, gamma_at
+from wheatstile import interface as api
+from wheatstile.rules import BETA, GAMMA_CAP, SLOT, Balancer, chance_to_return, gamma_at
 
 
 def test_gamma_is_capped_and_then_decays() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -11,8 +11,8 @@
 from hypothesis import strategies as st
 from world import SECOND, World, entries, of, settings
 
-from brookcourse import interface as api
-from brookcourse.rules import HOLD, PACE_START, X_FULL
+from wheatstile import interface as api
+from wheatstile.rules import HOLD, PACE_START, X_FULL
 
 FINAL = (api.Refuse, api.Fail)
 OUTCOMES = ["ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot"]
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from brookcourse import interface as api
-from brookcourse import simhost, wire
+from wheatstile import interface as api
+from wheatstile import simhost, wire
 
 NOTE = "STATUS_NOTE\tbalancer=3\trequestId=d8\tx=12.5\tserver=s1"
 PROFILE: dict[str, Any] = {
--- a/tests/world.py
+++ b/tests/world.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 from typing import TypeVar
 
-from brookcourse import Balancer
-from brookcourse import interface as api
+from wheatstile import Balancer
+from wheatstile import interface as api
 
 SECOND = 1_000_000
 A = TypeVar("A")
--- a/brookcourse/rules.py
+++ b/wheatstile/rules.py
@@ -1,4 +1,4 @@
-"""Every decision of a brookcourse balancer. Its types, events and actions: brookcourse/interface.py.
+"""Every decision of a wheatstile balancer. Its types, events and actions: wheatstile/interface.py.
 
 FCD on the ordinary path: a newcomer goes to the better of two random servers by probed load over
 capacity; in every other slot each connection explores a uniformly drawn server with probability gamma,
@@ -11,7 +11,7 @@
 from random import Random
 from zlib import crc32
 
-from brookcourse import interface as api
+from wheatstile import interface as api
 
 MS, SECOND = 1000, 1_000_000
 SLOT = 4 * SECOND  # long enough for a move to show in reports that are seconds late
--- a/brookcourse/simhost.py
+++ b/wheatstile/simhost.py
@@ -4,9 +4,9 @@
 from collections.abc import Iterable
 from typing import TextIO
 
-from brookcourse import interface as api
-from brookcourse import wire
-from brookcourse.rules import Balancer
+from wheatstile import interface as api
+from wheatstile import wire
+from wheatstile.rules import Balancer
 
 
 class Host:
@@ -100,7 +100,7 @@
         except Exception as error:  # the wire's last word must be plain, whatever failed
             what = str(error) if isinstance(error, ValueError) else f"{type(error).__name__}: {error}"
             message = f"{line.split(chr(9), 1)[0][:40]}: {what}"[:300]
-            errors.write(f"brookcourse: {message}\n")
+            errors.write(f"wheatstile: {message}\n")
             if host.now is not None:
                 sink.write(f"{wire.fault_line(host.instance, message)}\nREADY\tturn={host.turn}\n")
                 sink.flush()
@@ -109,7 +109,7 @@
             sink.write("\n".join(host.reply) + "\n")
             sink.flush()
     if host.now is not None:
-        errors.write("brookcourse: the input ended inside a batch\n")
+        errors.write("wheatstile: the input ended inside a batch\n")
         return 1
     return 0
 
--- a/brookcourse/wire.py
+++ b/wheatstile/wire.py
@@ -9,7 +9,7 @@
 from math import isfinite
 from typing import Any
 
-from brookcourse import interface as api
+from wheatstile import interface as api
 
 # The wire's word -> the interface's word.
 OUTCOMES = {
