Serve on real sockets: clients, servers, discovery and a core round the module

The core owns the module's instance, clock and timers and knows no protocol text; the modules beside it go by peer.

--- /dev/null
+++ b/wheatstile/__main__.py
@@ -0,0 +1,162 @@
+"""One real balancer: its configuration, its signals, and its life from start to drain."""
+
+import asyncio
+import json
+import os
+import resource
+import signal
+import socket
+import sys
+from collections.abc import Awaitable, Callable, Mapping
+from contextlib import suppress
+from dataclasses import dataclass
+from typing import Any
+
+import structlog
+import uvloop
+
+from wheatstile import interface as api
+from wheatstile import wire
+from wheatstile.net.clients import ChannelLimits, Channels
+from wheatstile.net.core import Core
+from wheatstile.net.discovery import Resolver, ResolverResult, address_of
+from wheatstile.net.servers import ServerLimits, Subchannels
+
+log = structlog.get_logger()
+
+BACKLOG = 1024
+KILLED_AFTER = 0.7  # seconds, beside the longest deadline, from SIGTERM to SIGKILL at the earliest
+SHORTEST_DEADLINE = 3.0  # seconds that a shorter longest deadline is taken as
+STILL_COMING = 0.5  # seconds in which new connections still come after SIGTERM
+SPARE = 1.0  # seconds before SIGKILL by which the last client has been told to move
+
+
+class ConfigError(ValueError):
+    """A configuration nobody could balance by; the text says what is wrong with it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    known: ResolverResult
+    settings: api.Settings
+    servers: ServerLimits
+    channels: ChannelLimits
+    longest_deadline: float  # seconds
+
+    @classmethod
+    def read(cls, environ: Mapping[str, str]) -> "Config":
+        """From the file that RELAY_CONFIG names; the other variables go before what it says."""
+        path = environ.get("RELAY_CONFIG")
+        if not path:
+            raise ConfigError("RELAY_CONFIG names no file")
+        try:
+            with open(path, encoding="utf-8") as file:
+                data = json.load(file)
+        except (OSError, ValueError) as error:
+            raise ConfigError(f"{path}: {error}") from None
+        try:
+            return cls._read(data, environ)
+        except KeyError as error:
+            raise ConfigError(f"{path}: the key {error.args[0]} is missing") from None
+        except (ValueError, TypeError, AttributeError, OSError) as error:
+            raise ConfigError(f"{path}: {error}") from None
+
+    @classmethod
+    def _read(cls, data: dict[str, Any], environ: Mapping[str, str]) -> "Config":
+        settings = data["settings"]
+        limits, aims = settings["limits"], settings.get("familyInfo", {}).get("messageAimUs") or []
+        return cls(
+            environ.get("RELAY_NAME") or str(data["name"]),
+            address_of(environ.get("RELAY_LISTEN") or data["listen"]),
+            address_of(environ.get("RELAY_DISCOVERY") or data["discovery"]),
+            int(data["seed"], 16),
+            ResolverResult.read(data["known"]),
+            wire.settings(json.dumps(settings)),
+            ServerLimits(
+                int(limits["dialTimeoutUs"]) / 1e6,
+                int(limits["keepaliveUs"]) / 1e6,
+                bool(settings.get("familyInfo", {}).get("tellsDelay", False)) and bool(aims),
+                min(aims, default=0.0) / 1000,
+            ),
+            ChannelLimits(int(data["limits"]["sockets"])),
+            max(int(kind["deadlineUs"]) for kind in settings["classes"]) / 1e6,
+        )
+
+
+async def supervised(name: str, work: Callable[[], Awaitable[None]]) -> None:
+    """Keep a part of the balancer at work: a fault is logged, and the part goes on."""
+    while True:
+        try:
+            await work()
+        except Exception:
+            log.exception("a part failed and starts again", part=name)
+        await asyncio.sleep(0.05)
+
+
+async def balance(config: Config) -> None:
+    """Serve from start to SIGTERM, then send every client away while there is time."""
+    loop = asyncio.get_running_loop()
+    terminated = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, terminated.set)
+    loop.add_signal_handler(signal.SIGINT, terminated.set)
+
+    core = Core(config.settings, config.seed)
+    loop.add_signal_handler(signal.SIGUSR1, lambda: log.info("counters", **core.counters))
+    subchannels = Subchannels(core, config.servers)
+    resolver = Resolver(core, subchannels, config.discovery)
+    channels = Channels(core, subchannels, config.channels)
+    with socket.create_server(config.listen, backlog=BACKLOG) as listener:
+        listener.setblocking(False)
+        core.start(subchannels, resolver)
+        resolver.take(config.known, "cached")
+        parts = [
+            asyncio.create_task(supervised("accept", lambda: channels.serve(listener))),
+            asyncio.create_task(supervised("silence", channels.sweep)),
+            asyncio.create_task(supervised("delays", subchannels.sweep)),
+        ]
+        log.info("serving", name=config.name, servers=len(subchannels.by_name))
+        await terminated.wait()
+        log.info("draining", connections=len(core.rpcs))
+        await asyncio.sleep(STILL_COMING)
+        time = max(config.longest_deadline, SHORTEST_DEADLINE) + KILLED_AFTER - STILL_COMING
+        with suppress(TimeoutError):
+            async with asyncio.timeout(time):
+                await channels.drain(time - SPARE)
+        resolver.close()
+        for part in parts:
+            part.cancel()
+        await asyncio.wait(parts)
+    log.info("counters", **core.counters)
+
+
+def main() -> int:
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    )
+    try:
+        config = Config.read(os.environ)
+    except ConfigError as error:
+        print(f"wheatstile: {error}", file=sys.stderr)
+        return 2
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+    try:
+        uvloop.run(balance(config))
+    except OSError as error:
+        print(f"wheatstile: {config.listen[0]}:{config.listen[1]}: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/wheatstile/net/core.py
@@ -0,0 +1,105 @@
+"""The core: one instance of the decision module, its clock, its timers, and whoever carries out its actions.
+
+Nothing here knows a protocol's text. A front registers its RPCs, tells the module's events, and is handed
+the module's actions as they are.
+"""
+
+import asyncio
+import time
+from collections import Counter, deque
+from math import ceil
+from typing import Protocol
+
+import structlog
+
+from wheatstile import interface as api
+from wheatstile.rules import Balancer
+
+log = structlog.get_logger()
+
+
+class Rpc(Protocol):
+    """A request that is owed an answer, or the open connection that it became."""
+
+    def decide(self, action: api.Send | api.Refuse | api.Fail | api.Move) -> None:
+        """Take what the module decided; the work itself is done elsewhere, later."""
+
+
+class Prober(Protocol):
+    def probe(self, server: str) -> None:
+        """Ask this server for its load; exactly one Probed event follows."""
+
+
+class Resolver(Protocol):
+    def watch(self) -> None:
+        """Ask for the list's changes from now on."""
+
+
+class Core:
+    """Owns the module's instance. Events go in by tell; actions go straight to whoever carries them out."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        self.balancer = Balancer(settings, seed)
+        self.counters: Counter[str] = Counter()
+        self.rpcs: dict[str, Rpc] = {}
+        self.prober: Prober
+        self.resolver: Resolver
+        self.loop = asyncio.get_running_loop()
+        # The module takes a start of 0 or less for "long ago", and the list tells starts in Unix time: so its
+        # clock is Unix time, taken once, and moved by the monotonic clock so that it never goes back.
+        self._epoch = time.time_ns() - time.monotonic_ns()
+        self._events: deque[api.Event] = deque()
+        self._telling = False
+
+    def now(self) -> int:
+        """The module's clock, in microseconds."""
+        return (self._epoch + time.monotonic_ns()) // 1000
+
+    def start(self, prober: Prober, resolver: Resolver) -> None:
+        """Start the module; everything it may ask for has to be in place."""
+        self.prober, self.resolver = prober, resolver
+        for action in self.balancer.start(self.now()):
+            self._carry_out(action)
+
+    def tell(self, event: api.Event) -> None:
+        """Hand the module an event and carry out what it answers.
+
+        An event that comes up while actions are being carried out waits for its turn: the module is never
+        entered twice at once, and hears events in the order in which they came.
+        """
+        self._events.append(event)
+        if self._telling:
+            return
+        self._telling = True
+        try:
+            while self._events:
+                self._handle(self._events.popleft())
+        finally:
+            self._telling = False
+
+    def _handle(self, event: api.Event) -> None:
+        self.counters[f"event {type(event).__name__}"] += 1
+        try:
+            actions = self.balancer.handle(self.now(), event)
+        except Exception:
+            # A fault in the decisions may cost the one RPC it is about, not all the connections held here.
+            log.exception("the module failed", event_type=type(event).__name__)
+            self.counters["module failures"] += 1
+            rpc = self.rpcs.get(getattr(event, "id", ""))
+            if rpc:
+                rpc.decide(api.Fail(getattr(event, "id", "")))
+            return
+        for action in actions:
+            self._carry_out(action)
+
+    def _carry_out(self, action: api.Action) -> None:
+        self.counters[f"action {type(action).__name__}"] += 1
+        if isinstance(action, api.SetTimer):
+            # Rounded up to the loop's milliseconds: a timer that comes early finds its time not yet up.
+            self.loop.call_later(ceil(action.delay / 1000) / 1000, self.tell, api.TimerFired(action.token))
+        elif isinstance(action, api.Probe):
+            self.prober.probe(action.server)
+        elif isinstance(action, api.WatchList):
+            self.resolver.watch()
+        elif action.id in self.rpcs:  # else the client has left in the same instant
+            self.rpcs[action.id].decide(action)
--- /dev/null
+++ b/wheatstile/net/discovery.py
@@ -0,0 +1,162 @@
+"""Discovery: the resolver result, read from its JSON, and the watch that keeps it up to date."""
+
+import asyncio
+import json
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import httptools
+import structlog
+
+from wheatstile import interface as api
+from wheatstile.net.core import Core
+from wheatstile.net.servers import Subchannels
+
+log = structlog.get_logger()
+
+PATH = "/discovery/hosts"
+SILENT_AFTER = 5.0  # seconds without a byte: an empty line is due every 2 s
+LINE_MAX = 1 << 20  # bytes of one list; ten thousand servers take about as much
+PHASES = {"ready": "ready", "draining": "draining", "gone": "gone"}
+
+
+class DiscoveryError(Exception):
+    """A call to discovery failed, or what it said cannot be used."""
+
+
+def address_of(text: str) -> tuple[str, int]:
+    """HOST:PORT as a socket takes it. Raises ValueError."""
+    host, _, port = text.rpartition(":")
+    socket.inet_aton(host) if host else None
+    if not host or not 0 < int(port) < 65536:
+        raise ValueError(f"not HOST:PORT: {text!r}")
+    return host, int(port)
+
+
+@dataclass(frozen=True, slots=True)
+class ResolverResult:
+    """One list of servers, or the changes to one, with the addresses to reach them at."""
+
+    revision: int
+    complete: bool
+    entries: list[api.ListEntry]
+    addresses: dict[str, tuple[str, int] | None]  # None: gone
+
+    @classmethod
+    def read(cls, data: Any) -> "ResolverResult":
+        """From discovery's JSON. Raises ValueError, KeyError or TypeError on what has another form."""
+        entries, addresses = [], {}
+        for member in data["members"]:
+            phase = PHASES.get(member["phase"], "draining")  # unknown: nothing new, as if it drained
+            name, started = str(member["id"]), int(member.get("up_since_ms", 0))
+            entries.append(
+                api.ListEntry(
+                    name,
+                    phase,
+                    str(member.get("locality", "")),
+                    int(member.get("cell", 0)),
+                    float(member.get("size", 1.0)),
+                    started * 1000,
+                )
+            )
+            addresses[name] = None if phase == "gone" else address_of(member["host_port"])
+        return cls(int(data["revision"]), bool(data["complete"]), entries, addresses)
+
+
+class Resolver:
+    """Owns the watch. Each result goes to the subchannels and to the module, a failure as one event."""
+
+    def __init__(self, core: Core, subchannels: Subchannels, address: tuple[str, int]) -> None:
+        self.core, self.subchannels, self.address = core, subchannels, address
+        self.revision = 0
+        self._watch: asyncio.Task[None] | None = None
+
+    def take(self, result: ResolverResult, kind: str) -> None:
+        self.revision = max(self.revision, result.revision)
+        self.subchannels.update(result.addresses.items(), kind != "delta")
+        self.core.tell(api.ServerList(kind, result.entries))
+
+    def watch(self) -> None:
+        """Ask for changes from now on. A watch that stands is replaced, and its end is no failure."""
+        self.close()
+        self._watch = asyncio.create_task(self._run())
+
+    def close(self) -> None:
+        if self._watch:
+            self._watch.cancel()
+
+    async def _run(self) -> None:
+        """One watch to its end, which is told as one failure; when to ask again is for the module to say."""
+        try:
+            await self._follow()
+        except (DiscoveryError, OSError, TimeoutError, httptools.HttpParserError) as error:
+            log.warning("the watch ended", reason=str(error) or type(error).__name__)
+        except Exception:
+            log.exception("the watch failed")
+        self.core.counters["watch failures"] += 1
+        self.core.tell(api.ServerList("failed"))
+
+    async def _follow(self) -> None:
+        loop = asyncio.get_running_loop()
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
+            sock.setblocking(False)
+            async with asyncio.timeout(SILENT_AFTER):
+                await loop.sock_connect(sock, self.address)
+                host, port = self.address
+                ask = f"GET {PATH}?watch=1&after={self.revision} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
+                await loop.sock_sendall(sock, ask.encode())
+            answer = _Answer(self._line)
+            parser = httptools.HttpResponseParser(answer)
+            buffer = memoryview(bytearray(16384))
+            while True:
+                async with asyncio.timeout(SILENT_AFTER):
+                    count = await loop.sock_recv_into(sock, buffer)
+                if not count:
+                    raise DiscoveryError("discovery closed the watch")
+                parser.feed_data(buffer[:count])
+                answer.check(parser.get_status_code() if answer.begun else 0)
+
+    def _line(self, line: bytes) -> None:
+        try:
+            result = ResolverResult.read(json.loads(line))
+        except (ValueError, KeyError, TypeError, OSError) as error:
+            raise DiscoveryError(f"discovery sent no list: {error!r}") from error
+        # A change from before the list that stands would undo what is known by now.
+        if result.complete or result.revision > self.revision:
+            self.take(result, "full" if result.complete else "delta")
+
+
+class _Answer:
+    """What httptools calls while it reads one answer; lines of the body go on as they come."""
+
+    def __init__(self, line: Callable[[bytes], None]) -> None:
+        self._line, self._rest = line, b""
+        self.begun = self.over = False
+        self.error: DiscoveryError | None = None
+
+    def on_headers_complete(self) -> None:
+        self.begun = True
+
+    def on_message_complete(self) -> None:
+        self.over = True
+
+    def on_body(self, body: bytes) -> None:
+        *lines, self._rest = (self._rest + body).split(b"\n")
+        if len(self._rest) > LINE_MAX:
+            self.error = DiscoveryError("discovery sent a line without an end")
+        try:
+            for line in lines:
+                if line.strip() and not self.error:
+                    self._line(line)
+        except DiscoveryError as error:  # httptools would wrap it
+            self.error = error
+
+    def check(self, status: int) -> None:
+        if status and status != 200:
+            raise DiscoveryError(f"discovery answered {status}")
+        if self.error:
+            raise self.error
+        if self.over:
+            raise DiscoveryError("discovery ended the watch")
--- /dev/null
+++ b/wheatstile/net/lines.py
@@ -0,0 +1,99 @@
+"""Connections that carry lines of text, each ending in CRLF and no longer than 4 KiB."""
+
+import asyncio
+import socket
+import struct
+
+LINE_LIMIT = 4096
+LINGER = 1.0  # seconds that a peer is given to take the last line and close
+
+
+class LineTooLong(Exception):
+    """The peer's line passes the limit."""
+
+
+class LineSocket:
+    """One TCP connection and the lines that have come on it. Whoever makes it closes it.
+
+    The buffer holds one line of full length, so that a peer that sends faster than its lines are passed on is
+    held back by TCP.
+    """
+
+    __slots__ = ("_buffer", "_filled", "_loop", "sock")
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._loop = asyncio.get_running_loop()
+        self.sock = sock
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._buffer = memoryview(bytearray(LINE_LIMIT))
+        self._filled = 0
+
+    async def _fill(self) -> bool:
+        if self._filled == LINE_LIMIT:
+            raise LineTooLong
+        count = await self._loop.sock_recv_into(self.sock, self._buffer[self._filled :])
+        self._filled += count
+        return count > 0
+
+    def _take(self, end: int) -> bytes:
+        taken, rest = bytes(self._buffer[:end]), bytes(self._buffer[end : self._filled])
+        self._buffer[: len(rest)] = rest
+        self._filled = len(rest)
+        return taken
+
+    @property
+    def pending(self) -> bool:
+        """Whether bytes have been read that no caller has taken."""
+        return self._filled > 0
+
+    async def read_line(self) -> bytes:
+        """One line with its end; empty when the peer has ended the connection."""
+        while (end := bytes(self._buffer[: self._filled]).find(b"\r\n")) < 0:
+            if not await self._fill():
+                return b""
+        return self._take(end + 2)
+
+    async def read_lines(self) -> bytes:
+        """All whole lines that have come, at least one; empty when the peer has ended the connection.
+
+        What the peer leaves of a line at its end is dropped: no part of a line is ever passed on.
+        """
+        while (end := bytes(self._buffer[: self._filled]).rfind(b"\r\n")) < 0:
+            if not await self._fill():
+                return b""
+        return self._take(end + 2)
+
+    async def send(self, data: bytes) -> None:
+        await self._loop.sock_sendall(self.sock, data)
+
+    def ended(self) -> bool:
+        """Whether an idle connection has been ended by its peer, or has said what nobody asked for."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
+    async def finish(self, last: bytes) -> None:
+        """Send a last line and let the peer take it.
+
+        Closing while bytes of the peer's are unread would reset the connection, and the reset may overtake
+        the line: so this side is shut, and what still comes is read and dropped until the peer closes.
+        """
+        try:
+            async with asyncio.timeout(LINGER):
+                await self.send(last)
+                self.sock.shutdown(socket.SHUT_WR)
+                while await self._loop.sock_recv_into(self.sock, self._buffer):
+                    pass
+        except (OSError, TimeoutError):
+            pass
+
+    def close(self, reset: bool = False) -> None:
+        """Give the socket back, as a reset if its other end was one. No read or write may be under way."""
+        if reset and self.sock.fileno() >= 0:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.sock.close()
--- /dev/null
+++ b/wheatstile/net/servers.py
@@ -0,0 +1,256 @@
+"""Servers: the subchannels that the resolver result names, attempts to set an RPC up, and probes."""
+
+import asyncio
+import socket
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from math import isfinite
+from statistics import median
+
+import structlog
+
+from wheatstile import interface as api
+from wheatstile.net.core import Core
+from wheatstile.net.lines import LineSocket, LineTooLong
+
+log = structlog.get_logger()
+
+# A report's name on the sockets -> the interface's word.
+REPORT_NAMES = {
+    "inflight": "inflight",
+    "queue": "queue",
+    "util": "busy",
+    "latency_ms": "latency_ms",
+    "qps": "served_per_s",
+    "eps": "errors_per_s",
+    "x0": "load",
+    "x1": "backlog_s",
+}
+OUTCOMES = {b"BYE": "ok", b"MOVE": "cancelled", b"ERR": "error", b"BUSY": "full"}
+PROBE_TIMEOUT = 0.1  # seconds that a server has for a probe; no setting tells it
+SWEEP = 1.0  # seconds between two looks at the delays of the subchannels' messages
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLimits:
+    """What the settings say of dealing with servers."""
+
+    connect_timeout: float  # seconds
+    idle: float  # seconds after which an unused connection is closed
+    tells_delay: bool
+    shortest_aim: float  # of a message, in milliseconds
+
+
+def report_in(text: bytes) -> api.Report | None:
+    """A load report as it closes a line; values that are no finite number of 0 or more count as absent."""
+    values = {}
+    for pair in text.decode("latin-1").split(","):
+        name, _, value = pair.partition("=")
+        try:
+            figure = float(value)
+        except ValueError:
+            continue
+        if name in REPORT_NAMES and isfinite(figure) and figure >= 0:
+            values[REPORT_NAMES[name]] = figure
+    return values or None
+
+
+def verdict_of(line: bytes) -> tuple[str, api.Report | None]:
+    """How a line of a server's ends what it was asked for, and the report on it. Unknown words are errors."""
+    word, _, rest = line.strip().partition(b" ")
+    return OUTCOMES.get(word, "error"), report_in(rest)
+
+
+@dataclass(eq=False, slots=True)
+class Subchannel:
+    """One server: its latest address, the RPCs that are up on it, and the task that probes it."""
+
+    name: str
+    address: tuple[str, int]
+    open: dict[str, int] = field(default_factory=dict)  # RPCs that are up -> since when a line waits; 0: none
+    delays: list[float] = field(default_factory=list)  # of messages answered since the last sweep, in ms
+    slow: bool = False  # messages took long at the last sweep
+    owed: int = 0  # probes that the module has asked for and not been told of
+    wanted: asyncio.Event = field(default_factory=asyncio.Event)
+    prober: asyncio.Task[None] | None = None
+
+    def asked(self, rpc: str, now: int) -> None:
+        """A client's line has gone out on this RPC."""
+        self.open[rpc] = self.open[rpc] or now
+
+    def answered(self, rpc: str, now: int) -> None:
+        """The server has returned a line on this RPC."""
+        if self.open[rpc]:
+            if len(self.delays) < 1000:  # a chatty server may not fill the memory before the sweep
+                self.delays.append((now - self.open[rpc]) / 1000)
+            self.open[rpc] = 0
+
+
+class Attempt:
+    """One attempt to set an RPC up, and the connection that it becomes. Its RPC closes it."""
+
+    __slots__ = ("_limits", "lines", "report", "subchannel")
+
+    def __init__(self, subchannel: Subchannel, limits: ServerLimits) -> None:
+        self.subchannel, self._limits = subchannel, limits
+        self.lines: LineSocket | None = None
+        self.report: api.Report | None = None
+
+    async def run(self, first_line: Callable[[int], bytes], timeout: float) -> tuple[str, bytes]:
+        """Connect, send the first line, and wait for the answer: the outcome ("up" or why not) and its line.
+
+        Whether the attempt may have run turns on the line's last byte: until it is written, whatever fails is
+        a failed connect.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout
+        try:
+            self.lines = LineSocket(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+            async with asyncio.timeout(min(self._limits.connect_timeout, timeout)):
+                await loop.sock_connect(self.lines.sock, self.subchannel.address)
+            async with asyncio.timeout_at(deadline):
+                await self.lines.send(first_line(max(1, int((deadline - loop.time()) * 1000))))
+        except (OSError, TimeoutError):
+            return "connect_failed", b""
+        try:
+            async with asyncio.timeout_at(deadline):
+                line = await self.lines.read_line()
+        except TimeoutError:
+            return "timeout", b""
+        except OSError:
+            return "reset", b""
+        except LineTooLong:
+            return "error", b""
+        if not line:
+            return "reset", b""
+        if line.startswith(b"UP "):
+            return "up", line
+        outcome, self.report = verdict_of(line)
+        return outcome, line
+
+    def close(self, reset: bool = False) -> None:
+        if self.lines:
+            self.lines.close(reset)
+            self.lines = None
+
+
+class Subchannels:
+    """All servers that the resolver result has named."""
+
+    def __init__(self, core: Core, limits: ServerLimits) -> None:
+        self.core, self.limits = core, limits
+        self.by_name: dict[str, Subchannel] = {}
+
+    def update(self, addresses: Iterable[tuple[str, tuple[str, int] | None]], complete: bool) -> None:
+        """Follow the list: a changed address holds for what is opened next; None: the server is gone."""
+        latest = dict(addresses)
+        for name, address in latest.items():
+            if address is not None:
+                self.by_name.setdefault(name, Subchannel(name, address)).address = address
+        named = {name for name, address in latest.items() if address is not None}
+        for name in list(self.by_name):
+            if name not in named and (complete or name in latest):
+                subchannel = self.by_name.pop(name)
+                if subchannel.prober:
+                    subchannel.prober.cancel()
+
+    def attempt(self, server: str) -> Attempt | None:
+        subchannel = self.by_name.get(server)
+        return Attempt(subchannel, self.limits) if subchannel else None
+
+    def probe(self, server: str) -> None:
+        subchannel = self.by_name.get(server)
+        if subchannel is None:
+            return self.core.tell(api.Probed(server, "connect_failed"))
+        subchannel.owed += 1
+        subchannel.wanted.set()
+        if subchannel.prober is None:
+            subchannel.prober = asyncio.create_task(self._probe_on(subchannel))
+            subchannel.prober.add_done_callback(lambda task: self._settle(subchannel, task))
+
+    def _settle(self, subchannel: Subchannel, task: asyncio.Task[None]) -> None:
+        """A prober has ended, be it that its server left the list: what was asked of it is answered here.
+
+        The module keeps a server's place in a held request until its probe is over; one that never ends
+        would stop all later probes of that server.
+        """
+        subchannel.prober = None
+        if not task.cancelled() and (error := task.exception()):
+            log.error("a prober failed", server=subchannel.name, exc_info=error)
+        while subchannel.owed:
+            subchannel.owed -= 1
+            self.core.tell(api.Probed(subchannel.name, "connect_failed"))
+
+    async def _probe_on(self, subchannel: Subchannel) -> None:
+        """Probe one server as often as asked, on one connection that is closed when it falls idle."""
+        lines: LineSocket | None = None
+        try:
+            while True:
+                if not subchannel.owed:
+                    subchannel.wanted.clear()
+                    try:
+                        async with asyncio.timeout(self.limits.idle if lines else None):
+                            await subchannel.wanted.wait()
+                    except TimeoutError:
+                        if lines:
+                            lines.close()
+                        lines = None
+                        continue
+                if lines and lines.ended():  # a server may close what is idle; that is no failed probe
+                    lines.close()
+                    lines = None
+                start = self.core.now()
+                outcome, report = "connect_failed", None
+                try:
+                    if lines is None:
+                        lines = LineSocket(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+                        async with asyncio.timeout(min(self.limits.connect_timeout, PROBE_TIMEOUT)):
+                            await asyncio.get_running_loop().sock_connect(lines.sock, subchannel.address)
+                    outcome, report = await self._ask(lines)
+                except (OSError, TimeoutError):
+                    pass
+                if outcome != "ok" and lines:  # what it still owes would be taken for the next answer
+                    lines.close()
+                    lines = None
+                self.core.counters[f"probe {outcome}"] += 1
+                subchannel.owed -= 1
+                self.core.tell(api.Probed(subchannel.name, outcome, self.core.now() - start, report))
+        finally:
+            if lines:
+                lines.close()
+
+    async def _ask(self, lines: LineSocket) -> tuple[str, api.Report | None]:
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT):
+                await lines.send(b"STATS\r\n")
+                line = await lines.read_line()
+        except TimeoutError:
+            return "timeout", None
+        except (OSError, LineTooLong):
+            return "reset", None
+        word, _, rest = line.strip().partition(b" ")
+        if word == b"PONG":
+            return "ok", report_in(rest)
+        return ("reset", None) if not line else verdict_of(line)
+
+    async def sweep(self) -> None:
+        """Once a second, the simulator's pace: tell the module at which servers messages take long."""
+        while True:
+            await asyncio.sleep(SWEEP)
+            now = self.core.now()
+            for subchannel in list(self.by_name.values()):
+                if self.limits.tells_delay:
+                    self._note_delay(subchannel, now)
+
+    def _note_delay(self, subchannel: Subchannel, now: int) -> None:
+        """A note on one connection of a server whose messages take long, and one more after."""
+        waiting = [(now - asked_at) / 1000 for asked_at in subchannel.open.values() if asked_at]
+        threshold = self.limits.shortest_aim / 3
+        delays = subchannel.delays + [age for age in waiting if age > threshold]
+        subchannel.delays = []
+        if not subchannel.open or not delays:
+            return
+        delay = median(delays)
+        if delay > threshold or subchannel.slow:
+            subchannel.slow = delay > threshold
+            self.core.tell(api.DelayNote(next(iter(subchannel.open)), subchannel.name, delay))
