--- /dev/null
+++ b/tests/peers.py
@@ -0,0 +1,181 @@
+"""The program as a process, and peers to talk to it: clients, servers and discovery, on loopback only."""
+
+import json
+import os
+import select
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).parent.parent
+PATIENCE = 20.0  # seconds within which whatever has to happen must have happened
+SETTINGS: dict[str, Any] = {
+    "classes": [{"name": "web", "aimUs": 500000, "deadlineUs": 9000000, "repeat": "retryable"}],
+    "discovery": "on_request",
+    "familyInfo": {"messageAimUs": [60000.0], "tellsDelay": True, "tellsLoad": True},
+    "fleetSize": 1,
+    "limits": {
+        "dialTimeoutUs": 1000000,
+        "keepaliveUs": 15000000,
+        "maxAttempts": 5,
+        "maxRetryAfterUs": 2000000,
+        "mayProbe": True,
+        "retryAfter": True,
+    },
+    "rules": {"coldFrom": 0.2, "tipMultiple": 3.0, "warmAfterUs": 20000000},
+    "telemetry": {"names": ["x0"], "via": "pull"},
+    "zone": "here",
+}
+
+
+class Peer:
+    """One end of a connection, read by whole lines."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        sock.settimeout(PATIENCE)
+        self.rest = b""
+
+    def send(self, *lines: str) -> None:
+        self.sock.sendall("".join(line + "\r\n" for line in lines).encode())
+
+    def line(self) -> str:
+        """The next line; empty at the end of the connection."""
+        while b"\r\n" not in self.rest:
+            data = self.sock.recv(4096)
+            if not data:
+                return ""
+            self.rest += data
+        line, _, self.rest = self.rest.partition(b"\r\n")
+        return line.decode()
+
+    def silent_for(self, seconds: float) -> bool:
+        return not self.rest and not select.select([self.sock], [], [], seconds)[0]
+
+    def close(self, reset: bool = False) -> None:
+        if reset:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        self.sock.close()
+
+
+class Listener:
+    """A port that peers connect to: a server's or discovery's."""
+
+    def __init__(self) -> None:
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.sock.settimeout(PATIENCE)
+        self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
+
+    def accept(self) -> Peer:
+        return Peer(self.sock.accept()[0])
+
+    def rpc(self, load: float = 0.3) -> tuple[Peer, str]:
+        """The next connection that is no probe's, and its first line; probes met on the way are answered."""
+        probes: list[Peer] = []
+        while True:
+            ready = select.select([self.sock, *(probe.sock for probe in probes)], [], [], PATIENCE)[0]
+            assert ready, "no attempt came"
+            for probe in [probe for probe in probes if probe.sock in ready]:
+                if not probe.line():
+                    probes.remove(probe)
+                    continue
+                probe.send(f"PONG x0={load}")
+            if self.sock in ready:
+                peer = self.accept()
+                line = peer.line()
+                if line != "STATS":
+                    return peer, line
+                peer.send(f"PONG x0={load}")
+                probes.append(peer)
+
+
+class NodeTest(unittest.TestCase):
+    """Starts one balancer for a test, and ends it."""
+
+    settings: dict[str, Any] = {}  # noqa: RUF012  what a test class changes of the settings
+    limits: dict[str, Any] = {}  # noqa: RUF012
+
+    def setUp(self) -> None:
+        self.server, self.discovery = Listener(), Listener()
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
+        self.node: subprocess.Popen[str] | None = None
+        self.addCleanup(self.stop)
+
+    def member(self, name: str = "s1", **changes: Any) -> dict[str, Any]:
+        member = {"id": name, "host_port": self.server.address, "locality": "here", "flavor": "m", "cell": 0}
+        return member | {"phase": "ready", "size": 1.0, "up_since_ms": 0} | changes
+
+    def config(self, members: Iterable[dict[str, Any]] | None = None) -> dict[str, Any]:
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.listen = free.getsockname()
+        known = [self.member()] if members is None else list(members)
+        return {
+            "name": "n0",
+            "listen": f"127.0.0.1:{self.listen[1]}",
+            "discovery": self.discovery.address,
+            "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024} | self.limits,
+            "known": {"revision": 1, "complete": True, "members": known},
+            "settings": SETTINGS | self.settings,
+        }
+
+    def start(self, members: Iterable[dict[str, Any]] | None = None, text: str | None = None) -> None:
+        """Start the program, and return once it answers PING (unless the configuration's text is given)."""
+        path = Path(self.folder.name) / "config.json"
+        path.write_text(json.dumps(self.config(members)) if text is None else text)
+        environ = {key: value for key, value in os.environ.items() if not key.startswith("RELAY_")}
+        self.node = subprocess.Popen(
+            [sys.executable, "-m", "wheatstile"],
+            cwd=ROOT,
+            env=environ | {"RELAY_CONFIG": str(path)},
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        end = time.monotonic() + PATIENCE
+        while text is None:
+            try:
+                client = self.client()
+                client.send("PING")
+                self.assertEqual(client.line(), "PONG")
+                return client.close()
+            except ConnectionRefusedError:
+                self.assertIsNone(self.node.poll(), "the program ended")
+                self.assertLess(time.monotonic(), end, "the program never listened")
+                time.sleep(0.02)
+
+    def client(self) -> Peer:
+        return Peer(socket.create_connection(self.listen, PATIENCE))
+
+    def open(self, number: int = 1, wait: int = 9000, more: str = "") -> Peer:
+        client = self.client()
+        client.send(f"OPEN {number:016x} key{number} c=web,d={wait},g=abc{more}")
+        return client
+
+    def up(self, number: int = 1) -> tuple[Peer, Peer]:
+        """A connection that stands: the client's end and the server's."""
+        client = self.open(number)
+        server, _ = self.server.rpc()
+        server.send("UP r1")
+        self.assertEqual(client.line(), "UP r1")
+        return client, server
+
+    def terminate(self) -> None:
+        assert self.node
+        self.node.send_signal(signal.SIGTERM)
+
+    def stop(self) -> str:
+        """End the program by SIGKILL if it still runs; what it wrote to its standard error."""
+        if self.node is None:
+            return ""
+        self.node.kill()
+        _, errors = self.node.communicate()
+        self.node = None
+        return errors
