--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -23,8 +23,8 @@
         bad = [
             "HELLO", good + " ", good + ",d=1", good + ",again=2", good + ",h=x",
             good.replace("d=900", "d=-1"), good.replace(",g=a", ""), good.replace("web", "none"),
-            good.replace("0001", "001"), good.replace(" k ", "  "), "open" + good[4:], good + "\0", good + ",x=" + "y" * 5000,
-            good + "\r\nOPEN 0000000000000002 k c=web,d=900,g=a",
+            good.replace("0001", "001"), good.replace(" k ", "  "), "open" + good[4:], good + "\0",
+            good + ",x=" + "y" * 5000, good + "\r\nOPEN 0000000000000002 k c=web,d=900,g=a",
         ]  # fmt: skip
         for line in bad:
             with self.subTest(line=line[:80]):
