Let a reconnect wave through at the pace that servers can take

Found in credit(): every repeated set-up waits for a credit, at pace * (peak + 1) / LIFE a second. A balancer that has just started had peak 0 and so let 0.07 returning clients a second through, one with 100 connections 6.7; a wave of 100 within 1.3 s was held until its time was out. The pace was made for a store behind the servers; this site has none.

Errors and time-outs still cut the pace by 0.7 each.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -553,3 +553,13 @@
         )
         outputs.add(run.stdout)
     assert len(outputs) == 1 and len(outputs.pop()) > 1000
+
+
+def test_a_wave_of_returning_clients_is_set_up_while_servers_have_room() -> None:
+    """After a balancer's restart its clients were held at a store's pace until their time was out."""
+    world = World("a", "b", "c")
+    for index in range(40):
+        world.tell(api.Request(f"r{index}", "web", 2 * SECOND, f"k{index}", returning=True))
+        world.answer_probes()
+    world.run(SECOND)
+    assert len({send.id for send in of(world.log, api.Send)}) == 40
--- a/wheatstile/rules.py
+++ b/wheatstile/rules.py
@@ -31,7 +31,10 @@
 COUNTS = ("inflight", "queue")  # report values whose size says nothing of a server's capacity
 X_NAMES = ("load", "busy", "backlog_s", *COUNTS)  # what is read as X, the best first
 LIFE = 60  # seconds: set-ups at a pace of 1 would renew all open connections in this time
-PACE_START, PACE_MAX, PACE_GAIN, PACE_CUT = 4.0, 8.0, 1.0, 0.7  # of that; per second, per failure
+# Of that; per second, per failure. When a balancer ends, its clients all come again within a second or so: at
+# a pace of 4 most were held until their time was out, and came again for ever, though servers had room.
+PACE_START, PACE_MAX, PACE_GAIN, PACE_CUT = 240.0, 480.0, 60.0, 0.7
+PACE_LEAST = 20  # connections that the pace counts a balancer as having had, that has just started
 RETRY_ADVICE = SECOND  # a refused client stays away about this long
 
 
@@ -243,7 +246,7 @@
         passed, self.credit_at = (self.now - self.credit_at) / SECOND, self.now
         self.pace = min(PACE_MAX, self.pace + PACE_GAIN * passed)
         self.peak = max(self.peak * (1 - 0.01 * min(passed, 1.0)), len(self.open))
-        rate = self.pace * (self.peak + 1) / LIFE
+        rate = self.pace * (self.peak + PACE_LEAST) / LIFE
         self.credits = min(self.credits + rate * passed, max(1.0, rate / 2))
         spent = self.credits >= 1
         self.credits -= spent
