Draw a newcomer's pair of servers by its group

Seen: a server pays one mean connection load for each group of which it holds any, and newcomers of a group were spread over all servers, their pair being hashed from their own key or drawn anew.

The group now comes with the request (teamId on the simulator's wire, g on the sockets) and the pair is hashed from it; the better of the two is chosen as before, and a random pair follows where both are full.

The new test fails with the pair hashed from the key.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -563,3 +563,13 @@
         world.answer_probes()
     world.run(SECOND)
     assert len({send.id for send in of(world.log, api.Send)}) == 40
+
+
+def test_clients_of_one_group_draw_one_pair() -> None:
+    """A group's connections used to be spread over all servers, each of which pays for the group."""
+    pairs = set()
+    for index in range(8):
+        world = World(*"abcdefgh", seed=index)
+        world.tell(api.Request("r", "web", 2 * SECOND, f"k{index}", returning=index % 2 > 0, group="g"))
+        pairs.add(frozenset(world.probes))
+    assert len(pairs) == 1
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -54,8 +54,8 @@
     [
         (
             "ARRIVAL\tbalancer=3\trequestId=d8\texpiresInUs=240000\tresource=k\tservice=web\ttenant=t"
-            "\tmidflow=1\treconnect=1\tretry=1\tworkHintUs=12000",
-            api.Request("d8", "web", 240000, "k", "t", True, True, True, 12000.0),
+            "\tmidflow=1\treconnect=1\tretry=1\tworkHintUs=12000\tteamId=g",
+            api.Request("d8", "web", 240000, "k", "t", True, True, True, 12000.0, "g"),
         ),
         (
             "EXISTING\tbalancer=3\trequestId=d8\tservice=web\tserver=s1\tresource=k",
--- a/wheatstile/interface.py
+++ b/wheatstile/interface.py
@@ -92,6 +92,7 @@
     returning: bool = False  # the client comes again after a break or a move
     retry: bool = False
     load_hint: float = 0.0
+    group: str = ""  # connections of one group share work at a server
 
 
 @dataclass(slots=True)
--- a/wheatstile/net/clients.py
+++ b/wheatstile/net/clients.py
@@ -99,6 +99,7 @@
             returning=f.get("again") == "1",
             retry=f.get("r") == "1",
             load_hint=float(f.get("h", 0.0)),
+            group=f["g"],
         )
 
 
--- a/wheatstile/rules.py
+++ b/wheatstile/rules.py
@@ -84,7 +84,7 @@
     kind: api.ServiceClass
     deadline: int
     again: bool  # a set-up that was tried before, here or elsewhere
-    spot: int = 0  # hashed from the client's key; 0: random draws
+    spot: int = 0  # hashed from the client's group or key; 0: random draws
     attempts: int = 0
     server: Server | None = None  # of the attempt that is out, or that stands
     out: bool = False
@@ -220,7 +220,9 @@
         # Mid-flow packets often miss their server: while set-ups fail, a thousand misses fed a storm.
         again = event.returning or (event.midflow and self.pace < PACE_START)
         conn = self.hear(event, self.now + event.expires_in - MARGIN, again)
-        conn.spot = 0 if event.returning else crc32(event.key.encode())
+        # Every server that holds any of a group pays for it: a group that draws one pair stays on two.
+        alike = event.group or ("" if event.returning else event.key)
+        conn.spot = crc32(alike.encode()) if alike else 0
         if not event.midflow:
             self.arrivals += 1
         move = self.returns.pop(event.key, None) if event.key else None
--- a/wheatstile/wire.py
+++ b/wheatstile/wire.py
@@ -113,6 +113,7 @@
         flag(f, "reconnect"),
         flag(f, "retry"),
         number(f, "workHintUs", 0.0),
+        f.get("teamId", ""),
     )
 
 
