Look at servers more rarely while none is found full

Looks now stand half as far apart again each time, from LOOK up to a slot, and begin anew at LOOK when a server was full.

--- a/wheatstile/net/clients.py
+++ b/wheatstile/net/clients.py
@@ -478,7 +478,7 @@
     async def drain(self, seconds: float) -> None:
         """Move every client, spread over this time; what is set up meanwhile moves with the last."""
         end = asyncio.get_running_loop().time() + seconds
-        while (left := end - asyncio.get_running_loop().time()) > 0:
+        while self.channels and (left := end - asyncio.get_running_loop().time()) > 0:
             standing = [channel for channel in self.channels.values() if channel.standing]
             if standing:
                 standing[0].end(DRAIN)
--- a/wheatstile/rules.py
+++ b/wheatstile/rules.py
@@ -24,7 +24,7 @@
 WATCH_SPREAD, WATCH_MAX = 4 * SECOND, 8 * SECOND  # list calls: spread at the start, longest back-off
 COLD_SAFETY = 0.5  # of what a cold server may be sent: its capacity is guessed from the others'
 REACT = SECOND  # relief waits so long to see in late reports what the last one did
-LOOK = SECOND  # where nothing tells of delays, a server is read so often for the connections that it holds
+LOOK = SECOND  # where nothing tells of delays, a server is read so often; up to SLOT while none is full
 X_FULL = 0.7  # no server is wanted beyond this load: messages miss their aims from about here
 CROSS_WEIGHT = 3.0  # load that a price of 1 for crossing zones outweighs, between two candidates
 GATE = 0.9  # of the requests that find the fleet full on average are refused with no probe spent on them
@@ -122,7 +122,7 @@
         self.returns: dict[str, Move] = {}  # by client key: moved from here and not seen since
         self.clock, self.mean_x = 0, 0.5  # of slots; running mean of probed loads
         self.pace, self.credits, self.credit_at, self.peak = PACE_START, 1.0, 0, 0.0
-        self.now, self.since, self.arrivals, self.watch_delay = 0, 0, 1, SECOND
+        self.now, self.since, self.arrivals, self.watch_delay, self.look_delay = 0, 0, 1, SECOND, LOOK
         self.handlers: dict[type, Callable[..., None]] = {
             api.ServerList: self.on_list, api.Request: self.on_request, api.OpenConnection: self.on_open,
             api.Established: self.on_established, api.AttemptEnded: self.on_ended, api.ClientLeft: self.drop,
@@ -407,7 +407,8 @@
 
     def look(self) -> None:
         """Read a server, drawn by what its connections here ask of it, in place of delay notes."""
-        self.actions.append(api.SetTimer(LOOK, "look"))
+        self.actions.append(api.SetTimer(self.look_delay, "look"))
+        self.look_delay = min(self.look_delay * 3 // 2, SLOT)
         if self.open:
             conn = self.random.choices(list(self.open), [1.0 + conn.load for conn in self.open])[0]
             self.ask(conn.server, self.looked, conn) if conn.server else None
@@ -416,7 +417,7 @@
         """Relieve a server that was read as full, as long as the fleet has room for whom it sends away."""
         server = conn.server
         if server and server.relief_at <= self.now and self.load(server) > X_FULL and self.mean_x < X_FULL:
-            server.relief_at = self.now + REACT
+            server.relief_at, self.look_delay = self.now + REACT, LOOK
             self.relieve(conn)
 
     def relieve(self, conn: Connection) -> None:
