Ask an unread server again before moving all, and test breaks, descriptors and discovery

Seen: the new test of back-pressure got MOVE in the middle of its lines. Its server answers no probes, so the first look read it as UNREAD and relief moved all that it held.

looked() now has such a server read a second time, half a REACT later, and relief follows that reading. Checked by a test in which the server answers the second time (nobody moves) or not (all do).

--- a/tests/peers.py
+++ b/tests/peers.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import resource
 import select
 import signal
 import socket
@@ -56,8 +57,13 @@
         line, _, self.rest = self.rest.partition(b"\r\n")
         return line.decode()
 
-    def silent_for(self, seconds: float) -> bool:
-        return not self.rest and not select.select([self.sock], [], [], seconds)[0]
+    def chunk(self, revision: int, *members: dict[str, Any], complete: bool = False) -> None:
+        """One list on a watch."""
+        body = json.dumps({"revision": revision, "complete": complete, "members": members}) + "\n"
+        self.send(f"{len(body):x}", body)
+
+    def begin_watch(self) -> None:
+        self.send("HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "")
 
     def close(self, reset: bool = False) -> None:
         if reset:
@@ -76,6 +82,14 @@
     def accept(self) -> Peer:
         return Peer(self.sock.accept()[0])
 
+    def watch(self) -> tuple[Peer, str]:
+        """The next call to discovery, and its first line."""
+        peer = self.accept()
+        ask = peer.line()
+        while peer.line():
+            pass
+        return peer, ask
+
     def rpc(self, load: float = 0.3) -> tuple[Peer, str]:
         """The next connection that is no probe's, and its first line; probes met on the way are answered."""
         probes: list[Peer] = []
@@ -127,7 +141,9 @@
             "settings": SETTINGS | self.settings,
         }
 
-    def start(self, members: Iterable[dict[str, Any]] | None = None, text: str | None = None) -> None:
+    def start(
+        self, members: Iterable[dict[str, Any]] | None = None, text: str | None = None, files: int = 1024
+    ) -> None:
         """Start the program, and return once it answers PING (unless the configuration's text is given)."""
         path = Path(self.folder.name) / "config.json"
         path.write_text(json.dumps(self.config(members)) if text is None else text)
@@ -138,6 +154,7 @@
             env=environ | {"RELAY_CONFIG": str(path)},
             stderr=subprocess.PIPE,
             text=True,
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (files, files)),
         )
         end = time.monotonic() + PATIENCE
         while text is None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,9 +1,14 @@
 """The real balancer as its peers see it."""
 
 import json
+import select
+import signal
 import unittest
 
-from peers import PATIENCE, NodeTest
+from peers import PATIENCE, SETTINGS, NodeTest
+
+# The module moves clients away from a server that answers no probes; where none are allowed, it moves nobody.
+UNPROBED = {"familyInfo": {}, "limits": SETTINGS["limits"] | {"mayProbe": False}}
 
 
 class FirstLines(NodeTest):
@@ -86,7 +91,7 @@
 
 
 class Silence(NodeTest):
-    settings = {"familyInfo": {"tellsDelay": False}}  # noqa: RUF012  else the module moves it for its delay
+    settings = UNPROBED
 
     def test_a_silent_server_becomes_a_move(self) -> None:
         self.start()
@@ -95,7 +100,104 @@
         self.assertEqual((client.line(), client.line()), ("MOVE", ""))
 
 
+class Breaks(NodeTest):
+    settings = UNPROBED
+
+    def test_a_servers_reset_is_passed_on(self) -> None:
+        self.start()
+        client, server = self.up()
+        server.close(reset=True)
+        with self.assertRaises(ConnectionResetError):
+            client.line()
+
+    def test_a_client_that_leaves_ends_its_connection_at_the_server(self) -> None:
+        self.start()
+        client, server = self.up()
+        client.close()
+        self.assertEqual(server.line(), "")
+
+    def test_an_attempt_without_answer_ends_in_time(self) -> None:
+        self.start()
+        client = self.open(wait=1200)
+        first = self.server.rpc()[0]
+        self.assertEqual(first.line(), "")  # given up on, and closed, before its client's time is out
+        self.assertIn(client.line().split()[0], ("BUSY", "ERR"))
+
+    def test_a_client_that_reads_nothing_holds_its_server_back_and_loses_no_line(self) -> None:
+        self.start()
+        client, server = self.up()
+        sent, line = 0, b"x" * 4094 + b"\r\n"
+        server.sock.settimeout(1)
+        with self.assertRaises(TimeoutError):
+            while True:
+                sent += server.sock.send(line)
+        self.assertLess(sent, 64 << 20)  # what the kernel's buffers hold, and not the program's memory
+        for _ in range(sent // len(line)):
+            self.assertEqual(client.line(), "x" * 4094)
+
+    def test_no_part_of_a_line_goes_before_a_move(self) -> None:
+        self.start()
+        client, server = self.up()
+        server.sock.sendall(b"whole\r\nhalf")
+        self.assertEqual(client.line(), "whole")
+        self.terminate()
+        self.assertEqual((client.line(), client.line()), ("MOVE", ""))
+
+
+class Descriptors(NodeTest):
+    def test_out_of_descriptors_it_refuses_politely_and_goes_on(self) -> None:
+        self.start(files=40)
+        crowd = [self.client() for _ in range(60)]  # they say nothing, and so hold a descriptor each
+        late = self.open(1)
+        self.assertRegex(late.line(), "^BUSY [1-9]")
+        for client in crowd:
+            client.close()
+        while not (line := self.attempt()):
+            pass
+        self.assertTrue(line.startswith("UP"))
+
+    def attempt(self) -> str:
+        """A new client's UP, or nothing if it was refused."""
+        self.number = getattr(self, "number", 1) + 1
+        client = self.open(self.number)
+        if select.select([client.sock, self.server.sock], [], [], PATIENCE)[0] == [client.sock]:
+            return ""
+        self.server.rpc()[0].send("UP r")
+        return client.line()
+
+
+class Discovery(NodeTest):
+    def test_changes_are_followed_and_a_failed_watch_is_asked_for_again(self) -> None:
+        self.start([self.member("s1", host_port="127.0.0.1:1")])
+        watch, ask = self.discovery.watch()
+        self.assertEqual(ask, "GET /discovery/hosts?watch=1&after=1 HTTP/1.1")
+        watch.send("HTTP/1.1 503 Busy", "Content-Length: 0", "")
+        watch, _ = self.discovery.watch()
+        watch.begin_watch()
+        watch.chunk(2, self.member("s1"))  # another address
+        watch.chunk(3, self.member("s2", host_port="127.0.0.1:1", phase="draining"))
+        watch.send("1", "\n")
+        watch.chunk(4, self.member("s3", phase="odd"))
+        for number in range(1, 5):
+            self.up(number)
+        watch.send("2", "{\n")
+        _watch, ask = self.discovery.watch()
+        self.assertIn("after=4 ", ask)
+        self.up(9)
+
+
 class Life(NodeTest):
+    def test_counters_are_logged_on_request(self) -> None:
+        self.start()
+        _client, _server = self.up()
+        assert self.node and self.node.stderr
+        self.node.send_signal(signal.SIGUSR1)
+        while "counters" not in (line := self.node.stderr.readline()):
+            self.assertTrue(line)
+        counters = json.loads(line)
+        self.assertEqual((counters["RPCs"], counters["attempt up"]), (1, 1))
+
+
     def test_sigterm_still_accepts_and_then_moves_everyone(self) -> None:
         self.start()
         client, server = self.up(1)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -584,3 +584,17 @@
             world.connect(f"c{index}", "a")
             world.tell(api.LoadNote(f"c{index}", "a", 1000.0))
         assert (len(of(world.run(3 * SECOND), api.Move)) > 5) is moved
+
+
+def test_a_look_that_is_not_answered_is_repeated_before_anybody_is_moved() -> None:
+    """A server that stands still for 250 ms answers no probe in time; all that it held was moved away."""
+    for still, moved in [(False, 0), (True, 40)]:
+        world = World("a", "b", "c", tells_delay=False)
+        for index in range(40):
+            world.connect(f"c{index}", "a")
+        while "a" not in world.probes:
+            world.run_to_timer()
+        world.probes.remove("a")
+        assert not of(world.tell(api.Probed("a", "timeout")), api.Move)
+        world.silent = {"a"} if still else set()
+        assert len(of(world.run(SECOND), api.Move)) == moved
--- a/wheatstile/__main__.py
+++ b/wheatstile/__main__.py
@@ -28,7 +28,7 @@
 KILLED_AFTER = 0.7  # seconds, beside the longest deadline, from SIGTERM to SIGKILL at the earliest
 SHORTEST_DEADLINE = 3.0  # seconds that a shorter longest deadline is taken as
 STILL_COMING = 0.5  # seconds in which new connections still come after SIGTERM
-SPARE = 1.0  # seconds before SIGKILL by which the last client has been told to move
+SPARE = 1.3  # seconds before SIGKILL by which the last client has been told to move; LINGER is a part
 
 
 class ConfigError(ValueError):
@@ -84,7 +84,7 @@
                 bool(settings.get("familyInfo", {}).get("tellsDelay", False)) and bool(aims),
                 min(aims, default=0.0) / 1000,
             ),
-            ChannelLimits(int(data["limits"]["sockets"])),
+            ChannelLimits(min(int(data["limits"]["sockets"]), resource.getrlimit(resource.RLIMIT_NOFILE)[1])),
             max(int(kind["deadlineUs"]) for kind in settings["classes"]) / 1e6,
         )
 
--- a/wheatstile/net/clients.py
+++ b/wheatstile/net/clients.py
@@ -414,8 +414,9 @@
             self._ids.popitem(last=False)
         return False
 
-    def full(self, reserve: int = RESERVED) -> bool:
+    def full(self, share: float = 1.0) -> bool:
         """Whether descriptors run out: a channel takes one, its RPC's server another."""
+        reserve = int(share * min(RESERVED, self.limits.descriptors // 2))
         return len(self.channels) + len(self.core.rpcs) > self.limits.descriptors - reserve
 
     def unavailable(self, milliseconds: int) -> bytes:
@@ -434,7 +435,7 @@
                     self._refuse_one(listener)
                 await asyncio.sleep(0.01)
                 continue
-            if self.full(RESERVED // 2):
+            if self.full(share=0.5):
                 self._refuse(sock)
                 continue
             channel = Channel(self, sock)
@@ -468,9 +469,13 @@
 
     async def sweep(self) -> None:
         """Move clients whose server has been silent for too long: TCP tells nothing of a cut-off one."""
+        before = self.core.now()
         while True:
             await asyncio.sleep(SWEEP)
-            now = self.core.now()
+            now, gap = self.core.now(), self.core.now() - before
+            before = now
+            if gap > 2e6 * SWEEP:  # this process itself stood still: answers may be there, not yet read
+                continue
             for channel in list(self.channels.values()):
                 if channel.unanswered(now) > SILENT_AFTER:
                     channel.end(SILENT)
--- a/wheatstile/rules.py
+++ b/wheatstile/rules.py
@@ -414,10 +414,18 @@
             self.ask(conn.server, self.looked, conn) if conn.server else None
 
     def looked(self, conn: Connection) -> None:
-        """Relieve a server that was read as full, as long as the fleet has room for whom it sends away."""
+        """Relieve a server that was read as full, as long as the fleet has room for whom it sends away.
+
+        One that did not answer may only be standing still for a quarter of a second: it is asked again before
+        all that it holds is moved.
+        """
         server = conn.server
-        if server and server.relief_at <= self.now and self.load(server) > X_FULL and self.mean_x < X_FULL:
-            server.relief_at, self.look_delay = self.now + REACT, LOOK
+        if not server or self.mean_x >= X_FULL or server.relief_at > self.now or self.load(server) <= X_FULL:
+            return
+        server.relief_at, self.look_delay = self.now + REACT, LOOK
+        if self.load(server) >= UNREAD:
+            self.actions.append(api.SetTimer(REACT // 2, "relief:" + conn.id))
+        else:
             self.relieve(conn)
 
     def relieve(self, conn: Connection) -> None:
