Drop the guard against this process standing still, which guards against nothing

A test that stops the process for 5 s with an answer on its way (SIGSTOP, SIGCONT, then a further line) passes with the guard and without it, three and four times: the loop reads what has come before it runs timers that are due. So the guard goes, and the test with it.

--- a/wheatstile/net/clients.py
+++ b/wheatstile/net/clients.py
@@ -469,13 +469,9 @@
 
     async def sweep(self) -> None:
         """Move clients whose server has been silent for too long: TCP tells nothing of a cut-off one."""
-        before = self.core.now()
         while True:
             await asyncio.sleep(SWEEP)
-            now, gap = self.core.now(), self.core.now() - before
-            before = now
-            if gap > 2e6 * SWEEP:  # this process itself stood still: answers may be there, not yet read
-                continue
+            now = self.core.now()
             for channel in list(self.channels.values()):
                 if channel.unanswered(now) > SILENT_AFTER:
                     channel.end(SILENT)
