--- a/wheatstile/net/servers.py
+++ b/wheatstile/net/servers.py
@@ -4,12 +4,12 @@
 import socket
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from math import isfinite
 from statistics import median
 
 import structlog
 
 from wheatstile import interface as api
+from wheatstile import wire
 from wheatstile.net.core import Core
 from wheatstile.net.lines import LineSocket, LineTooLong
 
@@ -42,17 +42,8 @@
 
 
 def report_in(text: bytes) -> api.Report | None:
-    """A load report as it closes a line; values that are no finite number of 0 or more count as absent."""
-    values = {}
-    for pair in text.decode("latin-1").split(","):
-        name, _, value = pair.partition("=")
-        try:
-            figure = float(value)
-        except ValueError:
-            continue
-        if name in REPORT_NAMES and isfinite(figure) and figure >= 0:
-            values[REPORT_NAMES[name]] = figure
-    return values or None
+    """A load report as it closes a line."""
+    return wire.report_in(text.decode("latin-1"), "=", REPORT_NAMES) or None
 
 
 def verdict_of(line: bytes) -> tuple[str, api.Report | None]:
--- a/wheatstile/wire.py
+++ b/wheatstile/wire.py
@@ -85,23 +85,25 @@
     return fields.get(key, "0") == "1"
 
 
-def report(fields: Fields) -> api.Report | None:
-    """A load report; values that are no finite number of 0 or more count as absent."""
-    stats = fields.get("stats")
-    if not stats:
-        return None
+def report_in(text: str, mark: str, names: dict[str, str]) -> api.Report:
+    """The named values of a load report; those that are no finite number of 0 or more count as absent."""
     values = {}
-    for pair in stats.split(","):
-        name, _, value = pair.partition(":")
+    for pair in text.split(","):
+        name, _, value = pair.partition(mark)
         try:
             figure = float(value)
         except ValueError:
             continue
-        if name in REPORT_NAMES and isfinite(figure) and figure >= 0:
-            values[REPORT_NAMES[name]] = figure
+        if name in names and isfinite(figure) and figure >= 0:
+            values[names[name]] = figure
     return values
 
 
+def report(fields: Fields) -> api.Report | None:
+    stats = fields.get("stats")
+    return report_in(stats, ":", REPORT_NAMES) if stats else None
+
+
 def _request(f: Fields) -> api.Request:
     return api.Request(
         text(f, "requestId"),
