Follow the file on SIGHUP: its discovery at once, its settings, and no crash

No handler was installed in __main__.balance, so the signal's default action ended the process.

Now SIGHUP is held back from the first line of main and handled by Node before the listener opens. The file is read again without RELAY_DISCOVERY; an unusable one is logged and changes nothing. Resolver.follow closes the old watch without telling a failure and forgets the revision, since the new discovery counts its own; the module is told 'moved', forgets its back-off and asks at once. A WatchList that a timer asks for while a watch stands is no second call.

Seen to fail without the change: all five tests of Reloads.

--- a/tests/peers.py
+++ b/tests/peers.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import unittest
 from collections.abc import Iterable
@@ -120,6 +121,7 @@
         self.server, self.discovery = Listener(), Listener()
         self.folder = tempfile.TemporaryDirectory()
         self.addCleanup(self.folder.cleanup)
+        self.path = Path(self.folder.name) / "config.json"
         self.node: subprocess.Popen[str] | None = None
         self.addCleanup(self.stop)
 
@@ -141,23 +143,32 @@
             "settings": SETTINGS | self.settings,
         }
 
-    def start(
-        self, members: Iterable[dict[str, Any]] | None = None, text: str | None = None, files: int = 1024
-    ) -> None:
-        """Start the program, and return once it answers PING (unless the configuration's text is given)."""
-        path = Path(self.folder.name) / "config.json"
-        path.write_text(json.dumps(self.config(members)) if text is None else text)
+    def launch(self, files: int = 1024, **variables: str) -> None:
+        """Start the program on the configuration's file as it is."""
         environ = {key: value for key, value in os.environ.items() if not key.startswith("RELAY_")}
         self.node = subprocess.Popen(
             [sys.executable, "-m", "wheatstile"],
             cwd=ROOT,
-            env=environ | {"RELAY_CONFIG": str(path)},
+            env=environ | {"RELAY_CONFIG": str(self.path)} | variables,
             stderr=subprocess.PIPE,
             text=True,
             preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (files, files)),
         )
+
+    def start(
+        self, members: Iterable[dict[str, Any]] | None = None, text: str | None = None, files: int = 1024
+    ) -> None:
+        """Start the program, and return once it answers PING (unless the configuration's text is given)."""
+        self.path.write_text(json.dumps(self.config(members)) if text is None else text)
+        self.launch(files)
+        if text is None:
+            self.ready()
+
+    def ready(self) -> None:
+        """Return once the program answers PING."""
+        assert self.node
         end = time.monotonic() + PATIENCE
-        while text is None:
+        while True:
             try:
                 client = self.client()
                 client.send("PING")
@@ -188,6 +199,28 @@
         assert self.node
         self.node.send_signal(signal.SIGTERM)
 
+    def reload(self, text: str = "", **changes: Any) -> dict[str, Any]:
+        """Replace the configuration's file, or keys in it, and say so; what the program logs of it."""
+        assert self.node
+        self.path.write_text(text or json.dumps(json.loads(self.path.read_text()) | changes))
+        self.node.send_signal(signal.SIGHUP)
+        return self.logged("reloaded", "the old configuration goes on")
+
+    def logged(self, *events: str) -> dict[str, Any]:
+        """The next line of the program's log that tells one of these events."""
+        assert self.node and self.node.stderr
+        patience = threading.Timer(PATIENCE, self.node.kill)  # and the log ends
+        patience.start()
+        try:
+            while True:
+                line = self.node.stderr.readline()
+                self.assertTrue(line, f"the log ended without {events}")
+                entry: dict[str, Any] = json.loads(line)
+                if entry["event"] in events:
+                    return entry
+        finally:
+            patience.cancel()
+
     def stop(self) -> str:
         """End the program by SIGKILL if it still runs; what it wrote to its standard error."""
         if self.node is None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,11 +1,13 @@
 """The real balancer as its peers see it."""
 
 import json
+import os
 import select
 import signal
+import time
 import unittest
 
-from peers import PATIENCE, SETTINGS, NodeTest
+from peers import PATIENCE, SETTINGS, Listener, NodeTest
 
 # The module moves clients away from a server that answers no probes; where none are allowed, it moves nobody.
 UNPROBED = {"familyInfo": {}, "limits": SETTINGS["limits"] | {"mayProbe": False}}
@@ -186,18 +188,88 @@
         self.up(9)
 
 
+class Reloads(NodeTest):
+    settings = UNPROBED
+
+    def test_the_watch_follows_the_files_discovery_and_nothing_else_is_touched(self) -> None:
+        config, files_discovery = self.config(), Listener()
+        self.path.write_text(json.dumps(config | {"discovery": files_discovery.address}))
+        self.launch(RELAY_DISCOVERY=self.discovery.address)  # goes before the file, until the file changes
+        self.ready()
+        old, _ = self.discovery.watch()
+        old.begin_watch()
+        old.chunk(70, self.member("s2"))
+        client, server = self.up()
+        self.reload()
+        watch, ask = files_discovery.watch()
+        self.assertIn("after=0 ", ask)  # its revisions are its own: nothing told elsewhere counts here
+        self.assertEqual(old.line(), "")
+        watch.begin_watch()
+        watch.chunk(2, self.member("s3"), complete=True)
+        watch.chunk(3, self.member("s3", host_port=Listener().address))
+        watch.close()
+        again, ask = files_discovery.watch()
+        self.assertIn("after=3 ", ask)
+        client.send("still")
+        self.assertEqual(server.line(), "still")
+        self.reload()
+        again.begin_watch()
+        again.chunk(4, self.member("s3"), complete=True)
+        self.up(2)
+
+    def test_a_new_discovery_is_asked_at_once_though_calls_to_the_old_one_failed(self) -> None:
+        self.start()
+        for _ in range(3):  # from here the next call would be two to six seconds off
+            self.discovery.watch()[0].close()
+        new = Listener()
+        told = time.monotonic()
+        self.reload(discovery=new.address)
+        new.watch()
+        self.assertLess(time.monotonic() - told, 1.5)
+
+    def test_a_file_that_cannot_be_used_changes_nothing(self) -> None:
+        self.start()
+        watch, _ = self.discovery.watch()
+        good = json.loads(self.path.read_text())
+        for text in ["{", "[" * 100_000, json.dumps(good | {"discovery": "nowhere"}), "[]"]:
+            with self.subTest(text=text[:20]):
+                self.assertEqual(self.reload(text)["level"], "error")
+        watch.begin_watch()
+        watch.chunk(2, self.member("s2"))
+        self.up()
+
+    def test_new_settings_count_at_once(self) -> None:
+        self.start()
+        classes = [SETTINGS["classes"][0] | {"name": "other"}]
+        kept = self.reload(name="n1", settings=SETTINGS | self.settings | {"classes": classes})
+        self.assertIn("name", kept["only_at_the_next_start"])
+        client = self.client()
+        client.send("OPEN 0000000000000001 k c=other,d=9000,g=a")
+        self.assertIn("c=other", self.server.rpc()[1])
+
+    def test_sighup_before_the_listener_is_open_ends_nothing_and_is_not_lost(self) -> None:
+        text = json.dumps(self.config())
+        os.mkfifo(self.path)
+        self.launch()
+        assert self.node
+        with open(self.path, "w") as file:  # opens once the program has opened it to read
+            self.node.send_signal(signal.SIGHUP)
+            file.write(text)
+        self.logged("serving")
+        self.path.write_text(text)  # read by the reload
+        self.logged("reloaded")
+        self.ready()
+
+
 class Life(NodeTest):
     def test_counters_are_logged_on_request(self) -> None:
         self.start()
         _client, _server = self.up()
-        assert self.node and self.node.stderr
+        assert self.node
         self.node.send_signal(signal.SIGUSR1)
-        while "counters" not in (line := self.node.stderr.readline()):
-            self.assertTrue(line)
-        counters = json.loads(line)
+        counters = self.logged("counters")
         self.assertEqual((counters["RPCs"], counters["attempt up"]), (1, 1))
 
-
     def test_sigterm_still_accepts_and_then_moves_everyone(self) -> None:
         self.start()
         client, server = self.up(1)
--- a/wheatstile/__main__.py
+++ b/wheatstile/__main__.py
@@ -28,6 +28,7 @@
 KILLED_AFTER = 0.7  # seconds, beside the longest deadline, from SIGTERM to SIGKILL at the earliest
 SHORTEST_DEADLINE = 3.0  # seconds that a shorter longest deadline is taken as
 STILL_COMING = 0.5  # seconds in which new connections still come after SIGTERM
+FIXED = ("name", "listen", "seed", "known")  # of the configuration: what holds from start to end
 SPARE = 1.3  # seconds before SIGKILL by which the last client has been told to move; LINGER is a part
 
 
@@ -56,13 +57,13 @@
         try:
             with open(path, encoding="utf-8") as file:
                 data = json.load(file)
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, RecursionError) as error:
             raise ConfigError(f"{path}: {error}") from None
         try:
             return cls._read(data, environ)
         except KeyError as error:
             raise ConfigError(f"{path}: the key {error.args[0]} is missing") from None
-        except (ValueError, TypeError, AttributeError, OSError) as error:
+        except (ValueError, TypeError, AttributeError, OSError, OverflowError) as error:
             raise ConfigError(f"{path}: {error}") from None
 
     @classmethod
@@ -99,43 +100,76 @@
         await asyncio.sleep(0.05)
 
 
+class Node:
+    """The running balancer: its parts, and what its signals do to them."""
+
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        self.terminated = asyncio.Event()
+        self.core = Core(config.settings, config.seed)
+        self.subchannels = Subchannels(self.core, config.servers)
+        self.resolver = Resolver(self.core, self.subchannels, config.discovery)
+        self.channels = Channels(self.core, self.subchannels, config.channels)
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.terminated.set)
+        loop.add_signal_handler(signal.SIGINT, self.terminated.set)
+        loop.add_signal_handler(signal.SIGUSR1, lambda: log.info("counters", **self.core.counters))
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # main held it back until now
+
+    def reload(self) -> None:
+        """Follow the file as it is now, and leave what stands alone; an unusable file changes nothing.
+
+        Discovery is the file's from here on: RELAY_DISCOVERY tells where it was when the process started.
+        """
+        self.core.counters["reloads"] += 1
+        environ = {name: value for name, value in os.environ.items() if name != "RELAY_DISCOVERY"}
+        try:
+            new = Config.read(environ)
+        except ConfigError as error:
+            self.core.counters["reloads failed"] += 1
+            log.error("the old configuration goes on", reason=str(error))
+            return
+        kept = [key for key in FIXED if getattr(new, key) != getattr(self.config, key)]
+        self.config = replace(new, **{key: getattr(self.config, key) for key in FIXED})
+        self.core.configure(new.settings)
+        self.subchannels.limits, self.channels.limits = new.servers, new.channels
+        self.resolver.follow(new.discovery)
+        log.info("reloaded", discovery=new.discovery, only_at_the_next_start=kept)
+
+    async def run(self) -> None:
+        """Serve from start to SIGTERM, then send every client away while there is time."""
+        with socket.create_server(self.config.listen, backlog=BACKLOG) as listener:
+            listener.setblocking(False)
+            self.core.start(self.subchannels, self.resolver)
+            self.resolver.take(self.config.known, "cached")
+            parts = [
+                asyncio.create_task(supervised("accept", lambda: self.channels.serve(listener))),
+                asyncio.create_task(supervised("silence", self.channels.sweep)),
+                asyncio.create_task(supervised("delays", self.subchannels.sweep)),
+            ]
+            log.info("serving", name=self.config.name, servers=len(self.subchannels.by_name))
+            await self.terminated.wait()
+            log.info("draining", connections=len(self.core.rpcs))
+            await asyncio.sleep(STILL_COMING)
+            time = max(self.config.longest_deadline, SHORTEST_DEADLINE) + KILLED_AFTER - STILL_COMING
+            with suppress(TimeoutError):
+                async with asyncio.timeout(time):
+                    await self.channels.drain(time - SPARE)
+            self.resolver.close()
+            for part in parts:
+                part.cancel()
+            await asyncio.wait(parts)
+        log.info("counters", **self.core.counters)
+
+
 async def balance(config: Config) -> None:
-    """Serve from start to SIGTERM, then send every client away while there is time."""
-    loop = asyncio.get_running_loop()
-    terminated = asyncio.Event()
-    loop.add_signal_handler(signal.SIGTERM, terminated.set)
-    loop.add_signal_handler(signal.SIGINT, terminated.set)
-
-    core = Core(config.settings, config.seed)
-    loop.add_signal_handler(signal.SIGUSR1, lambda: log.info("counters", **core.counters))
-    subchannels = Subchannels(core, config.servers)
-    resolver = Resolver(core, subchannels, config.discovery)
-    channels = Channels(core, subchannels, config.channels)
-    with socket.create_server(config.listen, backlog=BACKLOG) as listener:
-        listener.setblocking(False)
-        core.start(subchannels, resolver)
-        resolver.take(config.known, "cached")
-        parts = [
-            asyncio.create_task(supervised("accept", lambda: channels.serve(listener))),
-            asyncio.create_task(supervised("silence", channels.sweep)),
-            asyncio.create_task(supervised("delays", subchannels.sweep)),
-        ]
-        log.info("serving", name=config.name, servers=len(subchannels.by_name))
-        await terminated.wait()
-        log.info("draining", connections=len(core.rpcs))
-        await asyncio.sleep(STILL_COMING)
-        time = max(config.longest_deadline, SHORTEST_DEADLINE) + KILLED_AFTER - STILL_COMING
-        with suppress(TimeoutError):
-            async with asyncio.timeout(time):
-                await channels.drain(time - SPARE)
-        resolver.close()
-        for part in parts:
-            part.cancel()
-        await asyncio.wait(parts)
-    log.info("counters", **core.counters)
+    await Node(config).run()
 
 
 def main() -> int:
+    # Unhandled, SIGHUP would end the process; held back until the node handles it, none is lost either.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
--- a/wheatstile/interface.py
+++ b/wheatstile/interface.py
@@ -74,7 +74,10 @@
 
 @dataclass(slots=True)
 class ServerList:
-    """The server list. Kind is "delta", "full", "cached" (full, maybe old) or "failed" (no entries)."""
+    """The server list. Kind is "delta", "full" or "cached" (full, maybe old).
+
+    Without entries: "failed" (a call) or "moved" (whoever tells the list is elsewhere from now on).
+    """
 
     kind: str
     entries: list[ListEntry] = field(default_factory=list)
--- a/wheatstile/net/clients.py
+++ b/wheatstile/net/clients.py
@@ -185,7 +185,7 @@
     async def _serve(self) -> bytes:
         """Read the first line and serve what it asks; the last line that the client is owed, if any."""
         first = FirstLine.read(await self._first_line())
-        if first.fields["c"] not in self.front.classes or self.front.seen(first.id):
+        if first.fields["c"] not in self.core.balancer.settings.classes or self.front.seen(first.id):
             raise Malformed
         if self.front.full():
             self.core.counters["unavailable, no descriptors"] += 1
@@ -400,7 +400,6 @@
 
     def __init__(self, core: Core, subchannels: Subchannels, limits: ChannelLimits) -> None:
         self.core, self.subchannels, self.limits = core, subchannels, limits
-        self.classes = core.balancer.settings.classes
         self.channels: dict[asyncio.Task[None], Channel] = {}
         self._ids: OrderedDict[str, None] = OrderedDict()
         self._spare = os.open(os.devnull, os.O_RDONLY)
--- a/wheatstile/net/core.py
+++ b/wheatstile/net/core.py
@@ -61,6 +61,10 @@
         for action in self.balancer.start(self.now()):
             self._carry_out(action)
 
+    def configure(self, settings: api.Settings) -> None:
+        """Have the module decide by these settings from its next event on."""
+        self.balancer.configure(settings)
+
     def tell(self, event: api.Event) -> None:
         """Hand the module an event and carry out what it answers.
 
--- a/wheatstile/net/discovery.py
+++ b/wheatstile/net/discovery.py
@@ -74,14 +74,26 @@
         self._watch: asyncio.Task[None] | None = None
 
     def take(self, result: ResolverResult, kind: str) -> None:
-        self.revision = max(self.revision, result.revision)
+        # A full list replaces all that stood, and so does its revision: a discovery may count anew.
+        self.revision = result.revision if result.complete else max(self.revision, result.revision)
         self.subchannels.update(result.addresses.items(), kind != "delta")
         self.core.tell(api.ServerList(kind, result.entries))
 
     def watch(self) -> None:
-        """Ask for changes from now on. A watch that stands is replaced, and its end is no failure."""
-        self.close()
-        self._watch = asyncio.create_task(self._run())
+        """Ask for changes from now on. A watch that stands does so already, and is not asked for twice."""
+        if self._watch is None or self._watch.done():
+            self._watch = asyncio.create_task(self._run())
+
+    def follow(self, address: tuple[str, int]) -> None:
+        """Discovery is at another address from now on. The end of the old watch is no failure.
+
+        The list stands meanwhile. Revisions count from nothing there, so the first answer is asked for whole:
+        whatever differs from the old discovery's is then seen.
+        """
+        if address != self.address:
+            self.close()
+            self.address, self.revision, self._watch = address, 0, None
+            self.core.tell(api.ServerList("moved"))
 
     def close(self) -> None:
         if self._watch:
--- a/wheatstile/rules.py
+++ b/wheatstile/rules.py
@@ -111,8 +111,8 @@
     """The decisions of one balancer, on what it alone is told."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.settings, self.random = settings, Random(seed)
-        self.may_probe = settings.may_probe and bool(settings.report_names)
+        self.random = Random(seed)
+        self.configure(settings)
         self.actions: list[api.Action] = []
         self.servers: dict[str, Server] = {}
         self.ready: list[Server] = []
@@ -130,6 +130,11 @@
             api.LoadNote: self.on_load,
         }  # fmt: skip
 
+    def configure(self, settings: api.Settings) -> None:
+        """These settings count from the next event on; what start has set going keeps its ways."""
+        self.settings = settings
+        self.may_probe = settings.may_probe and bool(settings.report_names)
+
     def start(self, now: int) -> list[api.Action]:
         """Call once, before any event: sets the slots' phase and asks for the list where need be."""
         self.now = self.since = self.credit_at = now
@@ -154,6 +159,8 @@
             self.watch_delay = min(2 * self.watch_delay, WATCH_MAX)
             return self.actions.append(api.SetTimer(delay, "list"))
         self.watch_delay = SECOND
+        if event.kind == "moved":  # what failed elsewhere says nothing of this place: it is asked at once
+            return self.actions.append(api.WatchList())
         for entry in event.entries:
             server = self.servers.setdefault(entry.server, Server(entry))
             if server.tokens_at == 0 or server.entry.started != entry.started:
