Answer and move everybody within 3.7 s of SIGTERM

Its log has 'draining' at 16.53 s and no end before 20.3 s. __main__ took the longest deadline, 4.8 s, as at least 3 s; PROTOCOL takes a longer one as 3 s, so SIGKILL may come after 3.7 s. And drain waited for every channel, also for silent ones, and for requests that no server had answered, up to their whole deadline.

Now the smaller figure counts. Once the moves are spread out, the module is told Closing and answers whatever is owed an answer (a refusal where a repeat is harmless); an attempt that is out is dropped.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -283,6 +283,24 @@
         assert self.node
         self.assertEqual(self.node.wait(PATIENCE), 0)
 
+    def test_sigterm_answers_whom_no_server_has_answered_and_ends_in_time(self) -> None:
+        self.start()
+        standing, _server = self.up(1)
+        waiting = self.open(2)
+        held = self.server.rpc()[0]
+        _silent = self.client()
+        told = time.monotonic()
+        self.terminate()
+        self.assertEqual((standing.line(), standing.line()), ("MOVE", ""))
+        self.assertRegex(waiting.line(), "^BUSY [1-9]")
+        self.assertEqual(held.line(), "")
+        for client in (standing, waiting):
+            client.close()
+        assert self.node
+        self.assertEqual(self.node.wait(PATIENCE), 0)
+        # 3.7 s are promised; neither the longest deadline, of 9 s, nor the silent channel may count.
+        self.assertLess(time.monotonic() - told, 7.0)
+
     def test_a_bad_configuration_is_one_plain_line(self) -> None:
         lacking = json.dumps(self.config() | {"settings": {}})
         for text, word in [("{", "config.json"), (lacking, "missing"), ("[]", "config.json")]:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -42,6 +42,18 @@
     assert finals(world, "r") == 1 and not of(world.log, api.Send)
 
 
+def test_closing_answers_whatever_is_open_and_whatever_comes_after() -> None:
+    for classes, answer in ((settings().classes, api.Refuse), (UNSAFE, api.Fail)):
+        world = World("a", "b", classes=classes)
+        world.request("sent")
+        world.tell(api.Request("held", "web", 2 * SECOND))
+        world.connect("stands", "a")
+        actions = world.tell(api.Closing())
+        # What is out may run: only where a repeat is harmless may its client be told to come again.
+        assert [type(a) for a in actions] == [answer, api.Refuse]
+        assert [type(a) for a in world.tell(api.Request("late", "web", 2 * SECOND))] == [api.Refuse]
+
+
 def test_an_empty_list_ends_in_a_refusal() -> None:
     world = World()
     world.request("r")
--- a/wheatstile/__main__.py
+++ b/wheatstile/__main__.py
@@ -26,7 +26,7 @@
 
 BACKLOG = 1024
 KILLED_AFTER = 0.7  # seconds, beside the longest deadline, from SIGTERM to SIGKILL at the earliest
-SHORTEST_DEADLINE = 3.0  # seconds that a shorter longest deadline is taken as
+COUNTED_DEADLINE = 3.0  # seconds that a longer longest deadline is taken as there
 STILL_COMING = 0.5  # seconds in which new connections still come after SIGTERM
 FIXED = ("name", "listen", "seed", "known")  # of the configuration: what holds from start to end
 SPARE = 1.3  # seconds before SIGKILL by which the last client has been told to move; LINGER is a part
@@ -152,7 +152,7 @@
             await self.terminated.wait()
             log.info("draining", connections=len(self.core.rpcs))
             await asyncio.sleep(STILL_COMING)
-            time = max(self.config.longest_deadline, SHORTEST_DEADLINE) + KILLED_AFTER - STILL_COMING
+            time = min(self.config.longest_deadline, COUNTED_DEADLINE) + KILLED_AFTER - STILL_COMING
             with suppress(TimeoutError):
                 async with asyncio.timeout(time):
                     await self.channels.drain(time - SPARE)
--- a/wheatstile/interface.py
+++ b/wheatstile/interface.py
@@ -178,6 +178,11 @@
     token: str
 
 
+@dataclass(slots=True)
+class Closing:
+    """This balancer ends within seconds: whoever is still owed an answer has to get it now."""
+
+
 Event: TypeAlias = (
     ServerList
     | Request
@@ -189,6 +194,7 @@
     | LoadNote
     | DelayNote
     | TimerFired
+    | Closing
 )
 
 # Actions: what a balancer answers.
--- a/wheatstile/net/clients.py
+++ b/wheatstile/net/clients.py
@@ -114,6 +114,7 @@
         self.attempt: Attempt | None = None
         self.up = False
         self._decisions: asyncio.Queue[api.Send | api.Refuse | api.Fail] = asyncio.Queue()
+        self._answered = asyncio.Event()  # the module has said its last, maybe while an attempt is out
         self._ending: asyncio.Future[str] = asyncio.get_running_loop().create_future()
         self._reader: asyncio.Task[None] | None = None
         self._to_client = asyncio.Lock()  # held while lines go out, so that MOVE goes between two
@@ -123,6 +124,8 @@
             self.end("by decision")
         else:
             self._decisions.put_nowait(action)
+            if not isinstance(action, api.Send):
+                self._answered.set()
 
     @property
     def standing(self) -> bool:
@@ -285,7 +288,15 @@
         self.attempt = self.front.subchannels.attempt(server)
         if self.attempt is None:
             return "connect_failed", b""
-        outcome, line = await self._unless_left(self.attempt.run(first_line, timeout))
+        run = asyncio.create_task(self.attempt.run(first_line, timeout))
+        answered = asyncio.create_task(self._answered.wait())
+        try:
+            await self._unless_left(_first_of(run, answered))
+            outcome, line = run.result() if run.done() else ("cancelled", b"")
+        finally:
+            run.cancel()
+            answered.cancel()
+            await asyncio.wait([run, answered])
         self.core.counters[f"attempt {outcome}"] += 1
         return outcome, line
 
@@ -476,14 +487,17 @@
                     channel.end(SILENT)
 
     async def drain(self, seconds: float) -> None:
-        """Move every client, spread over this time; what is set up meanwhile moves with the last."""
+        """Move every client, spread over this time; whoever is not up by then gets the final answer."""
         end = asyncio.get_running_loop().time() + seconds
-        while self.channels and (left := end - asyncio.get_running_loop().time()) > 0:
+        while self.core.rpcs and (left := end - asyncio.get_running_loop().time()) > 0:
             standing = [channel for channel in self.channels.values() if channel.standing]
             if standing:
                 standing[0].end(DRAIN)
             await asyncio.sleep(min(0.1, left / (len(standing) + 1)))
-        while self.channels:
+        self.core.tell(api.Closing())
+        while self.core.rpcs:  # a few may have come up in this instant
             for channel in self.channels.values():
                 channel.end(DRAIN)
             await asyncio.sleep(0.02)
+        if self.channels:  # some are still taking their last line; the silent ones are not waited for
+            await asyncio.wait(self.channels, timeout=LINGER)
--- a/wheatstile/rules.py
+++ b/wheatstile/rules.py
@@ -122,12 +122,13 @@
         self.returns: dict[str, Move] = {}  # by client key: moved from here and not seen since
         self.clock, self.mean_x = 0, 0.5  # of slots; running mean of probed loads
         self.pace, self.credits, self.credit_at, self.peak = PACE_START, 1.0, 0, 0.0
+        self.closing = False
         self.now, self.since, self.arrivals, self.watch_delay, self.look_delay = 0, 0, 1, SECOND, LOOK
         self.handlers: dict[type, Callable[..., None]] = {
             api.ServerList: self.on_list, api.Request: self.on_request, api.OpenConnection: self.on_open,
             api.Established: self.on_established, api.AttemptEnded: self.on_ended, api.ClientLeft: self.drop,
             api.Probed: self.on_probed, api.TimerFired: self.on_timer, api.DelayNote: self.on_delay,
-            api.LoadNote: self.on_load,
+            api.LoadNote: self.on_load, api.Closing: self.on_closing,
         }  # fmt: skip
 
     def configure(self, settings: api.Settings) -> None:
@@ -246,7 +247,7 @@
         holder = self.draw(conn, near=self.settings.cross_price > 0) if event.midflow and not again else None
         if holder:  # the likelier of the pair; anywhere else it would be reset and set up anew
             self.send(conn, holder)
-        elif self.mean_x > X_FULL and self.random.random() < GATE:
+        elif self.closing or (self.mean_x > X_FULL and self.random.random() < GATE):
             self.answer(conn)
         else:
             self.place_anew(conn)
@@ -314,7 +315,8 @@
     def answer(self, conn: Connection) -> None:
         """Rules 1 and 2: the final answer, a refusal where coming again is harmless."""
         kind = self.connections.pop(conn.id).kind
-        if not conn.ran or kind.repeat == "safe" or (kind.repeat == "keyed" and kind.scope == "all"):
+        ran = conn.ran or conn.out
+        if not ran or kind.repeat == "safe" or (kind.repeat == "keyed" and kind.scope == "all"):
             advice = int(RETRY_ADVICE * (0.5 + self.random.random())) if self.settings.retry_advice else 0
             self.actions.append(api.Refuse(conn.id, min(advice, self.settings.max_retry_advice)))
         else:
@@ -332,6 +334,12 @@
             conn.server.failures = 0
             conn.out, self.open[conn] = False, None
 
+    def on_closing(self, _: api.Closing) -> None:
+        """Answer whatever is owed an answer, and from now on whatever comes."""
+        self.closing = True
+        for conn in [conn for conn in self.connections.values() if conn not in self.open]:
+            self.answer(conn)
+
     def drop(self, over: Connection | api.ClientLeft) -> None:
         """Forget a connection that is over, or whose client has left."""
         conn = self.connections.pop(over.id, None)
