Serve until the last 1.3 s after SIGTERM, and ask a new discovery for its whole list

Until it is moved a connection is served, and SIGKILL comes at 3.7 s: so __main__ now moves from 1.7 s to 3.0 s, and LINGER is 0.5 s so that all has ended by 3.5 s. Resolver now asks for the whole list, then watches from its revision.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -225,11 +225,15 @@
         old.chunk(70, self.member("s2"))
         client, server = self.up()
         self.reload()
-        watch, ask = files_discovery.watch()
-        self.assertIn("after=0 ", ask)  # its revisions are its own: nothing told elsewhere counts here
+        call, ask = files_discovery.watch()
+        # Its revisions are its own: changes since any revision told elsewhere might leave some out.
+        self.assertEqual(ask, "GET /discovery/hosts HTTP/1.1")
         self.assertEqual(old.line(), "")
+        body = json.dumps({"revision": 2, "complete": True, "members": [self.member("s3")]}, indent=1)
+        call.send("HTTP/1.1 200 OK", f"Content-Length: {len(body)}", "", body)
+        watch, ask = files_discovery.watch()
+        self.assertIn("after=2 ", ask)
         watch.begin_watch()
-        watch.chunk(2, self.member("s3"), complete=True)
         watch.chunk(3, self.member("s3", host_port=Listener().address))
         watch.close()
         again, ask = files_discovery.watch()
--- a/wheatstile/__main__.py
+++ b/wheatstile/__main__.py
@@ -20,6 +20,7 @@
 from wheatstile.net.clients import ChannelLimits, Channels
 from wheatstile.net.core import Core
 from wheatstile.net.discovery import Resolver, ResolverResult, address_of
+from wheatstile.net.lines import LINGER
 from wheatstile.net.servers import ServerLimits, Subchannels
 
 log = structlog.get_logger()
@@ -29,7 +30,9 @@
 COUNTED_DEADLINE = 3.0  # seconds that a longer longest deadline is taken as there
 STILL_COMING = 0.5  # seconds in which new connections still come after SIGTERM
 FIXED = ("name", "listen", "seed", "known")  # of the configuration: what holds from start to end
-SPARE = 1.3  # seconds before SIGKILL by which the last client has been told to move; LINGER is a part
+# Seconds before SIGKILL by which the last client has been told to move, and over which they are spread: until
+# then they are served here, and where balancers are restarted in turn, the one before this may still be down.
+SPARE, SPREAD = 0.7, 1.3
 
 
 class ConfigError(ValueError):
@@ -151,11 +154,12 @@
             log.info("serving", name=self.config.name, servers=len(self.subchannels.by_name))
             await self.terminated.wait()
             log.info("draining", connections=len(self.core.rpcs))
-            await asyncio.sleep(STILL_COMING)
-            time = min(self.config.longest_deadline, COUNTED_DEADLINE) + KILLED_AFTER - STILL_COMING
+            time = min(self.config.longest_deadline, COUNTED_DEADLINE) + KILLED_AFTER
             with suppress(TimeoutError):
-                async with asyncio.timeout(time):
-                    await self.channels.drain(time - SPARE)
+                async with asyncio.timeout(time - SPARE + LINGER):
+                    begin = max(STILL_COMING, time - SPARE - SPREAD)
+                    await asyncio.sleep(begin)
+                    await self.channels.drain(time - SPARE - begin)
             self.resolver.close()
             for part in parts:
                 part.cancel()
--- a/wheatstile/net/discovery.py
+++ b/wheatstile/net/discovery.py
@@ -71,6 +71,7 @@
     def __init__(self, core: Core, subchannels: Subchannels, address: tuple[str, int]) -> None:
         self.core, self.subchannels, self.address = core, subchannels, address
         self.revision = 0
+        self._strange = False  # the revision is another discovery's
         self._watch: asyncio.Task[None] | None = None
 
     def take(self, result: ResolverResult, kind: str) -> None:
@@ -87,12 +88,12 @@
     def follow(self, address: tuple[str, int]) -> None:
         """Discovery is at another address from now on. The end of the old watch is no failure.
 
-        The list stands meanwhile. Revisions count from nothing there, so the first answer is asked for whole:
-        whatever differs from the old discovery's is then seen.
+        The list stands meanwhile. Its revision says nothing there, and changes since any other may leave out
+        what the old discovery never told: so the whole list is asked for before its changes.
         """
         if address != self.address:
             self.close()
-            self.address, self.revision, self._watch = address, 0, None
+            self.address, self._strange, self._watch = address, True, None
             self.core.tell(api.ServerList("moved"))
 
     def close(self) -> None:
@@ -111,22 +112,28 @@
         self.core.tell(api.ServerList("failed"))
 
     async def _follow(self) -> None:
+        if self._strange:
+            await self._call(PATH, whole=True)
+            self._strange = False
+        await self._call(f"{PATH}?watch=1&after={self.revision}")
+
+    async def _call(self, path: str, whole: bool = False) -> None:
+        """One call on a connection of its own, until its answer is whole; a watch's never is."""
         loop = asyncio.get_running_loop()
         with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
             sock.setblocking(False)
             async with asyncio.timeout(SILENT_AFTER):
                 await loop.sock_connect(sock, self.address)
                 host, port = self.address
-                ask = f"GET {PATH}?watch=1&after={self.revision} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
-                await loop.sock_sendall(sock, ask.encode())
-            answer = _Answer(self._line)
+                await loop.sock_sendall(sock, f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
+            answer = _Answer(self._line, whole)
             parser = httptools.HttpResponseParser(answer)
             buffer = memoryview(bytearray(16384))
-            while True:
+            while not (whole and answer.over):
                 async with asyncio.timeout(SILENT_AFTER):
                     count = await loop.sock_recv_into(sock, buffer)
                 if not count:
-                    raise DiscoveryError("discovery closed the watch")
+                    raise DiscoveryError("discovery closed the call")
                 parser.feed_data(buffer[:count])
                 answer.check(parser.get_status_code() if answer.begun else 0)
 
@@ -141,10 +148,10 @@
 
 
 class _Answer:
-    """What httptools calls while it reads one answer; lines of the body go on as they come."""
+    """What httptools calls while it reads one answer; lines of the body go on as they come, or all as one."""
 
-    def __init__(self, line: Callable[[bytes], None]) -> None:
-        self._line, self._rest = line, b""
+    def __init__(self, line: Callable[[bytes], None], whole: bool) -> None:
+        self._line, self._rest, self._whole = line, b"", whole
         self.begun = self.over = False
         self.error: DiscoveryError | None = None
 
@@ -153,11 +160,19 @@
 
     def on_message_complete(self) -> None:
         self.over = True
+        if self._whole:
+            self._take([self._rest])
 
     def on_body(self, body: bytes) -> None:
-        *lines, self._rest = (self._rest + body).split(b"\n")
+        lines: list[bytes] = []
+        self._rest += body
+        if not self._whole:
+            *lines, self._rest = self._rest.split(b"\n")
         if len(self._rest) > LINE_MAX:
             self.error = DiscoveryError("discovery sent a line without an end")
+        self._take(lines)
+
+    def _take(self, lines: list[bytes]) -> None:
         try:
             for line in lines:
                 if line.strip() and not self.error:
@@ -170,5 +185,5 @@
             raise DiscoveryError(f"discovery answered {status}")
         if self.error:
             raise self.error
-        if self.over:
+        if self.over and not self._whole:
             raise DiscoveryError("discovery ended the watch")
--- a/wheatstile/net/lines.py
+++ b/wheatstile/net/lines.py
@@ -5,7 +5,7 @@
 import struct
 
 LINE_LIMIT = 4096
-LINGER = 1.0  # seconds that a peer is given to take the last line and close
+LINGER = 0.5  # seconds that a peer is given to take the last line and close
 
 
 class LineTooLong(Exception):
