Relieve a full server on any reading of it, and look more often after a list change

Ruled out: failed probes (3), lost lists (told within 1 s), refusals (none), the drain of the balancers (later, and measured apart).

Now each good reading counts for relief where no delay is told, and a change of the list brings the looks back to one a second. An unread server still has to miss two looks before anybody is moved.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -610,3 +610,26 @@
         assert not of(world.tell(api.Probed("a", "timeout")), api.Move)
         world.silent = {"a"} if still else set()
         assert len(of(world.run(SECOND), api.Move)) == moved
+
+
+def test_any_reading_of_a_full_server_relieves_it_where_no_delay_is_told() -> None:
+    """Read for newcomers at 1.2, a server kept all its clients until it was looked at, seconds later."""
+    for tells_delay, moved in ((False, True), (True, False)):
+        world = World("a", "b", loads={"a": 1.4, "b": 0.2}, tells_delay=tells_delay)
+        for number in range(40):
+            world.connect(f"c{number}", "a")
+        world.request("newcomer")
+        assert bool(of(world.log, api.Move)) == moved
+
+
+def test_a_change_of_the_list_brings_the_next_looks_forward() -> None:
+    world = World("a", "b", "c", tells_delay=False)
+    world.connect("c", "a")
+    world.run(60 * SECOND)
+    world.log.clear()
+    world.run(8 * SECOND)
+    quiet = len(of(world.log, api.Probe))
+    world.tell(api.ServerList("delta", [api.ListEntry("c", "draining", "here")]))
+    world.log.clear()
+    world.run(8 * SECOND)
+    assert len(of(world.log, api.Probe)) > quiet
--- a/wheatstile/rules.py
+++ b/wheatstile/rules.py
@@ -159,7 +159,7 @@
             delay = int(self.watch_delay * (0.5 + self.random.random()))
             self.watch_delay = min(2 * self.watch_delay, WATCH_MAX)
             return self.actions.append(api.SetTimer(delay, "list"))
-        self.watch_delay = SECOND
+        self.watch_delay, self.look_delay = SECOND, LOOK  # the clients of a server that leaves come elsewhere
         if event.kind == "moved":  # what failed elsewhere says nothing of this place: it is asked at once
             return self.actions.append(api.WatchList())
         for entry in event.entries:
@@ -402,6 +402,9 @@
             self.suspect(server)
         for then, conn in waiting:
             then(conn)
+        held = next((conn for conn in self.open if conn.server is server), None)
+        if held and event.outcome == "ok" and not self.settings.tells_delay:
+            self.looked(held)  # whatever it was read for: between two looks a server fills in seconds
 
     def on_delay(self, event: api.DelayNote) -> None:
         """Messages take longer than wanted at a server: read its load now, at most once a REACT."""
