Move nobody away from a server that answers its probes with an error

Ruled out: silence (3 ms), the list (ready).

Now an error leaves the load unknown and makes the server a suspect, as before, but moves nobody; only a server that does not answer at all is left.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -643,3 +643,21 @@
         world.tell(api.Probed(world.probes.pop(), outcome))
         servers = world.balancer.servers.values()
         assert any(server.suspect_until > world.now for server in servers) == suspected
+
+
+def test_a_server_that_answers_looks_with_errors_keeps_its_clients_and_gets_no_more() -> None:
+    """It answered within 3 ms, twice with ERR, and all that it held was moved away."""
+    world = World("a", "b", "c", tells_delay=False)
+    for index in range(40):
+        world.connect(f"c{index}", "a")
+    for _ in range(3):
+        while "a" not in world.probes:
+            world.run_to_timer()
+            for name in [name for name in world.probes if name != "a"]:
+                world.probes.remove(name)
+                world.tell(api.Probed(name, "ok", 1000, {"load": 0.4}))
+        world.probes.remove("a")
+        assert not of(world.tell(api.Probed("a", "error")), api.Move)
+        world.request("r")
+        assert of(world.log, api.Send)[-1].server != "a"
+        world.tell(api.ClientLeft("r"))
--- a/wheatstile/rules.py
+++ b/wheatstile/rules.py
@@ -398,7 +398,8 @@
             server.x = load_in(event.report or {})
         elif event.outcome != "moot":  # many balancers asking at once fill a healthy server: twice counts
             first = event.outcome == "full" and server.x not in (None, UNREAD) and not server.least_x
-            server.x = None if first else UNREAD
+            # One that answers with an error stands and serves whom it holds: nobody is moved for it.
+            server.x = None if first or event.outcome == "error" else UNREAD
             self.suspect(server)
         for then, conn in waiting:
             then(conn)
