--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -614,8 +614,9 @@
 
 def test_any_reading_of_a_full_server_relieves_it_where_no_delay_is_told() -> None:
     """Read for newcomers at 1.2, a server kept all its clients until it was looked at, seconds later."""
-    for tells_delay, moved in ((False, True), (True, False)):
-        world = World("a", "b", loads={"a": 1.4, "b": 0.2}, tells_delay=tells_delay)
+    # Relief from 0.7 on at a single noisy reading moved clients for nothing.
+    for load, tells_delay, moved in ((1.4, False, True), (1.4, True, False), (0.78, False, False)):
+        world = World("a", "b", loads={"a": load, "b": 0.2}, tells_delay=tells_delay)
         for number in range(40):
             world.connect(f"c{number}", "a")
         world.request("newcomer")
--- a/wheatstile/rules.py
+++ b/wheatstile/rules.py
@@ -25,6 +25,7 @@
 COLD_SAFETY = 0.5  # of what a cold server may be sent: its capacity is guessed from the others'
 REACT = SECOND  # relief waits so long to see in late reports what the last one did
 LOOK = SECOND  # where nothing tells of delays, a server is read so often; up to SLOT while none is full
+X_BRIM = 0.8  # beyond this a single reading, with its noise, is enough to relieve a server
 X_FULL = 0.7  # no server is wanted beyond this load: messages miss their aims from about here
 CROSS_WEIGHT = 3.0  # load that a price of 1 for crossing zones outweighs, between two candidates
 GATE = 0.9  # of the requests that find the fleet full on average are refused with no probe spent on them
@@ -404,7 +405,7 @@
         for then, conn in waiting:
             then(conn)
         held = next((conn for conn in self.open if conn.server is server), None)
-        if held and event.outcome == "ok" and not self.settings.tells_delay:
+        if held and event.outcome == "ok" and self.load(server) > X_BRIM and not self.settings.tells_delay:
             self.looked(held)  # whatever it was read for: between two looks a server fills in seconds
 
     def on_delay(self, event: api.DelayNote) -> None:
