Count each server once in the fleet's mean load, so that two full ones refuse nobody

At fault: rules.choose, which moved the mean by every candidate's reading. A pair's first server is drawn from the own site, and a pair that is full is drawn again, so full servers counted many times. Ruled out: missed probes (none before 19 s), lost lists, descriptors.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -662,3 +662,16 @@
         world.request("r")
         assert of(world.log, api.Send)[-1].server != "a"
         world.tell(api.ClientLeft("r"))
+
+
+def test_two_full_servers_at_the_own_site_do_not_make_the_fleet_look_full() -> None:
+    """Draws prefer the own site; a mean over draws rose above 0.7 there, and most clients were refused."""
+    loads = {"a": 1.2, "b": 1.2, "c": 0.4, "d": 0.4, "e": 0.4}
+    world = World(*"abcde", loads=loads, cross_price=0.01)
+    for name in "cde":
+        world.tell(api.ServerList("delta", [api.ListEntry(name, "ready", "there")]))
+    for number in range(200):
+        world.request(f"r{number}", key=f"k{number}")
+        world.run(SECOND // 10)
+    assert not of(world.log, api.Refuse)
+    assert world.balancer.mean_x < X_FULL
--- a/wheatstile/rules.py
+++ b/wheatstile/rules.py
@@ -290,8 +290,10 @@
         if not held or (not expired and any(s.probing for s in conn.pair)):
             return
         fit = [s for s in conn.pair if not s.probing and s.suspect_until <= self.now and self.fit(s, conn)]
-        for server in fit:  # uniform draws; a mean over relief's reads too would follow the worst servers
-            self.mean_x += 0.05 * (min(self.load(server), 1.0) - self.mean_x)
+        # Each server counts once: draws prefer the own site, and two full ones there made all look full.
+        known = [min(s.x, 1.0) for s in self.ready if s.x is not None and s.x < UNREAD]
+        for _ in fit if known else ():
+            self.mean_x += 0.05 * (sum(known) / len(known) - self.mean_x)
         price = CROSS_WEIGHT * self.settings.cross_price  # for as long as the connection lives
         costs = [self.load(server) + price * (server.entry.zone != self.settings.zone) for server in fit]
         best = fit[costs.index(min(costs))] if fit else None
