Leave connections that have just been set up alone when a server is relieved

Set-ups are work that reports tell as load, and rules.relieve drew among all connections, the newest included.

Now, where reports alone tell of load, a connection that has stood for less than 2 s stays.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -675,3 +675,16 @@
         world.run(SECOND // 10)
     assert not of(world.log, api.Refuse)
     assert world.balancer.mean_x < X_FULL
+
+
+def test_relief_leaves_alone_whoever_has_just_come() -> None:
+    """A restarted balancer's clients came within a second; the work of it had 49 of them moved again."""
+    world = World("a", "b", loads={"a": 0.3, "b": 0.3}, tells_delay=False)
+    for number in range(60):
+        world.request(f"r{number}", key=f"k{number}")
+        world.establish(f"r{number}")
+    world.loads = {"a": 1.3, "b": 0.3}
+    world.request("next")
+    assert not of(world.log, api.Move)
+    world.run(30 * SECOND)
+    assert of(world.log, api.Move)
--- a/wheatstile/rules.py
+++ b/wheatstile/rules.py
@@ -24,6 +24,7 @@
 WATCH_SPREAD, WATCH_MAX = 4 * SECOND, 8 * SECOND  # list calls: spread at the start, longest back-off
 COLD_SAFETY = 0.5  # of what a cold server may be sent: its capacity is guessed from the others'
 REACT = SECOND  # relief waits so long to see in late reports what the last one did
+SETTLE = 2 * SECOND  # where reports alone tell, a connection that stands for less is not moved for relief
 LOOK = SECOND  # where nothing tells of delays, a server is read so often; up to SLOT while none is full
 X_BRIM = 0.8  # beyond this a single reading, with its noise, is enough to relieve a server
 X_FULL = 0.7  # no server is wanted beyond this load: messages miss their aims from about here
@@ -92,6 +93,7 @@
     out: bool = False
     pair: list[Server] = field(default_factory=list)  # the candidates whose answers it waits for
     left: "Move | None" = None  # the exploration that brought it here
+    since: int = 0  # when it stood
     load: float = 1.0  # what it asks of its server, as last told
     ran: tuple[int, Server] | None = None  # when and where the first attempt went that may have run
 
@@ -335,7 +337,7 @@
         conn = self.connections.get(event.id)
         if conn and conn.out and conn.server:
             conn.server.failures = 0
-            conn.out, self.open[conn] = False, None
+            conn.out, self.open[conn], conn.since = False, None, self.now
 
     def on_closing(self, _: api.Closing) -> None:
         """Answer whatever is owed an answer, and from now on whatever comes."""
@@ -454,7 +456,9 @@
         """Move the share of its connections that is too much for a server, all if it is unread."""
         x = max(self.load(conn.server), conn.server.least_x) if conn.server else 0.0
         for held in [held for held in self.open if held.server is conn.server]:
-            if self.random.random() * x < x - X_FULL:
+            # A wave of set-ups is work that is soon over, and in a report it looks like load.
+            settled = self.settings.tells_delay or self.now - held.since >= SETTLE
+            if settled and self.random.random() * x < x - X_FULL:
                 self.leave(held)
 
     def load(self, server: Server) -> float:
