Read a watched file of servers whole or not at all, merge it with discovery, draw by weight

Where discovery is out of reach an operator must be able to name servers, and no half-written file may empty a site. The file is parsed and checked as a whole with all its faults and places, held against the list in force, settled or sealed, kept as last good, and merged by a pure module in three modes; what discovery tells to drain gets nothing new whatever the file says. The module's draws follow the weights; equal ones draw as before. The operator's file, its schema, check and the servers commands come with it; all of it is off on the platform.

--- a/wheatstile/cli/__init__.py
+++ b/wheatstile/cli/__init__.py
@@ -7,7 +7,12 @@
 
 from wheatstile import __version__
 
-COMMANDS = {"serve": "serve"}  # command -> its module here
+COMMANDS = {
+    "serve": "serve",
+    "check": "check",
+    "schema": "schema",
+    "servers": "servers",
+}  # command -> its module here
 
 
 class LazyGroup(click.Group):
--- /dev/null
+++ b/wheatstile/cli/check.py
@@ -0,0 +1,85 @@
+"""`check`: the operator's file and all that it names, before the balancer reads any of it."""
+
+import os
+from pathlib import Path
+
+import click
+
+from wheatstile.cli.common import refuse
+from wheatstile.config import operator
+from wheatstile.config.faults import Fault, Refused, load, locate
+from wheatstile.config.operator import OperatorFile
+from wheatstile.config.platform import Config, ConfigError
+from wheatstile.resolvers import document, intake
+from wheatstile.resolvers.document import Rules
+from wheatstile.resolvers.files import read_all
+from wheatstile.resolvers.intake import InForce
+
+
+@click.command("check")
+@click.argument("file")
+@click.option("--config", metavar="FILE", help="The platform's configuration (else RELAY_CONFIG names it).")
+def command(file: str, config: str | None) -> int:
+    """Check the operator's FILE and all that it names, against the platform's settings where they are given.
+
+    Exit status 0: it holds; 1: refused, every reason on standard error.
+    """
+    try:
+        found = operator.read(file)
+    except Refused as refused:
+        return refuse(refused.lines())
+    reasons, notes, platform = [], [], None
+    config = config or os.environ.get("RELAY_CONFIG")
+    if config:
+        try:
+            platform = Config.read({**os.environ, "RELAY_CONFIG": config})
+        except ConfigError as error:
+            reasons.append(str(error))
+    else:
+        notes.append("against the platform's settings: neither --config nor RELAY_CONFIG names them")
+    reasons += _servers(found, platform, notes)
+    if reasons:
+        return refuse(reasons)
+    click.echo(f"{file}: holds")
+    for note in notes:
+        click.echo(f"not checked: {note}")
+    return 0
+
+
+def _servers(found: OperatorFile, platform: Config | None, notes: list[str]) -> list[str]:
+    servers = found.settings.servers
+    if not servers.file:
+        return []
+    reasons = []
+    if servers.state_dir:
+        folder = found.near(servers.state_dir)
+        if not (folder.is_dir() and os.access(folder, os.W_OK)):
+            reasons.append(_at(found, "/servers/state_dir", f"{folder} is no folder that can be written"))
+    path, rules = found.near(servers.file), Rules.of(servers)
+    if not path.exists():
+        return [*reasons, _at(found, "/servers/file", f"there is no {path}")]
+    try:
+        whole = document.read(str(path), read_all(path, rules.most_bytes), rules)
+    except Refused as refused:
+        return reasons + refused.lines()
+    if platform is None:
+        return reasons
+    known = [entry for entry in platform.known.entries if entry.state == "ready"]
+    sites = tuple(sorted({entry.zone for entry in known} - {""}))
+    ready = frozenset(entry.server for entry in known) if servers.mode == "override" else frozenset()
+    admission = intake.admit(whole, InForce(None, sites, ready), None, frozenset(), rules)
+    if admission.outcome in ("refused", "held"):
+        reasons += [f"{path}:1: /: {reason}" for reason in admission.reasons]
+    own = platform.settings.zone
+    if not any(named.entry.zone == own for named in whole.servers.values()):
+        notes.append(
+            f'whether anybody else serves this balancer\'s own site "{own}": the file names no server there'
+        )
+    return reasons
+
+
+def _at(found: OperatorFile, pointer: str, reason: str) -> str:
+    """A fault of the operator's file that only its surroundings show, with its line."""
+    data = Path(found.path).read_bytes()
+    text, _ = load(str(found.path), data, len(data))
+    return Refused(str(found.path), locate(text, [Fault(pointer, reason)])).lines()[0]
--- a/wheatstile/config/members.py
+++ b/wheatstile/config/members.py
@@ -2,7 +2,8 @@
 
 import socket
 from dataclasses import dataclass
-from typing import Any
+from math import inf
+from typing import Any, NamedTuple
 
 from wheatstile import interface as api
 
@@ -18,6 +19,19 @@
     return host, int(port)
 
 
+def weight_of(value: Any) -> float:
+    """A server's weight; what nobody could draw by counts as 1. Raises ValueError or TypeError."""
+    weight = float(value)
+    return weight if 0 < weight < inf else 1.0
+
+
+class Named(NamedTuple):
+    """One server, and where it is reached (None: gone)."""
+
+    entry: api.ListEntry
+    address: tuple[str, int] | None
+
+
 @dataclass(frozen=True, slots=True)
 class ResolverResult:
     """One list of servers, or the changes to one, with the addresses to reach them at."""
@@ -40,7 +54,7 @@
                     phase,
                     str(member.get("locality", "")),
                     int(member.get("cell", 0)),
-                    float(member.get("size", 1.0)),
+                    weight_of(member.get("size", 1.0)),
                     started * 1000,
                 )
             )
--- /dev/null
+++ b/wheatstile/config/operator.py
@@ -0,0 +1,122 @@
+"""The operator's file: JSON, one section for each subsystem, all of them off where it says nothing.
+
+The JSON Schema is made from these types (`wheatstile schema`). Paths in the file are relative to its folder.
+"""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta
+
+from wheatstile.config import shape
+from wheatstile.config.faults import Fault, Refused, load, locate
+
+MOST_BYTES = 1 << 20  # of the operator's file itself
+
+
+class Log(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """The log on standard error; `--log-format` and `--log-level` go before it."""
+
+    format: Literal["json", "console"] = "json"
+    level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+def _told(description: str, **bounds: Any) -> Meta:
+    return Meta(description=description, **bounds)
+
+
+class Servers(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """The watched file of servers. Off without `file`."""
+
+    file: Annotated[str, _told("the file of servers; none: off", min_length=1)] | None = None
+    mode: Annotated[
+        Literal["fallback", "override", "merge"],
+        _told("when the file's list holds: discovery being silent, always, or together with discovery's"),
+    ] = "fallback"
+    after_s: Annotated[float, _told("silence of discovery after which the file holds", ge=0, le=86400)] = 10.0
+    hold_down_s: Annotated[
+        float, _told("steady answers asked of a discovery that flaps; doubles up to 8 times", ge=0, le=3600)
+    ] = 30.0
+    require_seal: Annotated[bool, _told("refuse a file without a seal")] = False
+    settle_s: Annotated[float, _told("how long an unsealed file must stand unchanged", ge=0.02, le=60)] = 0.2
+    recheck_s: Annotated[float, _told("what a lost notice of a change costs at most", ge=0.1, le=3600)] = 5.0
+    state_dir: Annotated[str, _told("where the last good list is kept; none: off", min_length=1)] | None = (
+        None
+    )
+    networks: Annotated[
+        list[str], _told("address sets that servers may lie in, as CIDR or FIRST-LAST", min_length=1)
+    ] = msgspec.field(default_factory=lambda: ["0.0.0.0/0"])
+    least_per_site: Annotated[int, _told("ready servers that each site must keep", ge=1, le=100_000)] = 1
+    may_be_empty: Annotated[list[str], _told("sites that may go without servers: the explicit override")] = (
+        msgspec.field(default_factory=list)
+    )
+    most: Annotated[int, _told("servers in the file", ge=1, le=1_000_000)] = 20_000
+    most_bytes: Annotated[int, _told("bytes of the file", ge=64, le=1 << 30)] = 8 << 20
+    most_removed: Annotated[
+        float, _told("share of the ready servers that one change may take away; 1: any", ge=0, le=1)
+    ] = 0.5
+
+
+class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """The operator's file of a wheatstile balancer."""
+
+    schema: str | None = msgspec.field(default=None, name="$schema")
+    log: Log = msgspec.field(default_factory=Log)
+    servers: Servers = msgspec.field(default_factory=Servers)
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorFile:
+    """The file as read, and the folder that its paths are relative to."""
+
+    path: Path
+    settings: Operator
+
+    def near(self, path: str) -> Path:
+        """A path that the file names."""
+        return self.path.parent / path
+
+
+def parse(file: str, data: bytes) -> Operator:
+    """The settings in these bytes. Raises Refused with every fault and its place."""
+    text, value = load(file, data, MOST_BYTES)
+    if not isinstance(value, dict):
+        raise Refused(file, [Fault("", "is no object", 1)])
+    found = list(shape.faults(value, Operator))
+    servers = value.get("servers")
+    if isinstance(servers, dict) and isinstance(servers.get("networks"), list):
+        found += _network_faults(servers["networks"])
+    if found:
+        raise Refused(file, locate(text, found))
+    return msgspec.convert(value, Operator)
+
+
+def read(path: str) -> OperatorFile:
+    """The operator's file at this path. Raises Refused."""
+    try:
+        with open(path, "rb") as file:
+            data = file.read(MOST_BYTES + 1)
+    except OSError as error:
+        raise Refused(path, [Fault("", error.strerror or str(error))]) from None
+    return OperatorFile(Path(path), parse(path, data))
+
+
+def schema() -> dict[str, Any]:
+    """The JSON Schema of the operator's file (draft 2020-12)."""
+    made = msgspec.json.schema(Operator)
+    return {"$schema": "https://json-schema.org/draft/2020-12/schema", "title": "wheatstile"} | made
+
+
+def _network_faults(networks: list[Any]) -> list[Fault]:
+    from wheatstile.config.networks import NetworkError, Networks
+
+    found = []
+    for index, network in enumerate(networks):
+        try:
+            if isinstance(network, str):
+                Networks([network])
+        except NetworkError as error:
+            found.append(Fault(f"/servers/networks/{index}", str(error)))
+    return found
--- a/wheatstile/net/discovery.py
+++ b/wheatstile/net/discovery.py
@@ -4,6 +4,7 @@
 import json
 import socket
 from collections.abc import Callable
+from typing import Protocol
 
 import httptools
 import structlog
@@ -24,11 +25,41 @@
     """A call to discovery failed, or what it said cannot be used."""
 
 
+class Sink(Protocol):
+    """Whom discovery tells: it alone, or together with others, makes the list that the module is told."""
+
+    def take(self, result: ResolverResult, kind: str) -> None:
+        """A list, or changes to one."""
+
+    def heard(self) -> None:
+        """Nothing has changed."""
+
+    def failed(self) -> None:
+        """A call has ended; the module is told so apart from this."""
+
+
+class Direct:
+    """Discovery alone: what it tells is the list."""
+
+    def __init__(self, core: Core, subchannels: Subchannels) -> None:
+        self.core, self.subchannels = core, subchannels
+
+    def take(self, result: ResolverResult, kind: str) -> None:
+        self.subchannels.update(result.addresses.items(), kind != "delta")
+        self.core.tell(api.ServerList(kind, result.entries))
+
+    def heard(self) -> None:
+        pass
+
+    def failed(self) -> None:
+        pass
+
+
 class Resolver:
-    """Owns the watch. Each result goes to the subchannels and to the module, a failure as one event."""
+    """Owns the watch. Each result goes to the sink, a failure to the module as one event."""
 
-    def __init__(self, core: Core, subchannels: Subchannels, address: tuple[str, int]) -> None:
-        self.core, self.subchannels, self.address = core, subchannels, address
+    def __init__(self, core: Core, sink: Sink, address: tuple[str, int]) -> None:
+        self.core, self.sink, self.address = core, sink, address
         self.revision = 0
         self._strange = False  # the revision is another discovery's
         self._watch: asyncio.Task[None] | None = None
@@ -36,8 +67,7 @@
     def take(self, result: ResolverResult, kind: str) -> None:
         # A full list replaces all that stood, and so does its revision: a discovery may count anew.
         self.revision = result.revision if result.complete else max(self.revision, result.revision)
-        self.subchannels.update(result.addresses.items(), kind != "delta")
-        self.core.tell(api.ServerList(kind, result.entries))
+        self.sink.take(result, kind)
 
     def watch(self) -> None:
         """Ask for changes from now on. A watch that stands does so already, and is not asked for twice."""
@@ -68,6 +98,7 @@
         except Exception:
             log.exception("the watch failed")
         self.core.counters["watch failures"] += 1
+        self.sink.failed()
         self.core.tell(api.ServerList("failed"))
 
     async def _follow(self) -> None:
@@ -97,6 +128,8 @@
                 answer.check(parser.get_status_code() if answer.begun else 0)
 
     def _line(self, line: bytes) -> None:
+        if not line.strip():
+            return self.sink.heard()
         try:
             result = ResolverResult.read(json.loads(line))
         except (ValueError, KeyError, TypeError, OSError) as error:
@@ -104,6 +137,8 @@
         # A change from before the list that stands would undo what is known by now.
         if result.complete or result.revision > self.revision:
             self.take(result, "full" if result.complete else "delta")
+        else:
+            self.sink.heard()
 
 
 class _Answer:
@@ -134,7 +169,7 @@
     def _take(self, lines: list[bytes]) -> None:
         try:
             for line in lines:
-                if line.strip() and not self.error:
+                if not self.error:
                     self._line(line)
         except DiscoveryError as error:  # httptools would wrap it
             self.error = error
--- a/wheatstile/node.py
+++ b/wheatstile/node.py
@@ -9,17 +9,23 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 import structlog
 import uvloop
 
+from wheatstile import logs
 from wheatstile.config.platform import Config, ConfigError
 from wheatstile.net.clients import Channels
 from wheatstile.net.core import Core
-from wheatstile.net.discovery import Resolver
+from wheatstile.net.discovery import Direct, Resolver
 from wheatstile.net.lines import LINGER
 from wheatstile.net.servers import Subchannels
 
+if TYPE_CHECKING:  # what is switched off is not imported
+    from wheatstile.config.operator import OperatorFile
+    from wheatstile.resolvers.section import ServersSection
+
 log = structlog.get_logger()
 
 BACKLOG = 1024
@@ -30,6 +36,7 @@
 # Seconds before SIGKILL by which the last client has been told to move, and over which they are spread: until
 # then they are served here, and where balancers are restarted in turn, the one before this may still be down.
 SPARE, SPREAD = 0.7, 1.3
+OPERATOR_FILE = "WHEATSTILE_FILE"  # the variable that names the operator's file, where no option does
 
 
 async def supervised(name: str, work: Callable[[], Awaitable[None]]) -> None:
@@ -45,13 +52,14 @@
 class Node:
     """The running balancer: its parts, and what its signals do to them."""
 
-    def __init__(self, config: Config) -> None:
-        self.config = config
+    def __init__(self, config: Config, operator: "OperatorFile | None" = None) -> None:
+        self.config, self.operator = config, operator
         self.terminated = asyncio.Event()
         self.core = Core(config.settings, config.seed)
         self.subchannels = Subchannels(self.core, config.servers)
-        self.resolver = Resolver(self.core, self.subchannels, config.discovery)
+        self.resolver = Resolver(self.core, Direct(self.core, self.subchannels), config.discovery)
         self.channels = Channels(self.core, self.subchannels, config.channels)
+        self.servers_section: ServersSection | None = None
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.terminated.set)
         loop.add_signal_handler(signal.SIGINT, self.terminated.set)
@@ -60,11 +68,12 @@
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # main held it back until now
 
     def reload(self) -> None:
-        """Follow the file as it is now, and leave what stands alone; an unusable file changes nothing.
+        """Follow the files as they are now, and leave what stands alone; an unusable one changes nothing.
 
         Discovery is the file's from here on: RELAY_DISCOVERY tells where it was when the process started.
         """
         self.core.counters["reloads"] += 1
+        self._reload_operator()
         environ = {name: value for name, value in os.environ.items() if name != "RELAY_DISCOVERY"}
         try:
             new = Config.read(environ)
@@ -79,12 +88,40 @@
         self.resolver.follow(new.discovery)
         log.info("reloaded", discovery=new.discovery, only_at_the_next_start=kept)
 
+    def _reload_operator(self) -> None:
+        """The operator's file, whole or not at all, whatever becomes of the platform's."""
+        if self.operator is None:
+            return
+        from wheatstile.config import faults, operator
+
+        try:
+            self.operator = operator.read(str(self.operator.path))
+        except faults.Refused as refused:
+            self.core.counters["reloads failed"] += 1
+            log.error("the old operator's file goes on", reasons=refused.lines())
+            return
+        self.follow_operator()
+        log.info("operator's file read again", file=str(self.operator.path))
+
+    def follow_operator(self) -> None:
+        """Switch on, change or switch off what the operator's file says; with none, nothing is imported."""
+        if self.operator is None:
+            return
+        if self.servers_section is None:
+            if not self.operator.settings.servers.file:
+                return
+            from wheatstile.resolvers.section import ServersSection
+
+            self.servers_section = ServersSection(self.core, self.subchannels, self.resolver)
+        self.servers_section.follow(self.operator)
+
     async def run(self) -> None:
         """Serve from start to SIGTERM, then send every client away while there is time."""
         with socket.create_server(self.config.listen, backlog=BACKLOG) as listener:
             listener.setblocking(False)
             self.core.start(self.subchannels, self.resolver)
             self.resolver.take(self.config.known, "cached")
+            self.follow_operator()
             parts = [
                 asyncio.create_task(supervised("accept", lambda: self.channels.serve(listener))),
                 asyncio.create_task(supervised("silence", self.channels.sweep)),
@@ -100,27 +137,38 @@
                     await asyncio.sleep(begin)
                     await self.channels.drain(time - SPARE - begin)
             self.resolver.close()
+            if self.servers_section:
+                self.servers_section.close()
             for part in parts:
                 part.cancel()
             await asyncio.wait(parts)
         log.info("counters", **self.core.counters)
 
 
-async def balance(config: Config) -> None:
-    await Node(config).run()
+async def balance(config: Config, operator: "OperatorFile | None" = None) -> None:
+    await Node(config, operator).run()
 
 
-def main() -> int:
+def main(file: str | None = None, log_format: str | None = None, log_level: str | None = None) -> int:
+    """Serve from RELAY_*, and from the operator's file if one is named. Returns the exit status.
+
+    1: an operator's file that is refused, or an address nobody can listen on; 2: no usable RELAY_CONFIG.
+    """
     # Unhandled, SIGHUP would end the process; held back until the node handles it, none is lost either.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
-    structlog.configure(
-        processors=[
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.format_exc_info,
-            structlog.processors.JSONRenderer(),
-        ],
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    operator: OperatorFile | None = None
+    if file := file or os.environ.get(OPERATOR_FILE):
+        from wheatstile.config import faults
+        from wheatstile.config import operator as operator_file
+
+        try:
+            operator = operator_file.read(file)
+        except faults.Refused as refused:
+            print("\n".join(refused.lines()), file=sys.stderr)
+            return 1
+    told = operator.settings.log if operator else None
+    logs.configure(
+        log_format or (told.format if told else "json"), log_level or (told.level if told else "info")
     )
     try:
         config = Config.read(os.environ)
@@ -130,7 +178,7 @@
     _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
     try:
-        uvloop.run(balance(config))
+        uvloop.run(balance(config, operator))
     except OSError as error:
         print(f"wheatstile: {config.listen[0]}:{config.listen[1]}: {error}", file=sys.stderr)
         return 1
--- /dev/null
+++ b/wheatstile/resolvers/combined.py
@@ -0,0 +1,179 @@
+"""The list that holds, out of what discovery tells and what the file says; told to the module as changes."""
+
+import asyncio
+from collections.abc import Mapping
+
+import structlog
+
+from wheatstile import interface as api
+from wheatstile.config.members import Named, ResolverResult
+from wheatstile.net.core import Core
+from wheatstile.net.servers import Subchannels
+from wheatstile.resolvers import merge
+from wheatstile.resolvers.document import Document
+from wheatstile.resolvers.merge import Choice, Discovery, Line, Policy
+
+log = structlog.get_logger()
+
+AT_ONCE = 2000  # servers that are merged on the loop, within a few milliseconds; more are in a thread
+RACES = 3  # merges in a thread that discovery may overtake before one is made on the loop
+PORTION = 1000  # addresses that the subchannels take between two turns of the loop
+
+
+class Combined:
+    """Discovery's sink where a file of servers is on. Owns the list that holds."""
+
+    def __init__(self, core: Core, subchannels: Subchannels, policy: Policy) -> None:
+        self.core, self.subchannels, self.policy = core, subchannels, policy
+        self.discovery = Discovery.at(core.now())
+        self.file: Mapping[str, Named] = {}
+        self.lines: dict[str, Line] = {}
+        self.choice: Choice | None = None
+        self._version = 0  # of what the list is made of
+        self._large: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    def adopt(self) -> None:
+        """Begin with what discovery alone has told so far."""
+        known = self.core.balancer.servers
+        for name, subchannel in self.subchannels.by_name.items():
+            if name in known:
+                self.discovery.entries[name] = Named(known[name].entry, subchannel.address)
+                self.lines[name] = Line(self.discovery.entries[name], "discovery")
+
+    def configure(self, policy: Policy) -> None:
+        """This policy holds from now on."""
+        if policy != self.policy:
+            self.policy, self.choice = policy, None
+            self._changed()
+
+    def take(self, result: ResolverResult, kind: str) -> None:
+        named = {entry.server: Named(entry, result.addresses[entry.server]) for entry in result.entries}
+        told = self.discovery.take(self.core.now(), named, kind)
+        # Whatever else has to be worked out: nothing new goes where discovery says so, from this instant on.
+        stopped = merge.stopped(self.lines, told)
+        if stopped:
+            for one in stopped:
+                name = one.entry.server
+                if one.address is None:
+                    del self.lines[name]
+                else:
+                    self.lines[name] = Line(one, "discovery tells it to drain")
+            self._tell(stopped)
+        self._changed()
+
+    def heard(self) -> None:
+        self.discovery.heard(self.core.now())
+        if self.choice and self.choice.source == "file":
+            self._look()
+
+    def failed(self) -> None:
+        self.discovery.failed()
+
+    def take_file(self, document: Document | None) -> None:
+        """The file's list from now on; none: it has left."""
+        self.file = document.servers if document else {}
+        self._changed()
+
+    def close(self) -> None:
+        if self._timer:
+            self._timer.cancel()
+        if self._large:
+            self._large.cancel()
+
+    def leave(self) -> None:
+        """Discovery alone holds from now on; what only the file named gets nothing new."""
+        self.file = {}
+        self.close()
+        choice = Choice("discovery", "the file is switched off")
+        self._apply(choice, merge.merge(self.core.now(), choice, self.discovery, {}, self.lines))
+
+    def _choose(self) -> Choice:
+        return merge.choose(self.core.now(), self.policy, self.discovery, bool(self.file), self.choice)
+
+    def _look(self) -> None:
+        """Whether another source holds by now, though none has changed."""
+        choice = self._choose()
+        if self.choice is None or choice.source != self.choice.source:
+            self._changed()
+        else:
+            self.choice = choice
+            self._look_again(choice)
+
+    def _look_again(self, choice: Choice) -> None:
+        if self._timer:
+            self._timer.cancel()
+            self._timer = None
+        if choice.look_at is not None:
+            delay = max(0.001, (choice.look_at - self.core.now()) / 1e6 + 0.001)
+            self._timer = self.core.loop.call_later(delay, self._look)
+
+    def _changed(self) -> None:
+        """Work the list out anew."""
+        self._version += 1
+        if len(self.discovery.entries) + len(self.file) <= AT_ONCE and not self._large:
+            choice = self._choose()
+            lines = merge.merge(self.core.now(), choice, self.discovery, self.file, self.lines)
+            self._apply(choice, lines)
+        elif not self._large:
+            self._large = asyncio.create_task(self._merge_large())
+            self._large.add_done_callback(self._over)
+
+    def _over(self, task: asyncio.Task[None]) -> None:
+        self._large = None
+        if not task.cancelled() and (error := task.exception()):
+            log.error("a merge failed", exc_info=error)
+
+    async def _merge_large(self) -> None:
+        """Merge in a thread, again where discovery or the file have changed in the meantime."""
+        applied = -1
+        while applied != self._version:
+            for race in range(RACES + 1):
+                version, choice, now = self._version, self._choose(), self.core.now()
+                told = Discovery(
+                    self.discovery.started, dict(self.discovery.entries), dict(self.discovery.gone)
+                )
+                if race < RACES:
+                    work = (now, choice, told, self.file, dict(self.lines))
+                    lines = await asyncio.to_thread(merge.merge, *work)
+                    delta = await asyncio.to_thread(merge.changes, work[4], lines)
+                    # Addresses alone decide nothing, so they may come in portions.
+                    for start in range(0, len(delta), PORTION):
+                        part = delta[start : start + PORTION]
+                        new = [(one.entry.server, one.address) for one in part if one.address]
+                        self.subchannels.update(new, False)
+                        await asyncio.sleep(0)
+                    if version != self._version:
+                        continue
+                else:
+                    lines, delta = merge.merge(now, choice, told, self.file, self.lines), None
+                break
+            applied = version
+            self._apply(choice, lines, delta)
+
+    def _apply(self, choice: Choice, lines: dict[str, Line], delta: list[Named] | None = None) -> None:
+        changes = merge.changes(self.lines, lines) if delta is None else delta
+        before, self.choice, self.lines = self.choice, choice, lines
+        if before is None or before.source != choice.source:
+            self.core.counters[f"source {choice.source}"] += 1
+            log.info(
+                "the list's source",
+                source=choice.source,
+                reason=choice.reason,
+                ready=len(merge.ready_of(lines)),
+                changed=len(changes),
+            )
+        if changes:
+            self._tell(changes, delta is None)
+        self._look_again(choice)
+
+    def _tell(self, changes: list[Named], addresses: bool = True) -> None:
+        """One event for all that has changed: the module never sees a part of a list."""
+        if addresses:
+            self.subchannels.update(
+                [(one.entry.server, one.address) for one in changes if one.address], False
+            )
+        self.core.tell(api.ServerList("delta", [one.entry for one in changes]))
+        gone = [(one.entry.server, None) for one in changes if one.address is None]
+        if gone:
+            self.subchannels.update(gone, False)
--- /dev/null
+++ b/wheatstile/resolvers/last_good.py
@@ -0,0 +1,70 @@
+"""The last good list, kept in the state directory so that a restart onto a broken file has one to serve from.
+
+May block: call it off the loop.
+"""
+
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from wheatstile.config.faults import Fault, Refused, load
+from wheatstile.config.members import Named
+from wheatstile.resolvers import document
+from wheatstile.resolvers.document import Document, Rules, digest_of
+from wheatstile.resolvers.files import read_all, write_atomic
+
+NAME = "servers-last-good.json"
+FORM = 1
+
+
+@dataclass(frozen=True, slots=True)
+class LastGood:
+    document: Document
+    taken_at_ms: int  # Unix time
+
+
+def rows(servers: dict[str, Named]) -> list[dict[str, Any]]:
+    """The servers as a document has them."""
+    found = []
+    for name, (entry, address) in servers.items():
+        assert address
+        row = {
+            "id": name,
+            "address": f"{address[0]}:{address[1]}",
+            "site": entry.zone,
+            "weight": entry.weight,
+        }
+        found.append(row | {"state": entry.state, "started": entry.started // 1000})
+    return found
+
+
+def save(folder: Path, kept: Document, taken_at_ms: int) -> None:
+    """Write the document, sealed. Raises OSError; what was there before then stands."""
+    inner: dict[str, Any] = {"servers": rows(dict(kept.servers))}
+    if kept.sites is not None:
+        inner["sites"] = list(kept.sites)
+    if kept.generation is not None:
+        inner["generation"] = kept.generation
+    whole = {"form": FORM, "taken_at_ms": taken_at_ms, "digest": kept.digest, "document": inner}
+    whole["seal"] = digest_of(whole)
+    write_atomic(folder / NAME, msgspec.json.encode(whole))
+
+
+def restore(folder: Path, rules: Rules) -> LastGood | None:
+    """What was saved, held against the rules of today; None if nothing was. Raises Refused."""
+    path = folder / NAME
+    if not path.exists():
+        return None
+    most = (
+        2 * rules.most_bytes + 4096
+    )  # rows with all their fields are longer than they may have been written
+    _, value = load(str(path), read_all(path, most), most)
+    if not isinstance(value, dict) or value.get("form") != FORM or value.get("seal") != digest_of(value):
+        raise Refused(str(path), [Fault("/seal", "is not what this program wrote")])
+    inner = msgspec.json.encode(value["document"])
+    roomy = replace(rules, most_bytes=most)
+    found = document.read(str(path), inner, roomy, check_seal=False)
+    sealed = Document(found.servers, found.sites, found.generation, value["digest"], found.sealed)
+    return LastGood(sealed, int(value["taken_at_ms"]))
--- /dev/null
+++ b/wheatstile/resolvers/merge.py
@@ -0,0 +1,216 @@
+"""Which list holds, and each server's reason for being in it. Pure: time is handed in, in microseconds.
+
+Discovery and the file both name servers. `choose` says which of them holds, and remembers how discovery has
+flapped; `merge` makes the list. Whatever holds, a server that discovery told to be draining or gone gets
+nothing new, and a server that leaves because the source changed keeps its connections.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
+from typing import Literal
+
+from wheatstile.config.members import Named
+
+Source = Literal["discovery", "file", "both"]
+SECOND = 1_000_000
+MOST_GONE = 50_000  # servers that discovery told to be gone which are remembered; the oldest are forgotten
+RETIRED_FOR = 3600 * SECOND  # a server that left with its source stays reachable to what it holds so long
+HOLD_MOST = 8  # times hold_down that a flapping discovery is asked at most to answer without a break
+FLAPS_WITHIN = 32  # times hold_down for which a loss of discovery counts as flapping
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """The operator's word on which list holds; times in microseconds."""
+
+    mode: Literal["fallback", "override", "merge"]
+    after: int  # of silence until the file holds
+    hold_down: int  # of steady answers that a discovery which has flapped must show
+
+
+@dataclass(slots=True)
+class Discovery:
+    """What discovery has told so far."""
+
+    started: int  # when this balancer began to listen
+    entries: dict[str, Named]  # ready or draining
+    gone: dict[str, None]  # told gone or left out of a whole list, the oldest first
+    told_at: int | None = None  # when it last told anything, were it that nothing has changed
+    steady_since: int | None = None  # it has answered without a break since
+
+    @classmethod
+    def at(cls, now: int) -> "Discovery":
+        return cls(now, {}, {})
+
+    def take(self, now: int, entries: Mapping[str, Named], kind: str) -> list[Named]:
+        """A list ("cached", "full" or "delta"). Returns the servers that it tells to get nothing new."""
+        stopped = []
+        for name, named in entries.items():
+            if named.entry.state == "gone":
+                stopped.append(self._lose(name, named))
+                continue
+            if named.entry.state != "ready":
+                stopped.append(named)
+            self.entries[name] = named
+            self.gone.pop(name, None)
+        if kind != "delta":
+            missing = [name for name in self.entries if name not in entries]
+            stopped += [self._lose(name, self.entries[name]) for name in missing]
+        if kind != "cached":
+            self.heard(now)
+        return stopped
+
+    def _lose(self, name: str, named: Named) -> Named:
+        self.entries.pop(name, None)
+        self.gone[name] = None
+        while len(self.gone) > MOST_GONE:
+            del self.gone[next(iter(self.gone))]
+        return Named(replace(named.entry, state="gone"), None)
+
+    def heard(self, now: int) -> None:
+        self.told_at = now
+        if self.steady_since is None:
+            self.steady_since = now
+
+    def failed(self) -> None:
+        self.steady_since = None
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """Which source holds, why, and when to look again though nothing has happened (None: never)."""
+
+    source: Source
+    reason: str
+    look_at: int | None = None
+    losses: tuple[int, ...] = ()  # when the file took over from a silent discovery, of late
+
+
+def hold_down(losses: int, policy: Policy) -> int:
+    """Steady answers asked of discovery: none after one loss, then doubling up to HOLD_MOST hold-downs."""
+    return 0 if losses < 2 else min(1 << (losses - 2), HOLD_MOST) * policy.hold_down
+
+
+def choose(now: int, policy: Policy, discovery: Discovery, has_file: bool, last: Choice | None) -> Choice:
+    """Which source holds from now on, given what held last."""
+    losses = tuple(at for at in last.losses if now - at < FLAPS_WITHIN * policy.hold_down) if last else ()
+    if not has_file:
+        return Choice("discovery", "no file has been taken yet", None, losses)
+    if policy.mode == "override":
+        return Choice("file", "the mode is override", None, losses)
+    if policy.mode == "merge":
+        return Choice("both", "the mode is merge", None, losses)
+    if last is None or last.source != "file":
+        return _while_discovery_holds(now, policy, discovery, losses)
+    return _while_file_holds(now, policy, discovery, last, losses)
+
+
+def _while_discovery_holds(now: int, policy: Policy, discovery: Discovery, losses: tuple[int, ...]) -> Choice:
+    if discovery.told_at is None and not discovery.entries:
+        return Choice("file", "discovery has never told anything", None, losses)
+    since = discovery.started if discovery.told_at is None else discovery.told_at
+    if now - since < policy.after:
+        return Choice("discovery", "discovery answers", since + policy.after, losses)
+    silent = f"discovery has told nothing for {(now - since) / SECOND:.1f} s"
+    return Choice("file", silent, None, (*losses, now)[-16:])
+
+
+def _while_file_holds(
+    now: int, policy: Policy, discovery: Discovery, last: Choice, losses: tuple[int, ...]
+) -> Choice:
+    steady, told = discovery.steady_since, discovery.told_at
+    if steady is None or told is None or now - told > max(policy.after, SECOND):
+        return Choice("file", last.reason, None, losses)
+    ready_at = steady + hold_down(len(losses), policy)
+    if now >= ready_at:
+        return Choice("discovery", "discovery answers again", told + policy.after, losses)
+    flapped = f"discovery answers, but was lost {len(losses)} times of late: held down"
+    return Choice("file", flapped, ready_at, losses)
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """One server of the list that holds, and why it stands there as it does."""
+
+    named: Named
+    reason: str
+    retired_until: int = 0  # 0: the source that holds names it
+
+
+def merge(
+    now: int,
+    choice: Choice,
+    discovery: Discovery,
+    file: Mapping[str, Named],
+    last: Mapping[str, Line],
+) -> dict[str, Line]:
+    """The list that holds, by server. last: what this returned before, for whom it no longer names."""
+    lines: dict[str, Line] = {}
+    if choice.source != "file":
+        for name, named in discovery.entries.items():
+            lines[name] = Line(named, "discovery")
+    if choice.source != "discovery":
+        for name, named in file.items():
+            if name not in discovery.gone:
+                lines[name] = _from_file(named, discovery.entries.get(name))
+    for name, line in last.items():
+        if name in lines or name in discovery.gone:
+            continue
+        until = line.retired_until or now + RETIRED_FOR
+        if now < until:
+            lines[name] = line if line.retired_until else _retired(line, choice, until)
+    return lines
+
+
+def _from_file(named: Named, told: Named | None) -> Line:
+    """The file's word on weight and address; discovery's on a drain, and the later word on the start.
+
+    A server that started within the warm-up is protected as cold whoever tells of it.
+    """
+    if told is None:
+        return Line(named, "file")
+    entry, other = named.entry, told.entry
+    draining = other.state != "ready" and entry.state == "ready"
+    entry = replace(
+        entry,
+        state=other.state if draining else entry.state,
+        started=max(entry.started, other.started),
+        zone=entry.zone or other.zone,
+        cell=other.cell,
+    )
+    return Line(Named(entry, named.address), "file; discovery tells it to drain" if draining else "file")
+
+
+def _retired(line: Line, choice: Choice, until: int) -> Line:
+    entry = replace(line.named.entry, state="draining")
+    return Line(Named(entry, line.named.address), f"no longer named; {choice.source} holds", until)
+
+
+def changes(last: Mapping[str, Line], lines: Mapping[str, Line]) -> list[Named]:
+    """What has changed between two lists, as a delta tells it."""
+    found = [line.named for name, line in lines.items() if name not in last or last[name].named != line.named]
+    for name in last.keys() - lines.keys():
+        found.append(Named(replace(last[name].named.entry, state="gone"), None))
+    return found
+
+
+def stopped(lines: Mapping[str, Line], told: Iterable[Named]) -> list[Named]:
+    """Of the servers that discovery told to get nothing new, those that still would; in any mode."""
+    found = []
+    for named in told:
+        line = lines.get(named.entry.server)
+        if line and (line.named.entry.state == "ready" or named.entry.state == "gone"):
+            address = None if named.entry.state == "gone" else line.named.address
+            found.append(Named(replace(line.named.entry, state=named.entry.state), address))
+    return found
+
+
+def ready_of(lines: Mapping[str, Line]) -> frozenset[str]:
+    return frozenset(name for name, line in lines.items() if line.named.entry.state == "ready")
+
+
+def sites_of(lines: Mapping[str, Line]) -> tuple[str, ...]:
+    """The sites with a ready server, those without a name left out, in order of name."""
+    return tuple(
+        sorted({line.named.entry.zone for line in lines.values() if line.named.entry.state == "ready"} - {""})
+    )
--- /dev/null
+++ b/wheatstile/resolvers/section.py
@@ -0,0 +1,73 @@
+"""What the operator's file says of servers, followed from the start and from reload to reload."""
+
+import asyncio
+
+import structlog
+
+from wheatstile.config.operator import OperatorFile, Servers
+from wheatstile.net.core import Core
+from wheatstile.net.discovery import Direct, Resolver
+from wheatstile.net.servers import Subchannels
+from wheatstile.resolvers.combined import Combined
+from wheatstile.resolvers.source import ServersFile, policy_of
+
+log = structlog.get_logger()
+
+START_AGAIN = 1.0  # seconds after which a reader that failed starts again
+
+
+class ServersSection:
+    """Puts the merge between discovery and the module while a file is on. Owns the merge and the task."""
+
+    def __init__(self, core: Core, subchannels: Subchannels, resolver: Resolver) -> None:
+        self.core, self.subchannels, self.resolver = core, subchannels, resolver
+        self._combined: Combined | None = None
+        self._file: ServersFile | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._followed: tuple[str, Servers] | None = None
+
+    def follow(self, operator: OperatorFile) -> None:
+        """Do as the file says. What it does not change goes on undisturbed."""
+        servers = operator.settings.servers
+        if self._followed == (str(operator.path), servers):
+            return
+        self._followed = str(operator.path), servers
+        if not servers.file:
+            return self._switch_off()
+        if self._combined is None:
+            self._combined = Combined(self.core, self.subchannels, policy_of(servers))
+            self._combined.adopt()
+            self.resolver.sink = self._combined
+        self._combined.configure(policy_of(servers))
+        old = self._stop()
+        self._file = ServersFile(operator, self._combined)
+        if old and old.path == self._file.path:
+            self._file.document = old.document  # else the new file is held against nothing, as at a start
+        self._task = asyncio.create_task(self._run(self._file))
+
+    async def _run(self, file: ServersFile) -> None:
+        while True:
+            try:
+                await file.run()
+            except Exception:
+                log.exception("a part failed and starts again", part="servers file")
+            await asyncio.sleep(START_AGAIN)
+
+    def _stop(self) -> ServersFile | None:
+        if self._task:
+            self._task.cancel()
+            self._task = None
+        return self._file
+
+    def _switch_off(self) -> None:
+        self._stop()
+        self._file = None
+        if self._combined:
+            self.resolver.sink = Direct(self.core, self.subchannels)
+            self._combined.leave()
+            self._combined = None
+
+    def close(self) -> None:
+        self._stop()
+        if self._combined:
+            self._combined.close()
--- /dev/null
+++ b/wheatstile/resolvers/source.py
@@ -0,0 +1,195 @@
+"""The watched file of servers in the running balancer: read in a thread, admitted, handed to the merge."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import structlog
+
+from wheatstile.config.faults import Refused, load
+from wheatstile.config.operator import OperatorFile, Servers
+from wheatstile.resolvers import intake, last_good, merge
+from wheatstile.resolvers.combined import Combined
+from wheatstile.resolvers.document import Document, Rules
+from wheatstile.resolvers.files import FileReader, Reading, read_all
+from wheatstile.resolvers.intake import Admission, Held, InForce
+from wheatstile.resolvers.merge import Policy
+from wheatstile.resolvers.notices import Notices
+
+log = structlog.get_logger()
+
+REST = 3  # times the cost of a look that the reader rests after it: a file rewritten for ever gets a quarter
+# of the time at most, and the clients the rest
+MOST_TOLD = 20  # of a file's faults that a log line holds
+SAME_AGAIN = 60.0  # seconds for which the same trouble with a file is not told again
+
+
+def policy_of(servers: Servers) -> Policy:
+    return Policy(servers.mode, int(servers.after_s * 1e6), int(servers.hold_down_s * 1e6))
+
+
+def accept_path(file: Path) -> Path:
+    """Where `servers accept` names the digest of a held document, beside the file that holds it."""
+    return file.with_name(f"{file.name}.accept")
+
+
+class ServersFile:
+    """Owns the file's reader, its thread, its notices and its last good copy."""
+
+    def __init__(self, operator: OperatorFile, combined: Combined) -> None:
+        servers = operator.settings.servers
+        assert servers.file
+        self.settings, self.combined = servers, combined
+        self.path = operator.near(servers.file)
+        self.folder = operator.near(servers.state_dir) if servers.state_dir else None
+        self.rules = Rules.of(servers)
+        self.document: Document | None = None  # in force for the file
+        self._held: tuple[Document, Held] | None = None
+        self._thread: ThreadPoolExecutor
+        self._told: tuple[tuple[str, ...], float] = ((), 0.0)
+
+    async def _off_loop(self, work: Callable[..., Any], *arguments: Any) -> Any:
+        return await asyncio.get_running_loop().run_in_executor(self._thread, work, *arguments)
+
+    async def run(self) -> None:
+        """Follow the file until cancelled. Gives back the thread and the descriptor at its end."""
+        self._thread = ThreadPoolExecutor(1, "servers-file")
+        reader = FileReader(self.path, self.rules, self.settings.settle_s)
+        notices = Notices(self.path, self.settings.recheck_s)
+        noticing = asyncio.create_task(notices.run())
+        try:
+            if self.document is None:
+                await self._restore()
+            while True:
+                notices.changed.clear()
+                begin = time.monotonic()
+                reading: Reading = await self._off_loop(reader.look)
+                cost = time.monotonic() - begin
+                wait = await self._take(reading)
+                if reading.outcome == "unsettled":  # what goes on meanwhile does not hurry it
+                    await asyncio.sleep(max(wait, REST * cost))
+                    continue
+                if reading.outcome != "same":
+                    await asyncio.sleep(REST * cost)
+                with suppress(TimeoutError):
+                    async with asyncio.timeout(wait):
+                        await notices.changed.wait()
+        finally:
+            noticing.cancel()
+            await asyncio.wait([noticing])
+            self._thread.submit(reader.close)
+            self._thread.shutdown(wait=False)
+
+    async def _restore(self) -> None:
+        if self.folder is None:
+            return
+        try:
+            kept = await self._off_loop(last_good.restore, self.folder, self.rules)
+        except Refused as refused:
+            log.warning("last good list passed over", reasons=refused.lines()[:MOST_TOLD])
+            return
+        except Exception as error:  # it is a file of our own: whatever it holds must not stop the balancer
+            log.warning("last good list passed over", reasons=[repr(error)])
+            return
+        if kept:
+            age = time.time() - kept.taken_at_ms / 1000
+            self._hold(kept.document, "last good", age_s=round(age, 1), clock_went_back=age < 0)
+
+    async def _take(self, reading: Reading) -> float:
+        """Do as the reading says; the seconds until the next look, if nothing is noticed before."""
+        if reading.outcome == "unsettled":
+            return reading.wait
+        if reading.outcome == "whole":
+            assert reading.document
+            await self._admit(reading.document)
+            return 0.0
+        if reading.outcome == "same" and self._held:
+            await self._admit(self._held[0])
+        elif reading.outcome != "same":
+            self._trouble(
+                f"servers file {'refused' if reading.outcome == 'refused' else 'unreadable'}", reading.reasons
+            )
+        return self.settings.recheck_s
+
+    async def _admit(self, document: Document) -> None:
+        force = self._in_force()
+        held = self._held[1] if self._held else None
+        accepted: frozenset[str] = await self._off_loop(self._accepted) if held else frozenset()
+        work = (document, force, held, accepted, self.rules)
+        admission: Admission = await self._off_loop(intake.admit, *work)
+        if admission.outcome == "taken":
+            self._held = None
+            self._hold(document, "file", reasons=admission.reasons)
+            await self._keep(document)
+            return
+        self._held = (
+            (document, admission.held) if admission.outcome == "held" and admission.held else self._held
+        )
+        if admission.outcome == "unchanged":
+            self._held = None
+        elif admission.outcome == "held":
+            if held != admission.held:
+                self._trouble("servers file held", admission.reasons, digest=document.digest)
+        else:
+            reasons = tuple(f"{self.path}:1: /: {reason}" for reason in admission.reasons)
+            self._trouble("servers file refused", reasons, digest=document.digest)
+
+    def _in_force(self) -> InForce:
+        """What the next document is held against."""
+        lines = self.combined.lines
+        if self.document:
+            ready = frozenset(self.document.ready())
+            zones = {
+                named.entry.zone for named in self.document.servers.values() if named.entry.state == "ready"
+            }
+            return InForce(self.document, self.document.sites or tuple(sorted(zones - {""})), ready)
+        # In fallback and merge a first file takes nothing away: discovery's servers stay.
+        ready = merge.ready_of(lines) if self.settings.mode == "override" else frozenset()
+        return InForce(None, merge.sites_of(lines), ready)
+
+    def _accepted(self) -> frozenset[str]:
+        path = accept_path(self.path)
+        if not path.exists():
+            return frozenset()
+        try:
+            _, value = load(str(path), read_all(path, 4096), 4096)
+        except Refused:
+            return frozenset()
+        return frozenset([value["digest"]]) if isinstance(value, dict) and "digest" in value else frozenset()
+
+    def _hold(self, document: Document, origin: str, **more: Any) -> None:
+        self.document, self._told = document, ((), 0.0)
+        self.combined.core.counters[f"servers file taken, {origin}"] += 1
+        log.info(
+            "servers file taken",
+            origin=origin,
+            generation=document.generation,
+            digest=document.digest,
+            sealed=document.sealed,
+            servers=len(document.servers),
+            **{key: value for key, value in more.items() if value},
+        )
+        self.combined.take_file(document)
+
+    async def _keep(self, document: Document) -> None:
+        if self.folder is None:
+            return
+        try:
+            await self._off_loop(last_good.save, self.folder, document, int(time.time() * 1000))
+        except OSError as error:
+            self.combined.core.counters["last good not written"] += 1
+            log.error(
+                "last good list not written", folder=str(self.folder), reason=error.strerror or str(error)
+            )
+
+    def _trouble(self, event: str, reasons: tuple[str, ...], **more: Any) -> None:
+        """Log what is wrong with the file, once for as long as it stays the same."""
+        self.combined.core.counters[event] += 1
+        now = time.monotonic()
+        if self._told[0] != (event, *reasons) or now - self._told[1] > SAME_AGAIN:
+            self._told = ((event, *reasons), now)
+            log.warning(event, reasons=list(reasons[:MOST_TOLD]), faults=len(reasons), **more)
--- a/wheatstile/rules.py
+++ b/wheatstile/rules.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
-from math import log
+from math import ceil, log
 from random import Random
 from zlib import crc32
 
@@ -66,6 +66,8 @@
     """What this balancer knows of one server."""
 
     entry: api.ListEntry
+    spot: int  # hashed from its name
+    share: float = 1.0  # of the draws that meet one of its places, those that it takes
     tokens: float = 0.0  # this balancer's part of a cold server's budget, and when it last grew
     tokens_at: int = 0
     x: float | None = None  # the last probed load over capacity; None: unknown, not idle
@@ -119,7 +121,8 @@
         self.actions: list[api.Action] = []
         self.servers: dict[str, Server] = {}
         self.ready: list[Server] = []
-        self.table: list[Server | None] = []  # the ready ones, each at a place hashed from its name
+        self.table: list[Server | None] = []  # the ready ones, each at places hashed from its name
+        self.even = True  # all of one weight
         self.connections: dict[str, Connection] = {}
         self.open: dict[Connection, None] = {}
         self.returns: dict[str, Move] = {}  # by client key: moved from here and not seen since
@@ -166,22 +169,38 @@
         if event.kind == "moved":  # what failed elsewhere says nothing of this place: it is asked at once
             return self.actions.append(api.WatchList())
         for entry in event.entries:
-            server = self.servers.setdefault(entry.server, Server(entry))
+            server = self.servers.get(entry.server)
+            if server is None:
+                server = self.servers[entry.server] = Server(entry, crc32(entry.server.encode()))
             if server.tokens_at == 0 or server.entry.started != entry.started:
                 # What it was sent before says nothing of a new process: neither credit nor debt is kept.
                 server.tokens, server.tokens_at, server.x = self.random.random(), self.now, None
             server.entry = entry
-        named = {entry.server for entry in event.entries}
-        for name, server in self.servers.items():
-            if event.kind != "delta" and name not in named:
-                server.entry = replace(server.entry, state="gone")
-        self.ready = [server for _, server in sorted(self.servers.items()) if server.entry.state == "ready"]
-        self.table = [None] * (4 << len(self.ready).bit_length())
-        for server in self.ready:
-            slot = crc32(server.entry.server.encode())
-            while self.table[slot % len(self.table)]:
-                slot += 1
-            self.table[slot % len(self.table)] = server
+        named = {entry.server for entry in event.entries} if event.kind != "delta" else self.servers.keys()
+        for name in self.servers.keys() - named:
+            self.servers[name].entry = replace(self.servers[name].entry, state="gone")
+        ready = [server for server in self.servers.values() if server.entry.state == "ready"]
+        self.ready = sorted(ready, key=lambda server: server.entry.server)
+        self.fill_table()
+
+    def fill_table(self) -> None:
+        """Give each ready server places by its weight, and the share of the draws there that it takes.
+
+        Places are whole: one for equal weights, else the weight over the mean rounded up, and draws that meet
+        more than its weight pass on. All places together are fewer than two for each server.
+        """
+        weights = [server.entry.weight for server in self.ready]
+        self.even, mean = len(set(weights)) < 2, sum(weights) / max(len(weights), 1)
+        counts = [1 if self.even else ceil(weight / mean) for weight in weights]
+        self.table = [None] * (4 << sum(counts).bit_length())
+        size, table = len(self.table), self.table
+        for server, count in zip(self.ready, counts, strict=True):
+            server.share = 1.0 if self.even else server.entry.weight / (count * mean)
+            for place in range(count):
+                slot = crc32(b"%d" % place, server.spot) if place else server.spot
+                while table[slot % size]:
+                    slot += 1
+                table[slot % size] = server
 
     def cold_room(self, server: Server) -> bool:
         """Rule 4: whether a cold server may be sent one more, within this balancer's part of its budget.
@@ -209,7 +228,7 @@
         return kind.repeat == "keyed" and self.now - at < kind.window and same.get(kind.scope, False)
 
     def draw(self, conn: Connection | None, other: Server | None = None, near: bool = False) -> Server | None:
-        """A uniformly drawn server that is fit and not the other one; a suspected one if no other is left.
+        """A server drawn by weight that is fit and not the other one; a suspected one if no other is left.
 
         A key is hashed into a table that holds each server once: every balancer draws the same pair for it,
         and packets that land mid-flow find their server. A client that comes again wants another pair.
@@ -220,10 +239,17 @@
             server = self.table[(spot >> 8) % len(self.table)]
             if server is None or server is other or server.suspect_until > self.now:
                 continue
+            if server.share < 1:
+                spot = (spot * 1103515245 + 12345) % 2**31
+                if spot >= server.share * 2**31:
+                    continue
             if (not near or server.entry.zone == self.settings.zone) and self.fit(server, conn):
                 return server
         fit = [s for s in self.ready if s is not other and self.fit(s, conn)]
-        return self.random.choice([s for s in fit if s.suspect_until <= self.now] or fit) if fit else None
+        fit = [s for s in fit if s.suspect_until <= self.now] or fit
+        if self.even or not fit:
+            return self.random.choice(fit) if fit else None
+        return self.random.choices(fit, [server.entry.weight for server in fit])[0]
 
     def hear(self, event: api.Request | api.OpenConnection, deadline: int, again: bool) -> Connection:
         kind = self.settings.classes.get(event.service) or next(iter(self.settings.classes.values()))
--- a/wheatstile/simulator/wire.py
+++ b/wheatstile/simulator/wire.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from wheatstile import interface as api
+from wheatstile.config.members import weight_of
 from wheatstile.config.reports import report_in
 from wheatstile.config.settings import REPORT_NAMES
 
@@ -165,7 +166,7 @@
         STATES.get(text(f, "status"), "draining"),
         f.get("az", ""),
         whole(f, "cohort", 0),
-        number(f, "share", 1.0),
+        weight_of(number(f, "share", 1.0)),
         whole(f, "startTimeUs", 0),
     )
 
