Read OpenAPI and AsyncAPI descriptions, and let them say what may be repeated

Head office describes its services formally; which operations may be repeated was known per class only, by the platform's settings. Descriptions are read with the line of every statement, checked against their formats, each other, the operator's rules and the classes, compiled to routes and to each class's repeat, scope and window, and obeyed by the module; conflicts are refused at load with both places. Compiled in a process apart, watched, taken whole or not at all; off on the platform. An unsafe request that may have run was held until its client's time was out: the module answers it at once now.

--- a/tests/config/test_operator.py
+++ b/tests/config/test_operator.py
@@ -73,4 +73,5 @@
     deploy = ROOT / "deploy"
     assert json.loads((deploy / "wheatstile.schema.json").read_text()) == operator.schema()
     shipped = operator.read(str(deploy / "wheatstile.json")).settings
-    assert msgspec.to_builtins(shipped.servers) == msgspec.to_builtins(operator.Servers())  # all off
+    plain = msgspec.to_builtins(operator.Operator(schema=shipped.schema))  # all at its default, all off
+    assert msgspec.to_builtins(shipped) == plain
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -688,3 +688,13 @@
     assert not of(world.log, api.Move)
     world.run(30 * SECOND)
     assert of(world.log, api.Move)
+
+
+def test_an_unsafe_request_that_may_have_run_is_answered_at_once() -> None:
+    """It was held until its client's time was out, though nothing could be tried any more."""
+    kinds = {"web": api.ServiceClass("web", 500_000, "unsafe")}
+    world = World("a", "b", classes=kinds)
+    world.request("r")
+    sent = [action.server for action in world.log if isinstance(action, api.Send)]
+    answers = world.tell(api.AttemptEnded("r", 0, sent[-1], "reset"))
+    assert answers == [api.Fail("r")]
--- a/wheatstile/cli/__init__.py
+++ b/wheatstile/cli/__init__.py
@@ -7,12 +7,8 @@
 
 from wheatstile import __version__
 
-COMMANDS = {
-    "serve": "serve",
-    "check": "check",
-    "schema": "schema",
-    "servers": "servers",
-}  # command -> its module here
+# Command -> its module here.
+COMMANDS = {name: name for name in ("serve", "check", "schema", "servers", "descriptions")}
 
 
 class LazyGroup(click.Group):
--- a/wheatstile/cli/check.py
+++ b/wheatstile/cli/check.py
@@ -38,6 +38,7 @@
     else:
         notes.append("against the platform's settings: neither --config nor RELAY_CONFIG names them")
     reasons += _servers(found, platform, notes)
+    reasons += _descriptions(found, platform, notes)
     if reasons:
         return refuse(reasons)
     click.echo(f"{file}: holds")
@@ -78,6 +79,23 @@
     return reasons
 
 
+def _descriptions(found: OperatorFile, platform: Config | None, notes: list[str]) -> list[str]:
+    section = found.settings.descriptions
+    if not (section.paths or section.rules or section.classes):
+        return []
+    from wheatstile.descriptions import reader
+    from wheatstile.descriptions.model import DescriptionError
+
+    facts = reader.facts_of(platform) if platform else None
+    attempts = platform.settings.max_attempts if platform else 5
+    try:
+        compiled, _ = reader.compile_paths(map(found.near, section.paths), found, facts, attempts)
+    except DescriptionError as error:
+        return error.lines()
+    notes += [f"to the end: {warning}" for warning in compiled.warnings]
+    return []
+
+
 def _at(found: OperatorFile, pointer: str, reason: str) -> str:
     """A fault of the operator's file that only its surroundings show, with its line."""
     data = Path(found.path).read_bytes()
--- a/wheatstile/config/faults.py
+++ b/wheatstile/config/faults.py
@@ -93,14 +93,14 @@
     wanted = list(faults)
     lines = {fault.pointer: fault.line for fault in wanted}
     left = {fault.pointer for fault in wanted if not fault.line}
-    for place, line, _ in _walk(text):
+    for place, line, _ in walk(text):
         if place in left:
             lines[place] = line
             left.discard(place)
             if not left:
                 break
     if left:  # of what is not there, the line of the nearest that is
-        parents = dict((place, line) for place, line, _ in _walk(text))
+        parents = dict((place, line) for place, line, _ in walk(text))
         for place in left:
             parent = place
             while parent and parent not in parents:
@@ -122,7 +122,7 @@
     try:
         return [
             Fault(place, f"the key stands twice, first on line {first}", line)
-            for place, line, first in _walk(text)
+            for place, line, first in walk(text)
             if first
         ]
     except (IndexError, TypeError, ValueError):  # the key was found before a place that is no JSON at all
@@ -139,11 +139,12 @@
         self.keys: dict[str, int] | None = {} if is_object else None  # with their lines
 
 
-def _walk(text: str) -> Iterator[tuple[str, int, int]]:
+def walk(text: str) -> Iterator[tuple[str, int, int]]:
     """Each place's pointer and line (a member's is its key's), and where it stood first if it is a repeat."""
     stack: list[_Open] = []
-    line, counted = 1, 0
-    for token in _TOKEN.finditer(text):
+    line, counted, at = 1, 0, 0
+    while token := _TOKEN.match(text, at):  # stops at what is no JSON, so that no text is gone through twice
+        at = token.end()
         mark, string, _ = token.groups()
         start = token.start(token.lastindex or 0)
         line += text.count("\n", counted, start)
--- a/wheatstile/config/operator.py
+++ b/wheatstile/config/operator.py
@@ -59,12 +59,48 @@
     ] = 0.5
 
 
+Repeat = Literal["safe", "keyed", "unsafe"]
+
+
+class DescriptionRule(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Gives operations a class, and may say how far they may be repeated."""
+
+    when: Annotated[
+        str, _told('which operations, as in: method == "POST" and path ~ "/orders/**"', min_length=1)
+    ]
+    service_class: Annotated[str, _told("the class", min_length=1)] = msgspec.field(name="class")
+    repeat: Annotated[Repeat, _told("tighter than the description is taken, looser is a conflict")] | None = (
+        None
+    )
+
+
+class ClassWord(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """The operator's own word on a class."""
+
+    repeat: Repeat
+
+
+class Descriptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """OpenAPI and AsyncAPI descriptions. Off without `paths`."""
+
+    paths: Annotated[list[str], _told("files and folders; none: off")] = msgspec.field(default_factory=list)
+    rules: Annotated[list[DescriptionRule], _told("in order; the first that fits counts")] = msgspec.field(
+        default_factory=list
+    )
+    classes: Annotated[dict[str, ClassWord], _told("by name")] = msgspec.field(default_factory=dict)
+    require_class: Annotated[bool, _told("refuse operations that nothing gives a class")] = False
+    strict: Annotated[bool, _told("warnings are conflicts")] = False
+    settle_s: Annotated[float, _told("how long changed files must stand unchanged", ge=0.02, le=60)] = 0.5
+    recheck_s: Annotated[float, _told("what a lost notice of a change costs at most", ge=0.1, le=3600)] = 5.0
+
+
 class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """The operator's file of a wheatstile balancer."""
 
     schema: str | None = msgspec.field(default=None, name="$schema")
     log: Log = msgspec.field(default_factory=Log)
     servers: Servers = msgspec.field(default_factory=Servers)
+    descriptions: Descriptions = msgspec.field(default_factory=Descriptions)
 
 
 @dataclass(frozen=True, slots=True)
--- a/wheatstile/config/shape.py
+++ b/wheatstile/config/shape.py
@@ -22,6 +22,9 @@
     elif get_origin(inner) is list and get_args(inner)[0] is not Any and isinstance(value, list):
         for index, element in enumerate(value):
             yield from faults(element, get_args(inner)[0], (*at, index))
+    elif get_origin(inner) is dict and isinstance(value, dict):
+        for key, element in value.items():
+            yield from faults(element, get_args(inner)[1], (*at, key))
     elif get_origin(inner) is Literal and isinstance(value, str) and value not in get_args(inner):
         yield Fault(pointer(*at), f'"{value}" is not known{nearest(value, get_args(inner))}')
     else:
--- /dev/null
+++ b/wheatstile/descriptions/section.py
@@ -0,0 +1,226 @@
+"""Descriptions in the running balancer: compiled in a process apart, watched, taken whole or not at all."""
+
+import asyncio
+import json
+import os
+import subprocess
+import sys
+from collections.abc import Mapping
+from contextlib import suppress
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import structlog
+
+from wheatstile import interface as api
+from wheatstile.config.operator import Descriptions, OperatorFile
+from wheatstile.config.platform import Config
+from wheatstile.net.core import Core
+from wheatstile.resolvers.notices import Notices
+
+log = structlog.get_logger()
+
+WORKER = ("-m", "wheatstile.descriptions.worker")
+PATIENCE = 300.0  # seconds that the worker may take
+TIGHTER = {"safe": 0, "keyed": 1, "unsafe": 2}
+NARROWER = {"all": 0, "zone": 1, "cell": 2}
+MOST_TOLD = 20  # reasons that a log line holds
+MOST_FILES = 5000  # that are looked at for changes
+Learnt = dict[str, tuple[str, str, int]]  # class -> repeat, scope, window
+
+
+def tightened(settings: api.Settings, learnt: Mapping[str, tuple[str, str, int]]) -> api.Settings:
+    """The settings with what was learnt; the tighter of the two holds for each class."""
+    classes = dict(settings.classes)
+    for name, (repeat, scope, window) in learnt.items():
+        if name not in classes:
+            continue
+        one = classes[name]
+        both = [one.window] * (one.repeat == "keyed") + [window] * (repeat == "keyed")
+        classes[name] = replace(
+            one,
+            repeat=max(one.repeat, repeat, key=lambda word: TIGHTER.get(word, 2)),
+            scope=max(one.scope, scope, key=lambda word: NARROWER.get(word, 2)),
+            window=min(both, default=one.window),
+        )
+    return replace(settings, classes=classes)
+
+
+def request_of(operator: OperatorFile, config: Config) -> bytes:
+    """What the worker is asked: the operator's word and the platform's classes as they stand."""
+    deadlines = config.channels.deadlines
+    classes = {
+        name: [one.repeat, one.scope, one.window, deadlines.get(name, 0) * 1000]
+        for name, one in config.settings.classes.items()
+    }
+    asked: dict[str, Any] = {"operator": str(operator.path.absolute()), "classes": classes}
+    asked |= {
+        "settings": msgspec.to_builtins(operator.settings),
+        "max_attempts": config.settings.max_attempts,
+    }
+    return json.dumps(asked).encode()
+
+
+def compile_first(operator: OperatorFile, config: Config) -> dict[str, Any]:
+    """Compile before anybody is served: with no older ones in force, broken ones must not read as none."""
+    try:
+        done = subprocess.run(
+            [sys.executable, *WORKER],
+            input=request_of(operator, config),
+            capture_output=True,
+            timeout=PATIENCE,
+        )
+    except subprocess.TimeoutExpired:
+        return {"refused": [f"{operator.path}:1: /descriptions: took over {PATIENCE:g} s"]}
+    return _answer_of(done.stdout, done.returncode)
+
+
+def _answer_of(output: bytes, status: int | None) -> dict[str, Any]:
+    with suppress(ValueError):
+        found: dict[str, Any] = json.loads(output)
+        return found
+    return {
+        "refused": [f"/descriptions: the worker ended with status {status}, out of its bounds or by a fault"]
+    }
+
+
+def learnt_of(answer: dict[str, Any]) -> Learnt:
+    return {name: (repeat, scope, window) for name, (repeat, scope, window) in answer["classes"].items()}
+
+
+class DescriptionsSection:
+    """Owns the task that watches the descriptions, and what was learnt from them last."""
+
+    def __init__(self, core: Core, first: dict[str, Any] | None) -> None:
+        self.core = core
+        self.learnt: Learnt = learnt_of(first) if first else {}
+        self._operator: OperatorFile
+        self._config: Config
+        self._task: asyncio.Task[None] | None = None
+        self._asked: bytes = b""
+        self._done: object = None  # the files as they stood when they were compiled last
+        self._fresh = first is not None
+        if first:
+            told(first)
+
+    def applied(self, settings: api.Settings) -> api.Settings:
+        return tightened(settings, self.learnt)
+
+    def follow(self, operator: OperatorFile, config: Config) -> None:
+        """Do as the operator's file and the platform's say now."""
+        asked = request_of(operator, config)
+        if asked == self._asked:
+            return
+        self._asked, self._operator, self._config = asked, operator, config
+        section = operator.settings.descriptions
+        if self._task:
+            self._task.cancel()
+            self._task = None
+        if section.paths:
+            self._done = None
+            self._task = asyncio.create_task(self._run(section))
+        elif self.learnt:
+            self.learnt = {}
+            self.core.configure(config.settings)
+            log.info("descriptions switched off")
+
+    def close(self) -> None:
+        if self._task:
+            self._task.cancel()
+
+    async def _run(self, section: Descriptions) -> None:
+        paths = [self._operator.near(path) for path in section.paths]
+        notices = [Notices(path, section.recheck_s) for path in paths]
+        tasks = [asyncio.create_task(one.run()) for one in notices]
+        try:
+            if self._fresh:
+                self._fresh, self._done = False, await asyncio.to_thread(standing, paths)
+            while True:
+                for one in notices:
+                    one.changed.clear()
+                await self._look(paths, section)
+                waits = [asyncio.create_task(one.changed.wait()) for one in notices]
+                try:
+                    await asyncio.wait(waits, timeout=section.recheck_s, return_when=asyncio.FIRST_COMPLETED)
+                finally:
+                    for wait in waits:
+                        wait.cancel()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.wait(tasks)
+
+    async def _look(self, paths: list[Path], section: Descriptions) -> None:
+        """Compile what has changed, once it has stood still before and during that."""
+        while True:
+            before = await asyncio.to_thread(standing, paths)
+            if before == self._done:
+                return
+            await asyncio.sleep(section.settle_s)
+            if await asyncio.to_thread(standing, paths) != before:
+                continue
+            answer = await self._compile()
+            if await asyncio.to_thread(standing, paths) != before:
+                continue
+            self._done = before
+            return self._take(answer)
+
+    async def _compile(self) -> dict[str, Any]:
+        worker = await asyncio.create_subprocess_exec(
+            sys.executable, *WORKER, stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.DEVNULL,
+        )  # fmt: skip
+        try:
+            async with asyncio.timeout(PATIENCE):
+                output, _ = await worker.communicate(self._asked)
+        except TimeoutError:
+            return {"refused": [f"/descriptions: took over {PATIENCE:g} s"]}
+        finally:
+            if worker.returncode is None:
+                with suppress(ProcessLookupError):
+                    worker.kill()
+                await worker.wait()
+        return _answer_of(output, worker.returncode)
+
+    def _take(self, answer: dict[str, Any]) -> None:
+        if "refused" in answer:
+            self.core.counters["descriptions refused"] += 1
+            reasons = answer["refused"]
+            log.warning(
+                "descriptions refused", reasons=reasons[:MOST_TOLD], faults=answer.get("faults", len(reasons))
+            )
+            return
+        self.learnt = learnt_of(answer)
+        self.core.configure(tightened(self._config.settings, self.learnt))
+        told(answer)
+
+
+def told(answer: dict[str, Any]) -> None:
+    """Log what holds from now on."""
+    log.info(
+        "descriptions taken",
+        files=answer["files"],
+        routes=answer["routes"],
+        classes={name: values[0] for name, values in answer["classes"].items()},
+        warnings=answer["warnings"][:MOST_TOLD],
+    )
+
+
+def standing(paths: list[Path]) -> list[tuple[str, int, int, int]]:
+    """Every file at these paths, with its inode, size and time of change in ns, but for what is missing."""
+    found = []
+    for path in paths:
+        files = [path]
+        if path.is_dir():
+            files = [
+                Path(folder) / name for folder, _, names in os.walk(path, followlinks=False) for name in names
+            ]
+        else:
+            files += [one for one in path.parent.iterdir() if one.suffix in (".yaml", ".yml", ".json")]
+        for file in sorted(files)[:MOST_FILES]:
+            with suppress(OSError):
+                state = file.stat()
+                found.append((str(file), state.st_ino, state.st_size, state.st_mtime_ns))
+    return found
--- a/wheatstile/node.py
+++ b/wheatstile/node.py
@@ -9,7 +9,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import replace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import structlog
 import uvloop
@@ -24,6 +24,7 @@
 
 if TYPE_CHECKING:  # what is switched off is not imported
     from wheatstile.config.operator import OperatorFile
+    from wheatstile.descriptions.section import DescriptionsSection
     from wheatstile.resolvers.section import ServersSection
 
 log = structlog.get_logger()
@@ -52,14 +53,17 @@
 class Node:
     """The running balancer: its parts, and what its signals do to them."""
 
-    def __init__(self, config: Config, operator: "OperatorFile | None" = None) -> None:
-        self.config, self.operator = config, operator
+    def __init__(
+        self, config: Config, operator: "OperatorFile | None" = None, learnt: dict[str, Any] | None = None
+    ) -> None:
+        self.config, self.operator, self.learnt = config, operator, learnt
         self.terminated = asyncio.Event()
         self.core = Core(config.settings, config.seed)
         self.subchannels = Subchannels(self.core, config.servers)
         self.resolver = Resolver(self.core, Direct(self.core, self.subchannels), config.discovery)
         self.channels = Channels(self.core, self.subchannels, config.channels)
         self.servers_section: ServersSection | None = None
+        self.descriptions_section: DescriptionsSection | None = None
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.terminated.set)
         loop.add_signal_handler(signal.SIGINT, self.terminated.set)
@@ -83,7 +87,7 @@
             return
         kept = [key for key in FIXED if getattr(new, key) != getattr(self.config, key)]
         self.config = replace(new, **{key: getattr(self.config, key) for key in FIXED})
-        self.core.configure(new.settings)
+        self.configure()
         self.subchannels.limits, self.channels.limits = new.servers, new.channels
         self.resolver.follow(new.discovery)
         log.info("reloaded", discovery=new.discovery, only_at_the_next_start=kept)
@@ -103,17 +107,32 @@
         self.follow_operator()
         log.info("operator's file read again", file=str(self.operator.path))
 
+    def configure(self) -> None:
+        """Have the module decide by the platform's settings, as far as descriptions do not tighten them."""
+        settings = self.config.settings
+        if self.descriptions_section:
+            settings = self.descriptions_section.applied(settings)
+        self.core.configure(settings)
+        if self.operator and self.descriptions_section:
+            self.descriptions_section.follow(self.operator, self.config)
+
     def follow_operator(self) -> None:
         """Switch on, change or switch off what the operator's file says; with none, nothing is imported."""
         if self.operator is None:
             return
-        if self.servers_section is None:
-            if not self.operator.settings.servers.file:
-                return
+        if self.servers_section is None and self.operator.settings.servers.file:
             from wheatstile.resolvers.section import ServersSection
 
             self.servers_section = ServersSection(self.core, self.subchannels, self.resolver)
-        self.servers_section.follow(self.operator)
+        if self.servers_section:
+            self.servers_section.follow(self.operator)
+        if self.descriptions_section is None and self.operator.settings.descriptions.paths:
+            from wheatstile.descriptions.section import DescriptionsSection
+
+            self.descriptions_section = DescriptionsSection(self.core, self.learnt)
+            self.configure()
+        elif self.descriptions_section:
+            self.descriptions_section.follow(self.operator, self.config)
 
     async def run(self) -> None:
         """Serve from start to SIGTERM, then send every client away while there is time."""
@@ -137,22 +156,26 @@
                     await asyncio.sleep(begin)
                     await self.channels.drain(time - SPARE - begin)
             self.resolver.close()
-            if self.servers_section:
-                self.servers_section.close()
+            for section in (self.servers_section, self.descriptions_section):
+                if section:
+                    section.close()
             for part in parts:
                 part.cancel()
             await asyncio.wait(parts)
         log.info("counters", **self.core.counters)
 
 
-async def balance(config: Config, operator: "OperatorFile | None" = None) -> None:
-    await Node(config, operator).run()
+async def balance(
+    config: Config, operator: "OperatorFile | None" = None, learnt: dict[str, Any] | None = None
+) -> None:
+    await Node(config, operator, learnt).run()
 
 
 def main(file: str | None = None, log_format: str | None = None, log_level: str | None = None) -> int:
     """Serve from RELAY_*, and from the operator's file if one is named. Returns the exit status.
 
-    1: an operator's file that is refused, or an address nobody can listen on; 2: no usable RELAY_CONFIG.
+    1: an operator's file or descriptions that are refused, or an address nobody can listen on; 2: no usable
+    RELAY_CONFIG.
     """
     # Unhandled, SIGHUP would end the process; held back until the node handles it, none is lost either.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
@@ -175,10 +198,18 @@
     except ConfigError as error:
         print(f"wheatstile: {error}", file=sys.stderr)
         return 2
+    learnt = None
+    if operator and operator.settings.descriptions.paths:
+        from wheatstile.descriptions.section import compile_first
+
+        learnt = compile_first(operator, config)
+        if "refused" in learnt:
+            print("\n".join(learnt["refused"]), file=sys.stderr)
+            return 1
     _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
     try:
-        uvloop.run(balance(config, operator))
+        uvloop.run(balance(config, operator, learnt))
     except OSError as error:
         print(f"wheatstile: {config.listen[0]}:{config.listen[1]}: {error}", file=sys.stderr)
         return 1
--- a/wheatstile/rules.py
+++ b/wheatstile/rules.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
-from math import ceil, log
+from math import ceil, inf, log
 from random import Random
 from zlib import crc32
 
@@ -303,6 +303,9 @@
 
     def place_anew(self, conn: Connection) -> None:
         """Draw two candidates and ask both for their load. A repeated set-up first waits for its turn."""
+        window = {"safe": inf, "keyed": conn.kind.window}.get(conn.kind.repeat, 0)
+        if conn.ran and self.now - conn.ran[0] >= window:  # nobody would discard a repeat: no use in waiting
+            return self.answer(conn)
         if conn.again and not self.credit():
             return self.hold(conn, int(HOLD * (1 + 3 * self.random.random())))
         conn.again = False
