--- a/benchmarks/descriptions.py
+++ b/benchmarks/descriptions.py
@@ -1,7 +1,7 @@
-"""What descriptions cost: `python benchmarks/descriptions.py [--quick]` prints the tables of docs/descriptions.md.
+"""What descriptions cost: `python benchmarks/descriptions.py [--quick]` prints docs/descriptions.md's tables.
 
-Loading (read, checked, compiled, in a process of its own), matching against a linear scan and against Werkzeug's
-router, and the longest stall of a running balancer's loop while 1,000 operations are compiled anew.
+Loading (read, checked, compiled, in a process of its own), matching against a linear scan and against
+Werkzeug's router, and the longest stall of a running balancer's loop while operations are compiled anew.
 """
 
 import argparse
@@ -26,7 +26,7 @@
 
 from wheatstile.descriptions.routes import Matcher, path_tokens, split_path  # noqa: E402
 
-WORKER = "import sys, resource; from wheatstile.descriptions.reader import compile_paths; compile_paths([sys.argv[1]])"
+WORKER = "import sys; from wheatstile.descriptions import reader; reader.compile_paths([sys.argv[1]])"
 
 
 def template(number: int) -> str:
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -103,6 +103,51 @@
     assert run("serve")[0] == run()[0] == 2  # no configuration
 
 
+SHOP = """openapi: 3.1.0
+info: {title: Shop, version: '1'}
+paths:
+  /orders/{id}:
+    parameters: [{name: id, in: path, required: true, schema: {type: string}}]
+    get: {x-wheatstile-class: chat, tags: [t], responses: {default: {description: d}}}
+  /orders/mine:
+    get: {x-wheatstile-class: chat, responses: {default: {description: d}}}
+"""
+
+
+def test_descriptions_are_checked_listed_matched_compared_and_drawn(folder: Path) -> None:
+    (folder / "old.yaml").write_text(
+        SHOP.replace("tags: [t]", "x-wheatstile-repeat: unsafe").replace("/mine:", "/x:")
+    )
+    (folder / "new.yaml").write_text(SHOP)
+    (folder / "typo.yaml").write_text(SHOP.replace("class: chat, tags", "class: caht, tags"))
+    config = ("--config", str(ROOT / "example" / "config.json"))
+    status, out, _ = run("descriptions", "check", "new.yaml", *config)
+    assert status == 0 and "class chat: safe" in out
+    status, _, errors = run("descriptions", "check", "typo.yaml", *config)
+    assert (
+        status == 1
+        and 'typo.yaml:6: /paths/~1orders~1{id}/get/x-wheatstile-class: the class "caht"' in errors
+    )
+    status, out, _ = run("descriptions", "match", "new.yaml", "GET", "/orders/mine")
+    assert [line.split()[:3] for line in out.splitlines()[1:]] == [
+        ["takes", "GET", "/orders/mine"], ["beats", "GET", "/orders/{id}"]
+    ]  # fmt: skip
+    assert run("descriptions", "match", "new.yaml", "GET", "/nowhere")[0] == 1
+    assert len(json.loads(run("descriptions", "routes", "new.yaml", "--json")[1])) == 2
+    (folder / "op.json").write_text(json.dumps({"descriptions": {"classes": {"chat": {"repeat": "unsafe"}}}}))
+    told = ("--file", "op.json", *config)
+    status, out, _ = run("descriptions", "diff", "old.yaml", "new.yaml", *told)
+    assert status == 3 and "loosens  GET /orders/{id}: becomes repeatable, unsafe -> safe" in out
+    status, out, _ = run("descriptions", "diff", "new.yaml", "old.yaml", *told)
+    assert (
+        status == 0 and "GET /orders/{id}: ceases to be repeatable" in out and "/orders/mine: removed" in out
+    )
+    assert run("descriptions", "graph", "new.yaml", "--out", "g.svg")[0] == 0
+    assert "/orders/{id}" in (folder / "g.svg").read_text()
+    (folder / "op.json").write_text(json.dumps({"descriptions": {"paths": ["typo.yaml"]}}))
+    assert run("check", "op.json", *config)[0] == 1
+
+
 def test_what_is_switched_off_is_not_imported() -> None:
     code = "import sys, wheatstile.node; print(*sys.modules)"
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -690,11 +690,12 @@
     assert of(world.log, api.Move)
 
 
-def test_an_unsafe_request_that_may_have_run_is_answered_at_once() -> None:
+@pytest.mark.parametrize(("repeat", "window"), [("unsafe", 0), ("keyed", 100_000)])
+def test_a_request_that_may_have_run_and_cannot_be_repeated_is_answered_at_once(repeat: str, window: int) -> None:
     """It was held until its client's time was out, though nothing could be tried any more."""
-    kinds = {"web": api.ServiceClass("web", 500_000, "unsafe")}
-    world = World("a", "b", classes=kinds)
+    world = World("a", "b", classes={"web": api.ServiceClass("web", 500_000, repeat, "zone", window)})
     world.request("r")
     sent = [action.server for action in world.log if isinstance(action, api.Send)]
-    answers = world.tell(api.AttemptEnded("r", 0, sent[-1], "reset"))
+    world.now += 200_000
+    answers = world.tell(api.AttemptEnded("r", 0, sent[-1], "reset", 200_000))
     assert answers == [api.Fail("r")]
