Fuzz the reader of descriptions with coverage, and catch what a validator fails on

The fuzz target found documents whose faults the validator had told and then failed on itself (paths that are none).

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON = .venv/bin/python
 
-.PHONY: build test lint run servers demo client publish
+.PHONY: build test lint run servers demo client publish fuzz
 
 build:
 	test -x $(PYTHON) || python3 -m venv .venv
@@ -29,3 +29,7 @@
 
 publish:  # a file of servers, checked, sealed, and taken by the balancer of "make demo"
 	$(PYTHON) -m wheatstile servers publish example/servers.json example/live.json --bump --file example/operator.json
+
+fuzz:  # the reader of descriptions, for a minute; atheris has no wheel for every Python
+	$(PYTHON) -m pip -q --disable-pip-version-check install atheris==3.0.0
+	PYTHONPATH=. $(PYTHON) tests/descriptions/fuzz_reader.py -max_total_time=60 -artifact_prefix=found/
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -691,7 +691,7 @@
 
 
 @pytest.mark.parametrize(("repeat", "window"), [("unsafe", 0), ("keyed", 100_000)])
-def test_a_request_that_may_have_run_and_cannot_be_repeated_is_answered_at_once(repeat: str, window: int) -> None:
+def test_what_may_have_run_and_cannot_be_repeated_is_answered_at_once(repeat: str, window: int) -> None:
     """It was held until its client's time was out, though nothing could be tried any more."""
     world = World("a", "b", classes={"web": api.ServiceClass("web", 500_000, repeat, "zone", window)})
     world.request("r")
--- a/wheatstile/descriptions/openapi.py
+++ b/wheatstile/descriptions/openapi.py
@@ -146,9 +146,13 @@
     class Local(kinds[version]):  # type: ignore[misc, valid-type]
         resolver_handlers = {"": read_file, "file": read_file, "http": read_file, "https": read_file}  # noqa: RUF012
 
-    found = []
-    for error in Local(value, base_uri=uri).iter_errors():
-        found.append(common.schema_finding(error, place))
-        if len(found) >= 100:
-            break
+    found: list[Finding] = []
+    try:
+        for error in Local(value, base_uri=uri).iter_errors():
+            found.append(common.schema_finding(error, place))
+            if len(found) >= 100:
+                break
+    except Exception as error:  # it goes on into documents that it has found no sound ones, and fails there
+        if not found:
+            found.append(Finding(place(""), f"cannot be checked: {type(error).__name__} {error}"))
     return found
