Watch the files that descriptions refer to, and collect operations in one way

A change in a referred file outside the named paths' folder listing went unnoticed. The worker says what it has read; those files are looked at too, and a change between the first compile and the watch is no longer missed. Both formats' readers share the loop that collects operations and their faults.

--- a/tests/descriptions/test_obeyed.py
+++ b/tests/descriptions/test_obeyed.py
@@ -35,12 +35,15 @@
         self.here = Path(self.folder.name)
         (self.here / "api").mkdir()
         self.api, self.operator = self.here / "api" / "shop.yaml", self.here / "operator.json"
-        section = {"paths": ["api"], "settle_s": 0.05, "recheck_s": 0.3}
-        self.operator.write_text(json.dumps({"descriptions": section}))
+        self.write_operator(paths=["api"])
         self.arguments = ("serve", "--file", str(self.operator))
         self.other = Listener()
         self.ids = iter(range(1, 1000))
 
+    def write_operator(self, paths: list[str]) -> None:
+        section = {"paths": paths, "settle_s": 0.05, "recheck_s": 0.3}
+        self.operator.write_text(json.dumps({"descriptions": section}))
+
     def describe(self, paths: str) -> None:
         write_atomic(self.api, (HEAD + paths).encode())
 
@@ -125,6 +128,17 @@
         self.logged("descriptions switched off")
         self.assertGreater(len(self.attempts("writes")[0]), 1)
 
+    def test_a_change_in_what_a_description_refers_to_is_taken_too(self) -> None:
+        self.write_operator(paths=["api/shop.yaml"])
+        (self.here / "api" / "parts").mkdir()
+        part = self.here / "api" / "parts" / "p.yaml"
+        part.write_text(f"get: {{x-wheatstile-class: reads, {RESPONSES}}}\n")
+        self.describe("  /s: {$ref: 'parts/p.yaml'}\n")
+        self.begin()
+        self.assertEqual(self.logged("descriptions taken")["classes"], {"reads": "safe"})
+        write_atomic(part, f"post: {{x-wheatstile-class: reads, {RESPONSES}}}\n".encode())
+        self.assertEqual(self.logged("descriptions taken")["classes"], {"reads": "unsafe"})
+
     def test_broken_descriptions_at_the_start_are_no_reason_to_serve_without(self) -> None:
         self.describe(operation("u", "post", "wrong"))
         self.path.write_text(json.dumps(self.config()))
--- a/wheatstile/cli/descriptions.py
+++ b/wheatstile/cli/descriptions.py
@@ -13,8 +13,8 @@
 from wheatstile.config.faults import Refused
 from wheatstile.config.platform import Config, ConfigError
 from wheatstile.descriptions import reader
-from wheatstile.descriptions.compile import NARROWER, Compiled, Route
-from wheatstile.descriptions.model import TIGHTER, DescriptionError
+from wheatstile.descriptions.compile import Compiled, Route
+from wheatstile.descriptions.model import NARROWER, TIGHTER, DescriptionError
 
 LOOSENS = 3  # exit status of a comparison
 
--- a/wheatstile/descriptions/asyncapi.py
+++ b/wheatstile/descriptions/asyncapi.py
@@ -7,6 +7,7 @@
 
 import re
 from collections.abc import Iterator
+from functools import partial
 from typing import Any
 
 from jsonschema import Draft202012Validator
@@ -41,17 +42,8 @@
     findings = [common.schema_finding(error, root.text.place) for error in validator.iter_errors(root.value)]
     if findings:
         raise DescriptionError(findings[:100])
-    operations: list[Operation] = []
-    for one in _operations_2(root) if version == "2.6" else _operations_3(root):
-        try:
-            operations.append(_operation(root, *one))
-        except DescriptionError as error:
-            findings += error.findings
-    if findings:
-        raise DescriptionError(findings)
-    info = root.get("info")
-    title = info.text_of("title") if info else ""
-    return Description(root.text.file, title, f"asyncapi {version}", tuple(operations))
+    found = _operations_2(root) if version == "2.6" else _operations_3(root)
+    return common.described(root, f"asyncapi {version}", (partial(_operation, root, *one) for one in found))
 
 
 _Found = tuple[str, str, str, Located, Located, list[Located], str]  # what an operation is made of
--- a/wheatstile/descriptions/common.py
+++ b/wheatstile/descriptions/common.py
@@ -1,11 +1,11 @@
 """What OpenAPI and AsyncAPI documents say alike: our extensions, and facts of schemas. Pure."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any, get_args
 
 from wheatstile.config.faults import pointer
-from wheatstile.descriptions.model import DescriptionError, Finding, Place, Repeat
+from wheatstile.descriptions.model import Description, DescriptionError, Finding, Operation, Place, Repeat
 from wheatstile.descriptions.refs import Located
 
 CLASS, REPEAT, BECAUSE = "x-wheatstile-class", "x-wheatstile-repeat", "x-wheatstile-because"
@@ -28,6 +28,21 @@
     return DescriptionError([Finding(place, reason)])
 
 
+def described(root: Located, form: str, makers: Iterable[Callable[[], Operation]]) -> Description:
+    """A document of these operations. Raises DescriptionError with the faults of all."""
+    findings: list[Finding] = []
+    operations: list[Operation] = []
+    for make in makers:
+        try:
+            operations.append(make())
+        except DescriptionError as error:
+            findings += error.findings
+    if findings:
+        raise DescriptionError(findings)
+    info = root.get("info")
+    return Description(root.text.file, info.text_of("title") if info else "", form, tuple(operations))
+
+
 def schema_finding(error: Any, place: Callable[[str], Place]) -> Finding:
     """A validator's error at its place; of several alternatives that all fail, the one that came nearest."""
     nearest = error
--- a/wheatstile/descriptions/compile.py
+++ b/wheatstile/descriptions/compile.py
@@ -12,6 +12,7 @@
 from wheatstile.config.faults import nearest
 from wheatstile.descriptions.language import Condition
 from wheatstile.descriptions.model import (
+    NARROWER,
     TIGHTER,
     Description,
     DescriptionError,
@@ -23,8 +24,6 @@
 )
 from wheatstile.descriptions.routes import Matcher, Token, path_tokens, relation, split_path, subject_tokens
 
-NARROWER = {"all": 0, "zone": 1, "cell": 2}  # groups that discard repeats
-
 
 @dataclass(frozen=True, slots=True)
 class ClassFacts:
--- a/wheatstile/descriptions/model.py
+++ b/wheatstile/descriptions/model.py
@@ -5,6 +5,7 @@
 
 Repeat = Literal["safe", "keyed", "unsafe"]
 TIGHTER = {"safe": 0, "keyed": 1, "unsafe": 2}  # the larger wins, whoever says it
+NARROWER = {"all": 0, "zone": 1, "cell": 2}  # groups that discard repeats; the larger wins
 
 
 @dataclass(frozen=True, slots=True, order=True)
--- a/wheatstile/descriptions/openapi.py
+++ b/wheatstile/descriptions/openapi.py
@@ -2,6 +2,7 @@
 
 import re
 from collections.abc import Callable, Iterator, Mapping
+from functools import partial
 from typing import Any
 
 from wheatstile.descriptions import common
@@ -35,24 +36,18 @@
 
 def read(root: Located, version: str) -> Description:
     """The operations of one document. Raises DescriptionError with every fault found."""
-    findings: list[Finding] = []
-    operations: list[Operation] = []
     paths = root.get("paths")
-    for path, item in paths.items() if paths else ():
-        for method in METHODS:
-            if (raw := item.raw(method)) is not None:
-                try:
-                    operations.append(_operation(root, path, item, method.upper(), raw.followed()))
-                except DescriptionError as error:
-                    findings += error.findings
-    if findings:
-        raise DescriptionError(findings)
-    info = root.get("info")
-    title = info.text_of("title") if info else ""
-    return Description(root.text.file, title, f"openapi {version}", tuple(operations))
-
-
-def _operation(root: Located, path: str, item: Located, method: str, at: Located) -> Operation:
+    makers = [
+        partial(_operation, root, path, item, method.upper(), raw)
+        for path, item in (paths.items() if paths else ())
+        for method in METHODS
+        if (raw := item.raw(method)) is not None
+    ]
+    return common.described(root, f"openapi {version}", makers)
+
+
+def _operation(root: Located, path: str, item: Located, method: str, raw: Located) -> Operation:
+    at = raw.followed()
     if not path.startswith("/"):
         raise DescriptionError([Finding(item.place, f'the path "{path}" does not begin with /')])
     servers = at.get("servers") or item.get("servers") or root.get("servers")
--- a/wheatstile/descriptions/section.py
+++ b/wheatstile/descriptions/section.py
@@ -5,7 +5,7 @@
 import os
 import subprocess
 import sys
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from contextlib import suppress
 from dataclasses import replace
 from pathlib import Path
@@ -17,6 +17,7 @@
 from wheatstile import interface as api
 from wheatstile.config.operator import Descriptions, OperatorFile
 from wheatstile.config.platform import Config
+from wheatstile.descriptions.model import NARROWER, TIGHTER
 from wheatstile.net.core import Core
 from wheatstile.resolvers.notices import Notices
 
@@ -24,8 +25,6 @@
 
 WORKER = ("-m", "wheatstile.descriptions.worker")
 PATIENCE = 300.0  # seconds that the worker may take
-TIGHTER = {"safe": 0, "keyed": 1, "unsafe": 2}
-NARROWER = {"all": 0, "zone": 1, "cell": 2}
 MOST_TOLD = 20  # reasons that a log line holds
 MOST_FILES = 5000  # that are looked at for changes
 Learnt = dict[str, tuple[str, str, int]]  # class -> repeat, scope, window
@@ -65,6 +64,8 @@
 
 def compile_first(operator: OperatorFile, config: Config) -> dict[str, Any]:
     """Compile before anybody is served: with no older ones in force, broken ones must not read as none."""
+    paths = [operator.near(path) for path in operator.settings.descriptions.paths]
+    before = standing(paths)
     try:
         done = subprocess.run(
             [sys.executable, *WORKER],
@@ -74,7 +75,10 @@
         )
     except subprocess.TimeoutExpired:
         return {"refused": [f"{operator.path}:1: /descriptions: took over {PATIENCE:g} s"]}
-    return _answer_of(done.stdout, done.returncode)
+    answer = _answer_of(done.stdout, done.returncode)
+    return answer | {
+        "standing": standing(paths, answer.get("read", ())) if before == standing(paths) else None
+    }
 
 
 def _answer_of(output: bytes, status: int | None) -> dict[str, Any]:
@@ -100,8 +104,8 @@
         self._config: Config
         self._task: asyncio.Task[None] | None = None
         self._asked: bytes = b""
-        self._done: object = None  # the files as they stood when they were compiled last
-        self._fresh = first is not None
+        self._read: list[str] = first["read"] if first else []  # beside the paths, what they refer to
+        self._done: object = first["standing"] if first else None  # the files when they were compiled last
         if first:
             told(first)
 
@@ -113,13 +117,15 @@
         asked = request_of(operator, config)
         if asked == self._asked:
             return
+        first = not self._asked and self._done is not None
         self._asked, self._operator, self._config = asked, operator, config
         section = operator.settings.descriptions
         if self._task:
             self._task.cancel()
             self._task = None
         if section.paths:
-            self._done = None
+            if not first:
+                self._done = None
             self._task = asyncio.create_task(self._run(section))
         elif self.learnt:
             self.learnt = {}
@@ -135,8 +141,6 @@
         notices = [Notices(path, section.recheck_s) for path in paths]
         tasks = [asyncio.create_task(one.run()) for one in notices]
         try:
-            if self._fresh:
-                self._fresh, self._done = False, await asyncio.to_thread(standing, paths)
             while True:
                 for one in notices:
                     one.changed.clear()
@@ -155,14 +159,20 @@
     async def _look(self, paths: list[Path], section: Descriptions) -> None:
         """Compile what has changed, once it has stood still before and during that."""
         while True:
-            before = await asyncio.to_thread(standing, paths)
+            before = await asyncio.to_thread(standing, paths, self._read)
             if before == self._done:
                 return
             await asyncio.sleep(section.settle_s)
-            if await asyncio.to_thread(standing, paths) != before:
+            if await asyncio.to_thread(standing, paths, self._read) != before:
                 continue
             answer = await self._compile()
-            if await asyncio.to_thread(standing, paths) != before:
+            if await asyncio.to_thread(standing, paths, self._read) != before:
+                continue
+            read = answer.get("read", self._read)
+            if not set(read) <= {name for name, *_ in before}:
+                self._read = (
+                    read  # they refer to files that were not looked at: once more, looking at these too
+                )
                 continue
             self._done = before
             return self._take(answer)
@@ -201,26 +211,23 @@
     """Log what holds from now on."""
     log.info(
         "descriptions taken",
-        files=answer["files"],
+        files=len(answer["read"]),
         routes=answer["routes"],
         classes={name: values[0] for name, values in answer["classes"].items()},
         warnings=answer["warnings"][:MOST_TOLD],
     )
 
 
-def standing(paths: list[Path]) -> list[tuple[str, int, int, int]]:
+def standing(paths: Iterable[Path], also: Iterable[str] = ()) -> list[tuple[str, int, int, int]]:
     """Every file at these paths, with its inode, size and time of change in ns, but for what is missing."""
-    found = []
+    files = {os.path.realpath(name) for name in also}
     for path in paths:
-        files = [path]
-        if path.is_dir():
-            files = [
-                Path(folder) / name for folder, _, names in os.walk(path, followlinks=False) for name in names
-            ]
-        else:
-            files += [one for one in path.parent.iterdir() if one.suffix in (".yaml", ".yml", ".json")]
-        for file in sorted(files)[:MOST_FILES]:
-            with suppress(OSError):
-                state = file.stat()
-                found.append((str(file), state.st_ino, state.st_size, state.st_mtime_ns))
+        files.add(os.path.realpath(path))
+        for folder, _, names in os.walk(path):  # nothing, where it is a file
+            files.update(os.path.realpath(os.path.join(folder, name)) for name in names)
+    found = []
+    for file in sorted(files)[:MOST_FILES]:
+        with suppress(OSError):
+            state = os.stat(file)
+            found.append((file, state.st_ino, state.st_size, state.st_mtime_ns))
     return found
--- a/wheatstile/descriptions/worker.py
+++ b/wheatstile/descriptions/worker.py
@@ -35,7 +35,7 @@
     return {
         "classes": {name: [one.repeat, one.scope, one.window] for name, one in compiled.classes.items()},
         "routes": len(compiled.routes),
-        "files": len(reading.files),
+        "read": sorted(reading.files),
         "warnings": [str(one) for one in compiled.warnings[:MOST_REASONS]],
     }
 
