--- a/wheatstile/cli/descriptions.py
+++ b/wheatstile/cli/descriptions.py
@@ -88,7 +88,7 @@
         "route": route.template,
         "class": route.service_class,
         "repeat": route.verdict.repeat,
-        "why": route.verdict.why,
+        "why": f"{route.verdict.why} ({route.verdict.place.short()})",
         "place": operation.place.short(),
         "operation": operation.id,
         "description": operation.place.file,
