Say in one place what a document in force is held to, and drop a field nobody fills

The running balancer and the command worked the sites and ready servers out alike; a description's own warnings were read and never written. Behaviour is as before.

--- a/wheatstile/cli/servers.py
+++ b/wheatstile/cli/servers.py
@@ -48,10 +48,8 @@
 
 def _against(new: Document, old: Document, rules: Rules, accepted: bool = False) -> list[str]:
     """Why a balancer that holds the old document would not take the new one."""
-    zones = {named.entry.zone for named in old.servers.values() if named.entry.state == "ready"} - {""}
-    force = InForce(old, old.sites or tuple(sorted(zones)), frozenset(old.ready()))
     digests = frozenset([new.digest]) if accepted else frozenset()
-    admission = intake.admit(new, force, None, digests, rules)
+    admission = intake.admit(new, InForce.of(old), None, digests, rules)
     return list(admission.reasons) if admission.outcome in ("refused", "held") else []
 
 
--- a/wheatstile/descriptions/compile.py
+++ b/wheatstile/descriptions/compile.py
@@ -95,8 +95,6 @@
     """
     found: list[Finding] = []
     ordered = sorted(descriptions, key=lambda one: one.file)
-    for description in ordered:
-        found += description.warnings
     routes: list[Route] = []
     rules = list(rules)
     for rule in rules:
--- a/wheatstile/descriptions/model.py
+++ b/wheatstile/descriptions/model.py
@@ -106,4 +106,3 @@
     title: str
     form: str  # "openapi 3.1", "asyncapi 2.6", ...
     operations: tuple[Operation, ...]
-    warnings: tuple[Finding, ...] = ()
--- a/wheatstile/resolvers/intake.py
+++ b/wheatstile/resolvers/intake.py
@@ -17,6 +17,12 @@
     sites: tuple[str, ...]  # that the list in force serves
     ready: frozenset[str]  # servers that a change may not take away too many of at once
 
+    @classmethod
+    def of(cls, document: Document) -> "InForce":
+        """A document in force: its sites are those it names, else those it serves."""
+        zones = {named.entry.zone for named in document.servers.values() if named.entry.state == "ready"}
+        return cls(document, document.sites or tuple(sorted(zones - {""})), frozenset(document.ready()))
+
 
 @dataclass(frozen=True, slots=True)
 class Held:
--- a/wheatstile/resolvers/source.py
+++ b/wheatstile/resolvers/source.py
@@ -147,13 +147,9 @@
 
     def _in_force(self) -> InForce:
         """What the next document is held against."""
-        lines = self.combined.lines
         if self.document:
-            ready = frozenset(self.document.ready())
-            zones = {
-                named.entry.zone for named in self.document.servers.values() if named.entry.state == "ready"
-            }
-            return InForce(self.document, self.document.sites or tuple(sorted(zones - {""})), ready)
+            return InForce.of(self.document)
+        lines = self.combined.lines
         # In fallback and merge a first file takes nothing away: discovery's servers stay.
         ready = merge.ready_of(lines) if self.settings.mode == "override" else frozenset()
         return InForce(None, merge.sites_of(lines), ready)
