Let cold servers be sent what they hold: forty guesses from arrivals left them empty

At fault: cold_room took a server's capacity from this balancer's arrivals, 0.1 a second here, so that all parts together let about one connection in two to four seconds through, whatever the server could hold.

The change: the part is that of what a warm server holds, by its warmth, times the settings' multiple within the settings' window (read as cold_window), halved. Open connections add up over the fleet; arrivals in a wave do not.

--- /dev/null
+++ b/tests/crowd.py
@@ -0,0 +1,154 @@
+"""Many balancers of one fleet on a simple model of servers: what is harmless alone shows its harm here.
+
+A server holds so many connections; its load is what it holds over what it can bear now, read as it was REPORT
+ago. Time runs by events on one heap, and all chance comes from the seed, so that a run is always the same.
+"""
+
+import heapq
+from collections import Counter, defaultdict
+from collections.abc import Callable
+from itertools import count
+from random import Random
+
+from world import SECOND, settings
+
+from wheatstile import Balancer
+from wheatstile import interface as api
+
+REPORT = 300_000  # microseconds that a report is old
+HOP = 2_000  # to a server and back
+
+
+class Crowd:
+    """Balancers by number, servers by name; clients that are refused or moved come again elsewhere."""
+
+    def __init__(self, balancers: int, servers: list[str], holds: int, seed: int, **changes: object) -> None:
+        self.now, self.random, self.holds = 1000 * SECOND, Random(seed), holds
+        self.settings = settings(fleet_size=balancers, tells_delay=False, **changes)
+        self._due: list[tuple[int, int, Callable[[], None]]] = []
+        self._order, self._ids = count(), count()
+        self.entries = {name: api.ListEntry(name, "ready", "here") for name in servers}
+        self.held: Counter[str] = Counter()  # open connections by server
+        self.history: dict[str, list[tuple[int, float]]] = defaultdict(list)  # by server: when, which load
+        self.where: dict[str, tuple[int, str]] = {}  # open connections: balancer and server
+        self.sends: list[tuple[int, str]] = []
+        self.probes: list[tuple[int, str]] = []
+        self.refused: list[int] = []
+        self.attempts: Counter[str] = Counter()
+        self.silent: set[str] = set()
+        self.balancers: list[Balancer | None] = [None] * balancers
+        for number in range(balancers):
+            self.start(number)
+
+    def later(self, delay: int, work: Callable[[], None]) -> None:
+        heapq.heappush(self._due, (self.now + delay, next(self._order), work))
+
+    def run(self, length: int) -> None:
+        end = self.now + length
+        while self._due and self._due[0][0] <= end:
+            self.now, _, work = heapq.heappop(self._due)
+            work()
+        self.now = end
+
+    def start(self, number: int) -> None:
+        """Start this balancer, or start it again with nothing but the list."""
+        self.balancers[number] = balancer = Balancer(self.settings, self.random.getrandbits(32))
+        self.carry_out(number, balancer, balancer.start(self.now))
+        self.tell(number, api.ServerList("cached", list(self.entries.values())))
+
+    def kill(self, number: int) -> None:
+        """End it without a word; its clients come again within a second, to those that are left."""
+        self.balancers[number] = None
+        for id in [id for id, (holder, _) in self.where.items() if holder == number]:
+            self.end(id)
+            self.arrive(self.random.randrange(SECOND), returning=True)
+
+    def relist(self, *changed: api.ListEntry) -> None:
+        """Every balancer is told of these changes, each at its own time within half a second."""
+        self.entries |= {entry.server: entry for entry in changed}
+        for number in range(len(self.balancers)):
+            event = api.ServerList("delta", list(changed))
+            self.later(self.random.randrange(SECOND // 2), lambda n=number, e=event: self.tell(n, e))  # type: ignore[misc]
+
+    def load(self, server: str) -> float:
+        """What the server holds over what it can bear now."""
+        started = self.entries[server].started
+        age = (self.now - started) / self.settings.warm_after if started > 0 else 1.0
+        return self.held[server] / self.holds / min(1.0, max(self.settings.cold_from, age))
+
+    def arrive(self, delay: int = 0, returning: bool = False) -> None:
+        """A client comes to a random balancer that runs."""
+        self.later(delay, lambda: self._request(returning))
+
+    def _request(self, returning: bool) -> None:
+        up = [number for number, balancer in enumerate(self.balancers) if balancer]
+        id = f"c{next(self._ids)}"
+        request = api.Request(id, "web", 2 * SECOND, key=id, group=id, returning=returning)
+        self.tell(self.random.choice(up), request)
+
+    def end(self, id: str) -> None:
+        """An open connection is over, and its balancer is told."""
+        number, server = self.where.pop(id)
+        self.held[server] -= 1
+        attempt = max(0, self.attempts[id] - 1)
+        self.tell(number, api.AttemptEnded(id, attempt, server, "cancelled", closed=True))
+
+    def tell(self, number: int, event: api.Event) -> None:
+        if balancer := self.balancers[number]:
+            self.carry_out(number, balancer, balancer.handle(self.now, event))
+
+    def carry_out(self, number: int, balancer: Balancer, actions: list[api.Action]) -> None:
+        def to_it(delay: int, event: Callable[[], api.Event]) -> None:
+            def now_due() -> None:
+                if self.balancers[number] is balancer:
+                    self.tell(number, event())
+
+            self.later(delay, now_due)
+
+        for action in actions:
+            match action:
+                case api.SetTimer(delay, token):
+                    to_it(delay, lambda token=token: api.TimerFired(token))  # type: ignore[misc]
+                case api.Probe(server):
+                    self.probes.append((self.now, server))
+                    to_it(HOP, lambda server=server: self.probed(server))  # type: ignore[misc]
+                case api.Send(id, server):
+                    self.sends.append((self.now, server))
+                    to_it(HOP, lambda id=id, server=server: self.sent(number, id, server))  # type: ignore[misc]
+                case api.Refuse():
+                    self.refused.append(self.now)
+                    self.arrive(SECOND, returning=True)
+                case api.Move(id) if id in self.where:  # else its server has just ended it
+                    self.end(id)
+                    self.arrive(100_000 + self.random.randrange(SECOND), returning=True)
+
+    def probed(self, server: str) -> api.Event:
+        if server in self.silent:
+            return api.Probed(server, "timeout")
+        # Reports are late: what is read is how it was.
+        self.history[server].append((self.now, self.load(server)))
+        old = [load for at, load in self.history[server] if at <= self.now - REPORT]
+        return api.Probed(server, "ok", HOP, {"load": old[-1] if old else self.history[server][0][1]})
+
+    def sent(self, number: int, id: str, server: str) -> api.Event:
+        attempt = self.attempts[id]
+        self.attempts[id] += 1
+        if server in self.silent:
+            return api.AttemptEnded(id, attempt, server, "connect_failed")
+        self.held[server] += 1
+        self.where[id] = number, server
+        return api.Established(id, attempt, server, HOP)
+
+    def stand(self, each: int) -> None:
+        """So many connections from before at each server, spread over the balancers."""
+        for server in self.entries:
+            for index in range(each):
+                id, number = f"o{next(self._ids)}", index % len(self.balancers)
+                self.held[server] += 1
+                self.where[id] = number, server
+                self.tell(number, api.OpenConnection(id, "web", server, id))
+
+    def most_within(self, server: str, window: int) -> int:
+        """The most attempts that this server got within any window of this length."""
+        times = [at for at, name in self.sends if name == server]
+        return max((sum(at <= other < at + window for other in times) for at in times), default=0)
--- a/wheatstile/config/settings.py
+++ b/wheatstile/config/settings.py
@@ -68,6 +68,7 @@
         cold_from=float(rules["coldFrom"]),
         warm_after=int(rules["warmAfterUs"]),
         cold_multiple=float(rules["tipMultiple"]),
+        cold_window=int(rules.get("fallUs", 1_500_000)),
         list_on_request=data["discovery"] == "on_request",
         may_probe=bool(limits.get("mayProbe", False)),
         report_names=tuple(REPORT_NAMES[n] for n in names if n in REPORT_NAMES),
--- a/wheatstile/interface.py
+++ b/wheatstile/interface.py
@@ -35,6 +35,7 @@
     cold_from: float  # share of its capacity that a server starts at, or better
     warm_after: int  # a server that started so long ago is warm
     cold_multiple: float  # a cold server falls over when sent this many times its present capacity
+    cold_window: int = 1_500_000  # for so long
     list_on_request: bool = False  # the server list must be asked for
     may_probe: bool = True
     report_names: tuple[str, ...] = ()  # values that a report may hold
@@ -44,7 +45,7 @@
     cross_price: float = 0.0  # points of the result for each request that crosses zones
 
     def __post_init__(self) -> None:
-        for name in ("fleet_size", "max_attempts"):
+        for name in ("fleet_size", "max_attempts", "cold_window"):
             if getattr(self, name) < 1:
                 raise ValueError(f"settings: {name} must be 1 or more")
         for name in ("warm_after", "max_retry_advice"):
--- a/wheatstile/rules.py
+++ b/wheatstile/rules.py
@@ -133,7 +133,7 @@
         self.clock, self.mean_x = 0, 0.5  # of slots; running mean of probed loads
         self.pace, self.credits, self.credit_at, self.peak = PACE_START, 1.0, 0, 0.0
         self.closing = False
-        self.now, self.since, self.arrivals, self.watch_delay, self.look_delay = 0, 0, 1, SECOND, LOOK
+        self.now, self.watch_delay, self.look_delay = 0, SECOND, LOOK
         self.handlers: dict[type, Callable[..., None]] = {
             api.ServerList: self.on_list, api.Request: self.on_request, api.OpenConnection: self.on_open,
             api.Established: self.on_established, api.AttemptEnded: self.on_ended, api.ClientLeft: self.drop,
@@ -148,7 +148,7 @@
 
     def start(self, now: int) -> list[api.Action]:
         """Call once, before any event: sets the slots' phase and asks for the list where need be."""
-        self.now = self.since = self.credit_at = now
+        self.now = self.credit_at = now
         self.actions = [api.SetTimer(1 + int(self.random.random() * SLOT), "slot")]
         if self.may_probe and not self.settings.tells_delay:
             self.actions.append(api.SetTimer(1 + int(self.random.random() * LOOK), "look"))
@@ -209,16 +209,18 @@
     def cold_room(self, server: Server) -> bool:
         """Rule 4: whether a cold server may be sent one more, within this balancer's part of its budget.
 
-        Its capacity is taken from the others': arrivals here, spread over the fleet, fill each to the mean
-        load. All balancers doing likewise add up to the whole budget.
+        What fills a server is taken from the others: connections here, spread over them, make the mean load.
+        The parts of all balancers, in waves too, add up to what one server holds; by its warmth so many times
+        that within a window is the budget.
         """
         age = self.now - server.entry.started
         if server.entry.started <= 0 or age >= self.settings.warm_after:
             return True
         warmth = max(self.settings.cold_from, age / self.settings.warm_after)
-        per_us = self.arrivals / max(self.now - self.since, SECOND) / len(self.ready) / max(self.mean_x, 0.2)
-        gain = (self.now - server.tokens_at) * per_us * warmth * self.settings.cold_multiple * COLD_SAFETY
-        server.tokens, server.tokens_at = min(1.0, server.tokens + gain), self.now
+        holds = (len(self.open) + 1) / len(self.ready) / max(self.mean_x, 0.2) * warmth
+        part = holds * self.settings.cold_multiple * COLD_SAFETY
+        gain = (self.now - server.tokens_at) / self.settings.cold_window * part
+        server.tokens, server.tokens_at = min(max(part, 1.0), server.tokens + gain), self.now
         return server.tokens >= 1.0
 
     def fit(self, server: Server, conn: Connection | None) -> bool:
@@ -270,8 +272,6 @@
         # Every server that holds any of a group pays for it: a group that draws one pair stays on two.
         alike = event.group or ("" if event.returning else event.key)
         conn.spot = crc32(alike.encode()) if alike else 0
-        if not event.midflow:
-            self.arrivals += 1
         move = self.returns.pop(event.key, None) if event.key else None
         if move and move.until > self.now:
             target = move.origin if move.back else move.target
