Let held requests draw ever less often, on one timer each: 4,700 probes in five seconds

At fault: choose drew a new pair as soon as both answers were in, and each place_anew armed a hold timer while the older ones went on firing, each of which drew again. A report is refreshed every 44 to 460 ms, so most of the answers were the last ones again. Where all servers are suspects, draw fell back to them and choose dropped them, until the client's time was out.

The change: only a request's last timer counts; after a full pair it waits 50 ms doubled by the pairs drawn. Suspects are sent to when they answer a probe and no other is left. A balancer's part of a cold server's budget counts the clients that it holds as well as those that stand: a balancer that has just started had nearly none, amid a wave.

--- a/wheatstile/rules.py
+++ b/wheatstile/rules.py
@@ -38,8 +38,7 @@
 COUNTS = ("inflight", "queue")  # report values whose size says nothing of a server's capacity
 X_NAMES = ("load", "busy", "backlog_s", *COUNTS)  # what is read as X, the best first
 LIFE = 60  # seconds: set-ups at a pace of 1 would renew all open connections in this time
-# Of that; per second, per failure. When a balancer ends, its clients all come again within a second or so: at
-# a pace of 4 most were held until their time was out, and came again for ever, though servers had room.
+# Of that; per second, per failure. When a balancer ends, its clients all come again within a second or so.
 PACE_START, PACE_MAX, PACE_GAIN, PACE_CUT = 240.0, 480.0, 60.0, 0.7
 PACE_LEAST = 20  # connections that the pace counts a balancer as having had, that has just started
 RETRY_ADVICE = SECOND  # a refused client stays away about this long
@@ -98,6 +97,8 @@
     server: Server | None = None  # of the attempt that is out, or that stands
     out: bool = False
     pair: list[Server] = field(default_factory=list)  # the candidates whose answers it waits for
+    pairs: int = 0  # that were drawn for it
+    due: int = 0  # when it is looked at again
     left: "Move | None" = None  # the exploration that brought it here
     since: int = 0  # when it stood
     load: float = 1.0  # what it asks of its server, as last told
@@ -209,7 +210,7 @@
     def cold_room(self, server: Server) -> bool:
         """Rule 4: whether a cold server may be sent one more, within this balancer's part of its budget.
 
-        What fills a server is taken from the others: connections here, spread over them, make the mean load.
+        What fills a server is taken from the others: clients here, spread over them, make the mean load.
         The parts of all balancers, in waves too, add up to what one server holds; by its warmth so many times
         that within a window is the budget.
         """
@@ -217,7 +218,7 @@
         if server.entry.started <= 0 or age >= self.settings.warm_after:
             return True
         warmth = max(self.settings.cold_from, age / self.settings.warm_after)
-        holds = (len(self.open) + 1) / len(self.ready) / max(self.mean_x, 0.2) * warmth
+        holds = (len(self.connections) + 1) / len(self.ready) / max(self.mean_x, 0.2) * warmth
         part = holds * self.settings.cold_multiple * COLD_SAFETY
         gain = (self.now - server.tokens_at) / self.settings.cold_window * part
         server.tokens, server.tokens_at = min(max(part, 1.0), server.tokens + gain), self.now
@@ -289,8 +290,7 @@
     def credit(self) -> bool:
         """Spend one set-up of this balancer's pace: errors slow it down, time without them speeds it up.
 
-        Set-ups share a store behind the servers. Where the clients of a failed server all come again at
-        once, it answers none of them in time, and they come again for ever.
+        Set-ups may share a store that a wave of them keeps from answering any in time, wave after wave.
         """
         passed, self.credit_at = (self.now - self.credit_at) / SECOND, self.now
         self.pace = min(PACE_MAX, self.pace + PACE_GAIN * passed)
@@ -311,21 +311,25 @@
         conn.again = False
         first = self.draw(conn, near=self.settings.cross_price > 0)
         second = self.draw(conn, first) if first else None
-        conn.pair, conn.spot = [server for server in (first, second) if server], 0
+        conn.pair, conn.spot, conn.pairs = [server for server in (first, second) if server], 0, conn.pairs + 1
         for server in conn.pair:
             self.ask(server, self.choose, conn)
         if not conn.out:
             self.hold(conn, HOLD)
 
     def hold(self, conn: Connection, delay: int) -> None:
-        self.actions.append(api.SetTimer(max(1, min(delay, conn.deadline - self.now)), "hold:" + conn.id))
+        """Wait with it; only its last timer counts, else each would start a chain of draws of its own."""
+        delay = max(1, min(delay, conn.deadline - self.now))
+        conn.due = self.now + delay
+        self.actions.append(api.SetTimer(delay, "hold:" + conn.id))
 
     def choose(self, conn: Connection, expired: bool = False) -> None:
         """Send a held request to the less loaded candidate once both have answered, or time is up."""
         held = conn.id in self.connections and not conn.out and conn not in self.open
         if not held or (not expired and any(s.probing for s in conn.pair)):
             return
-        fit = [s for s in conn.pair if not s.probing and s.suspect_until <= self.now and self.fit(s, conn)]
+        fit = [s for s in conn.pair if not s.probing and self.load(s) < UNREAD and self.fit(s, conn)]
+        fit = [s for s in fit if s.suspect_until <= self.now] or fit  # suspects if no other is left
         # Each server counts once: draws prefer the own site, and two full ones there made all look full.
         known = [min(s.x, 1.0) for s in self.ready if s.x is not None and s.x < UNREAD]
         for _ in fit if known else ():
@@ -337,8 +341,10 @@
             self.send(conn, best)
         elif self.now >= conn.deadline or (best and self.mean_x >= X_FULL):
             self.answer(conn)
-        elif best or expired:  # the fleet has room though this pair has not: another pair
+        elif expired:  # the fleet has room though this pair has not: another pair
             self.place_anew(conn)
+        elif best:  # reports are late: asked again at once, the servers say what they said
+            self.hold(conn, HOLD << conn.pairs)
 
     def send(self, conn: Connection, server: Server) -> None:
         """One attempt. Its time-out is half of the time left, to try again in, or the aim if that is more."""
@@ -509,7 +515,7 @@
         elif task == "list":
             self.actions.append(api.WatchList())
         elif conn and task == "hold":
-            self.choose(conn, expired=True)
+            self.choose(conn, expired=True) if self.now >= conn.due else None
         elif conn and conn in self.open and conn.server:
             self.ask(conn.server, self.relieve, conn)
 
