Read a full server again until it is not: its few clients at each balancer waited

Their clients are spread over as many balancers, one or two at each, and a look drawn among a balancer's servers meets a certain one every 4 to 16 s.

The change: looked arms a timer for the same server after a REACT, as long as its reading is above X_BRIM and connections stand there.

Tried without gain: looks four times as seldom where few connections are held.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -720,3 +720,21 @@
     assert {send.server for send in of(world.log, api.Send)} == {"a", "b"}
     world.request("r", expires_in=SECOND // 2)
     assert [send.id for send in of(world.log, api.Send)][-1] == "r"
+
+
+def test_a_server_read_as_full_is_read_again_until_it_is_not() -> None:
+    """A look drawn among many servers met a bad one every 10 s, while its few clients here waited."""
+    world = World("a", "b", loads={"a": 0.9, "b": 0.3}, tells_delay=False)
+    for index in range(100):
+        world.connect(f"c{index}", "ab"[index >= 8])
+    while not [probe for probe in of(world.log, api.Probe) if probe.server == "a"]:
+        world.run_to_timer()
+    world.answer_probes()
+    mark = len(world.log)
+    world.run(4 * SECOND + SECOND // 2)
+    assert len([probe for probe in of(world.log[mark:], api.Probe) if probe.server == "a"]) >= 4
+    world.loads["a"] = X_FULL
+    world.run(2 * SECOND)
+    mark = len(world.log)
+    world.run(8 * SECOND)
+    assert len([probe for probe in of(world.log[mark:], api.Probe) if probe.server == "a"]) <= 3
--- a/wheatstile/rules.py
+++ b/wheatstile/rules.py
@@ -21,8 +21,7 @@
 MARGIN = 8 * MS  # a final answer leaves so long before the client's time is out
 SUSPECT, SUSPECT_MAX = SECOND, 8 * SECOND  # a server that failed is not drawn for so long, doubling
 DRAWS = 100  # tries at a uniform draw before the whole list is looked through
-# Congruences: factor, step, modulus, and the low bits that are left out. The one for equal weights has drawn
-# since before there were weights, and favours some servers by a few in a hundred; weights want a finer one.
+# Congruences: factor, step, modulus, low bits left out. The even one favours some servers by a few percent.
 EVEN_DRAWS = 1103515245, 12345, 2**31, 8
 WEIGHED_DRAWS = 6364136223846793005, 1442695040888963407, 2**64, 40
 WATCH_SPREAD, WATCH_MAX = 4 * SECOND, 8 * SECOND  # list calls: spread at the start, longest back-off
@@ -478,10 +477,9 @@
             self.ask(conn.server, self.looked, conn) if conn.server else None
 
     def looked(self, conn: Connection) -> None:
-        """Relieve a server that was read as full, as long as the fleet has room for whom it sends away.
+        """Relieve a server that was read as full while the fleet has room, and look again until it is not.
 
-        One that did not answer may only be standing still for a quarter of a second: it is asked again before
-        all that it holds is moved.
+        One that did not answer may only stand still for a moment: it is asked again before all is moved.
         """
         server = conn.server
         if not server or self.mean_x >= X_FULL or server.relief_at > self.now or self.load(server) <= X_FULL:
@@ -491,6 +489,9 @@
             self.actions.append(api.SetTimer(REACT // 2, "relief:" + conn.id))
         else:
             self.relieve(conn)
+            held = next((held for held in self.open if held.server is server), None)
+            if held and self.load(server) > X_BRIM:  # of many balancers, each looks here seldom
+                self.actions.append(api.SetTimer(REACT, "look:" + held.id))
 
     def relieve(self, conn: Connection) -> None:
         """Move the share of its connections that is too much for a server, all if it is unread."""
@@ -510,14 +511,14 @@
         conn = self.connections.get(held)
         if task == "slot":
             self.slot()
-        elif task == "look":
+        elif task == "look" and not held:
             self.look()
         elif task == "list":
             self.actions.append(api.WatchList())
         elif conn and task == "hold":
             self.choose(conn, expired=True) if self.now >= conn.due else None
         elif conn and conn in self.open and conn.server:
-            self.ask(conn.server, self.relieve, conn)
+            self.ask(conn.server, self.looked if task == "look" else self.relieve, conn)
 
     def slot(self) -> None:
         """Odd slots explore, even ones compare."""
