--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -299,6 +299,18 @@
         self.assertIn("after=4 ", ask)
         self.up(9)
 
+    def test_a_failing_discovery_is_logged_once_until_it_has_answered(self) -> None:
+        self.start()
+        for _ in range(2):
+            watch, _ask = self.discovery.watch()
+            watch.send("HTTP/1.1 503 Busy", "Content-Length: 0", "")
+        watch, _ask = self.discovery.watch()
+        watch.begin_watch()
+        watch.chunk(2, self.member("s2"))
+        watch.close()
+        self.discovery.watch()  # so the third failure is over
+        self.assertEqual(self.stop().count("the watch ended"), 2)
+
 
 class Reloads(NodeTest):
     settings = UNPROBED
--- a/wheatstile/net/discovery.py
+++ b/wheatstile/net/discovery.py
@@ -62,6 +62,7 @@
         self.core, self.sink, self.address = core, sink, address
         self.revision = 0
         self._strange = False  # the revision is another discovery's
+        self._silent = False  # calls fail, and it has been logged
         self._watch: asyncio.Task[None] | None = None
 
     def take(self, result: ResolverResult, kind: str) -> None:
@@ -94,7 +95,9 @@
         try:
             await self._follow()
         except (DiscoveryError, OSError, TimeoutError, httptools.HttpParserError) as error:
-            log.warning("the watch ended", reason=str(error) or type(error).__name__)
+            if not self._silent:  # discovery may be out of reach for long, and balancers are many
+                log.warning("the watch ended", reason=str(error) or type(error).__name__)
+            self._silent = True
         except Exception:
             log.exception("the watch failed")
         self.core.counters["watch failures"] += 1
@@ -129,11 +132,13 @@
 
     def _line(self, line: bytes) -> None:
         if not line.strip():
+            self._silent = False
             return self.sink.heard()
         try:
             result = ResolverResult.read(json.loads(line))
         except (ValueError, KeyError, TypeError, OSError) as error:
             raise DiscoveryError(f"discovery sent no list: {error!r}") from error
+        self._silent = False
         # A change from before the list that stands would undo what is known by now.
         if result.complete or result.revision > self.revision:
             self.take(result, "full" if result.complete else "delta")
