Know a held request's timer by its name: one that came early left it without an answer

At fault: since only a request's last timer counts, on_timer passed over a timer whose time was not yet up; the loop's clock is cached and counts whole milliseconds, so that one may fire some microseconds early, and with it the only wake-up of that request was gone.

The change: the token holds the time it was set for, and the token decides which timer is the last.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -12,7 +12,7 @@
 from world import SECOND, World, entries, of, settings
 
 from wheatstile import interface as api
-from wheatstile.rules import HOLD, PACE_START, X_FULL
+from wheatstile.rules import PACE_START, X_FULL
 
 FINAL = (api.Refuse, api.Fail)
 OUTCOMES = ["ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot"]
@@ -490,8 +490,9 @@
     world.probes.clear()
     world.tell(api.Probed("a", "ok", 10, {"load": 0.3}))
     assert not of(world.log, api.Send)
-    world.now += HOLD
-    world.tell(api.TimerFired("hold:r"))
+    [hold] = [timer for timer in world.timers if timer[2].startswith("hold:")]
+    world.now = hold[0]
+    world.tell(api.TimerFired(hold[2]))
     assert of(world.log, api.Send)[-1].server == "a"
 
 
@@ -738,3 +739,18 @@
     mark = len(world.log)
     world.run(8 * SECOND)
     assert len([probe for probe in of(world.log[mark:], api.Probe) if probe.server == "a"]) <= 3
+
+
+def test_a_timer_that_comes_early_is_not_lost() -> None:
+    """Its time not yet up by a host's rounding, the only timer of a held request was passed over."""
+    world = World()
+    world.request("r", expires_in=SECOND)
+    for _ in range(1000):
+        timer = min(world.timers)
+        world.timers.remove(timer)
+        world.now = max(world.now + 1, timer[0] - 300)
+        world.tell(api.TimerFired(timer[2]))
+        if of(world.log, api.Refuse):
+            break
+    assert of(world.log, api.Refuse)
+    assert world.now < 1001 * SECOND  # before its client gives up
--- a/wheatstile/rules.py
+++ b/wheatstile/rules.py
@@ -320,7 +320,7 @@
         """Wait with it; only its last timer counts, else each would start a chain of draws of its own."""
         delay = max(1, min(delay, conn.deadline - self.now))
         conn.due = self.now + delay
-        self.actions.append(api.SetTimer(delay, "hold:" + conn.id))
+        self.actions.append(api.SetTimer(delay, f"hold:{conn.id}:{conn.due}"))
 
     def choose(self, conn: Connection, expired: bool = False) -> None:
         """Send a held request to the less loaded candidate once both have answered, or time is up."""
@@ -507,7 +507,7 @@
         return self.mean_x if server.x is None else server.x
 
     def on_timer(self, event: api.TimerFired) -> None:
-        task, _, held = event.token.partition(":")
+        task, held, due = (event.token + "::").split(":")[:3]
         conn = self.connections.get(held)
         if task == "slot":
             self.slot()
@@ -516,7 +516,7 @@
         elif task == "list":
             self.actions.append(api.WatchList())
         elif conn and task == "hold":
-            self.choose(conn, expired=True) if self.now >= conn.due else None
+            self.choose(conn, expired=True) if due == str(conn.due) else None
         elif conn and conn in self.open and conn.server:
             self.ask(conn.server, self.looked if task == "look" else self.relieve, conn)
 
