Drop from the model of a fleet what no test uses: kills, silent servers, two records

Read again after the fact: tests/crowd.py could kill and start balancers, silence servers and record probes and refusals, and no test did.

--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -32,13 +32,13 @@
         self.history: dict[str, list[tuple[int, float]]] = defaultdict(list)  # by server: when, which load
         self.where: dict[str, tuple[int, str]] = {}  # open connections: balancer and server
         self.sends: list[tuple[int, str]] = []
-        self.probes: list[tuple[int, str]] = []
-        self.refused: list[int] = []
         self.attempts: Counter[str] = Counter()
-        self.silent: set[str] = set()
-        self.balancers: list[Balancer | None] = [None] * balancers
+        self.balancers: list[Balancer] = []
         for number in range(balancers):
-            self.start(number)
+            balancer = Balancer(self.settings, self.random.getrandbits(32))
+            self.balancers.append(balancer)
+            self.carry_out(number, balancer.start(self.now))
+            self.tell(number, api.ServerList("cached", list(self.entries.values())))
 
     def later(self, delay: int, work: Callable[[], None]) -> None:
         heapq.heappush(self._due, (self.now + delay, next(self._order), work))
@@ -50,19 +50,6 @@
             work()
         self.now = end
 
-    def start(self, number: int) -> None:
-        """Start this balancer, or start it again with nothing but the list."""
-        self.balancers[number] = balancer = Balancer(self.settings, self.random.getrandbits(32))
-        self.carry_out(number, balancer, balancer.start(self.now))
-        self.tell(number, api.ServerList("cached", list(self.entries.values())))
-
-    def kill(self, number: int) -> None:
-        """End it without a word; its clients come again within a second, to those that are left."""
-        self.balancers[number] = None
-        for id in [id for id, (holder, _) in self.where.items() if holder == number]:
-            self.end(id)
-            self.arrive(self.random.randrange(SECOND), returning=True)
-
     def relist(self, *changed: api.ListEntry) -> None:
         """Every balancer is told of these changes, each at its own time within half a second."""
         self.entries |= {entry.server: entry for entry in changed}
@@ -77,14 +64,13 @@
         return self.held[server] / self.holds / min(1.0, max(self.settings.cold_from, age))
 
     def arrive(self, delay: int = 0, returning: bool = False) -> None:
-        """A client comes to a random balancer that runs."""
+        """A client comes to a random balancer."""
         self.later(delay, lambda: self._request(returning))
 
     def _request(self, returning: bool) -> None:
-        up = [number for number, balancer in enumerate(self.balancers) if balancer]
         id = f"c{next(self._ids)}"
         request = api.Request(id, "web", 2 * SECOND, key=id, group=id, returning=returning)
-        self.tell(self.random.choice(up), request)
+        self.tell(self.random.choice(range(len(self.balancers))), request)
 
     def end(self, id: str) -> None:
         """An open connection is over, and its balancer is told."""
@@ -94,37 +80,28 @@
         self.tell(number, api.AttemptEnded(id, attempt, server, "cancelled", closed=True))
 
     def tell(self, number: int, event: api.Event) -> None:
-        if balancer := self.balancers[number]:
-            self.carry_out(number, balancer, balancer.handle(self.now, event))
+        self.carry_out(number, self.balancers[number].handle(self.now, event))
 
-    def carry_out(self, number: int, balancer: Balancer, actions: list[api.Action]) -> None:
+    def carry_out(self, number: int, actions: list[api.Action]) -> None:
         def to_it(delay: int, event: Callable[[], api.Event]) -> None:
-            def now_due() -> None:
-                if self.balancers[number] is balancer:
-                    self.tell(number, event())
-
-            self.later(delay, now_due)
+            self.later(delay, lambda: self.tell(number, event()))
 
         for action in actions:
             match action:
                 case api.SetTimer(delay, token):
                     to_it(delay, lambda token=token: api.TimerFired(token))  # type: ignore[misc]
                 case api.Probe(server):
-                    self.probes.append((self.now, server))
                     to_it(HOP, lambda server=server: self.probed(server))  # type: ignore[misc]
                 case api.Send(id, server):
                     self.sends.append((self.now, server))
                     to_it(HOP, lambda id=id, server=server: self.sent(number, id, server))  # type: ignore[misc]
                 case api.Refuse():
-                    self.refused.append(self.now)
                     self.arrive(SECOND, returning=True)
                 case api.Move(id) if id in self.where:  # else its server has just ended it
                     self.end(id)
                     self.arrive(100_000 + self.random.randrange(SECOND), returning=True)
 
     def probed(self, server: str) -> api.Event:
-        if server in self.silent:
-            return api.Probed(server, "timeout")
         # Reports are late: what is read is how it was.
         self.history[server].append((self.now, self.load(server)))
         old = [load for at, load in self.history[server] if at <= self.now - REPORT]
@@ -133,8 +110,6 @@
     def sent(self, number: int, id: str, server: str) -> api.Event:
         attempt = self.attempts[id]
         self.attempts[id] += 1
-        if server in self.silent:
-            return api.AttemptEnded(id, attempt, server, "connect_failed")
         self.held[server] += 1
         self.where[id] = number, server
         return api.Established(id, attempt, server, HOP)
