Take the mean load from fresh readings, and give cold servers the whole budget allowed

At fault: choose moved mean_x by a twentieth for each newcomer placed, so whoever refused moved it by one in ten of few; Server.x had no age. cold_room halved a budget that it counted by the window, whole tokens in forty places. Ruled out: that the budget needs the half.

The change: measure takes the mean over the ready servers, each by its last reading; one not read for FRESH counts as USUAL. The budget is the settings' multiple a second. The gate asks three in ten, as before one in ten.

--- a/wheatstile/rules.py
+++ b/wheatstile/rules.py
@@ -25,15 +25,15 @@
 EVEN_DRAWS = 1103515245, 12345, 2**31, 8
 WEIGHED_DRAWS = 6364136223846793005, 1442695040888963407, 2**64, 40
 WATCH_SPREAD, WATCH_MAX = 4 * SECOND, 8 * SECOND  # list calls: spread at the start, longest back-off
-COLD_SAFETY = 0.5  # of what a cold server may be sent: its capacity is guessed from the others'
 REACT = SECOND  # relief waits so long to see in late reports what the last one did
 SETTLE = 2 * SECOND  # where reports alone tell, a connection that stands for less is not moved for relief
 LOOK = SECOND  # where nothing tells of delays, a server is read so often; up to SLOT while none is full
 X_BRIM = 0.8  # beyond this a single reading, with its noise, is enough to relieve a server
 X_FULL = 0.7  # no server is wanted beyond this load: messages miss their aims from about here
 CROSS_WEIGHT = 3.0  # load that a price of 1 for crossing zones outweighs, between two candidates
-GATE = 0.9  # of the requests that find the fleet full on average are refused with no probe spent on them
+GATE = 0.7  # of the requests that find the fleet full on average are refused with no probe spent on them
 UNREAD = 1e6  # the load of a server that did not say
+USUAL, FRESH = 0.5, 4 * SECOND  # the load that a server counts as in the mean, not read for so long
 COUNTS = ("inflight", "queue")  # report values whose size says nothing of a server's capacity
 X_NAMES = ("load", "busy", "backlog_s", *COUNTS)  # what is read as X, the best first
 LIFE = 60  # seconds: set-ups at a pace of 1 would renew all open connections in this time
@@ -70,9 +70,10 @@
     entry: api.ListEntry
     spot: int  # hashed from its name
     share: float = 1.0  # of the draws that meet one of its places, those that it takes
-    tokens: float = 0.0  # this balancer's part of a cold server's budget, and when it last grew
-    tokens_at: int = 0
+    tokens: float = 0.0  # this balancer's part of a cold server's budget
+    tokens_at: int = 0  # when it last grew
     x: float | None = None  # the last probed load over capacity; None: unknown, not idle
+    x_at: int = 0  # when it was read
     probing: bool = False
     waiting: list[tuple[Callable[["Connection"], None], "Connection"]] = field(default_factory=list)
     relief_at: int = 0
@@ -130,7 +131,7 @@
         self.connections: dict[str, Connection] = {}
         self.open: dict[Connection, None] = {}
         self.returns: dict[str, Move] = {}  # by client key: moved from here and not seen since
-        self.clock, self.mean_x = 0, 0.5  # of slots; running mean of probed loads
+        self.clock, self.mean_x = 0, USUAL  # of slots; mean of the ready servers' loads
         self.pace, self.credits, self.credit_at, self.peak = PACE_START, 1.0, 0, 0.0
         self.closing = False
         self.now, self.watch_delay, self.look_delay = 0, SECOND, LOOK
@@ -183,8 +184,7 @@
         if event.kind != "delta":
             for name in self.servers.keys() - {entry.server for entry in event.entries}:
                 self.servers[name].entry = replace(self.servers[name].entry, state="gone")
-        ready = [server for server in self.servers.values() if server.entry.state == "ready"]
-        self.ready = sorted(ready, key=lambda server: server.entry.server)
+        self.ready = [server for _, server in sorted(self.servers.items()) if server.entry.state == "ready"]
         self.fill_table()
 
     def fill_table(self) -> None:
@@ -210,17 +210,17 @@
         """Rule 4: whether a cold server may be sent one more, within this balancer's part of its budget.
 
         What fills a server is taken from the others: clients here, spread over them, make the mean load.
-        The parts of all balancers, in waves too, add up to what one server holds; by its warmth so many times
-        that within a window is the budget.
+        All balancers' parts, in waves too, add up to what one server holds. A set-up weighs no more than a
+        connection's second: so many a second are what it can do, by its warmth, and the budget a multiple.
         """
         age = self.now - server.entry.started
         if server.entry.started <= 0 or age >= self.settings.warm_after:
             return True
         warmth = max(self.settings.cold_from, age / self.settings.warm_after)
         holds = (len(self.connections) + 1) / len(self.ready) / max(self.mean_x, 0.2) * warmth
-        part = holds * self.settings.cold_multiple * COLD_SAFETY
-        gain = (self.now - server.tokens_at) / self.settings.cold_window * part
-        server.tokens, server.tokens_at = min(max(part, 1.0), server.tokens + gain), self.now
+        rate = holds * self.settings.cold_multiple / SECOND
+        gain, most = (self.now - server.tokens_at) * rate, self.settings.cold_window * rate
+        server.tokens, server.tokens_at = min(max(most, 1.0), server.tokens + gain), self.now
         return server.tokens >= 1.0
 
     def fit(self, server: Server, conn: Connection | None) -> bool:
@@ -278,6 +278,7 @@
             if target.suspect_until <= self.now and self.fit(target, conn):
                 conn.left = None if move.back else move
                 return self.send(conn, target)
+        self.measure()
         holder = self.draw(conn, near=self.settings.cross_price > 0) if event.midflow and not again else None
         if holder:  # the likelier of the pair; anywhere else it would be reset and set up anew
             self.send(conn, holder)
@@ -286,6 +287,12 @@
         else:
             self.place_anew(conn)
 
+    def measure(self) -> None:
+        """The mean load. Servers count once, old readings do not: who refuses by them reads no others."""
+        heard = [s for s in self.ready if s.x is None or s.x < UNREAD]
+        loads = [min(s.x, 1.0) if s.x is not None and self.now - s.x_at < FRESH else USUAL for s in heard]
+        self.mean_x = sum(loads) / len(loads) if loads else USUAL
+
     def credit(self) -> bool:
         """Spend one set-up of this balancer's pace: errors slow it down, time without them speeds it up.
 
@@ -329,10 +336,6 @@
             return
         fit = [s for s in conn.pair if not s.probing and self.load(s) < UNREAD and self.fit(s, conn)]
         fit = [s for s in fit if s.suspect_until <= self.now] or fit  # suspects if no other is left
-        # Each server counts once: draws prefer the own site, and two full ones there made all look full.
-        known = [min(s.x, 1.0) for s in self.ready if s.x is not None and s.x < UNREAD]
-        for _ in fit if known else ():
-            self.mean_x += 0.05 * (sum(known) / len(known) - self.mean_x)
         price = CROSS_WEIGHT * self.settings.cross_price  # for as long as the connection lives
         costs = [self.load(server) + price * (server.entry.zone != self.settings.zone) for server in fit]
         best = fit[costs.index(min(costs))] if fit else None
@@ -359,8 +362,8 @@
     def answer(self, conn: Connection) -> None:
         """Rules 1 and 2: the final answer, a refusal where coming again is harmless."""
         kind = self.connections.pop(conn.id).kind
-        ran = conn.ran or conn.out
-        if not ran or kind.repeat == "safe" or (kind.repeat == "keyed" and kind.scope == "all"):
+        discarded = kind.repeat == "keyed" and kind.scope == "all"
+        if discarded or kind.repeat == "safe" or not (conn.ran or conn.out):
             advice = int(RETRY_ADVICE * (0.5 + self.random.random())) if self.settings.retry_advice else 0
             self.actions.append(api.Refuse(conn.id, min(advice, self.settings.max_retry_advice)))
         else:
@@ -397,7 +400,7 @@
             return
         server, move = conn.server, conn.left
         if event.report and server:
-            server.x = load_in(event.report)
+            server.x, server.x_at = load_in(event.report), self.now
         lost = event.outcome not in ("ok", "cancelled", "moot")
         if lost and server and conn not in self.open:
             self.suspect(server)
@@ -439,12 +442,13 @@
             return
         waiting, server.waiting, server.probing = server.waiting, [], False
         if event.outcome == "ok":
-            server.x = load_in(event.report or {})
+            server.x, server.x_at = load_in(event.report or {}), self.now
         elif event.outcome != "moot":  # many balancers asking at once fill a healthy server: twice counts
             first = event.outcome == "full" and server.x not in (None, UNREAD) and not server.least_x
             # One that answers with an error stands and serves whom it holds: nobody is moved for it.
             server.x = None if first or event.outcome == "error" else UNREAD
             self.suspect(server)
+        self.measure()
         for then, conn in waiting:
             then(conn)
         held = next((conn for conn in self.open if conn.server is server), None)
@@ -464,9 +468,8 @@
             self.actions.append(api.SetTimer(1 + int(self.random.random() * REACT / 2), "relief:" + conn.id))
 
     def on_load(self, event: api.LoadNote) -> None:
-        conn = self.connections.get(event.id)
-        if conn:
-            conn.load = event.load
+        if event.id in self.connections:
+            self.connections[event.id].load = event.load
 
     def look(self) -> None:
         """Read a server, drawn by what its connections here ask of it, in place of delay notes."""
@@ -540,8 +543,7 @@
         """Move to a uniformly drawn other server, now that X_i has been read."""
         target = self.draw(None, conn.server)
         if conn in self.open and conn.server and target:
-            move = Move(conn.server, target, self.load(conn.server), gamma_at(self.clock))
-            self.leave(conn, move)
+            self.leave(conn, Move(conn.server, target, self.load(conn.server), gamma_at(self.clock)))
 
     def leave(self, conn: Connection, move: Move | None = None) -> None:
         """Close a connection politely, and know its client again should it come back here."""
