Test that forty balancers use the room that comes after they found the fleet full

Forty instances on the model of servers: six full servers, 150 clients in vain, then five sixths of the connections end.

--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -32,6 +32,7 @@
         self.history: dict[str, list[tuple[int, float]]] = defaultdict(list)  # by server: when, which load
         self.where: dict[str, tuple[int, str]] = {}  # open connections: balancer and server
         self.sends: list[tuple[int, str]] = []
+        self.waiting: set[str] = set()  # without a connection, or told to come again a moment ago
         self.attempts: Counter[str] = Counter()
         self.balancers: list[Balancer] = []
         for number in range(balancers):
@@ -69,6 +70,7 @@
 
     def _request(self, returning: bool) -> None:
         id = f"c{next(self._ids)}"
+        self.waiting.add(id)
         request = api.Request(id, "web", 2 * SECOND, key=id, group=id, returning=returning)
         self.tell(self.random.choice(range(len(self.balancers))), request)
 
@@ -95,7 +97,8 @@
                 case api.Send(id, server):
                     self.sends.append((self.now, server))
                     to_it(HOP, lambda id=id, server=server: self.sent(number, id, server))  # type: ignore[misc]
-                case api.Refuse():
+                case api.Refuse(id):
+                    self.later(SECOND, lambda id=id: self.waiting.discard(id))  # type: ignore[misc]
                     self.arrive(SECOND, returning=True)
                 case api.Move(id) if id in self.where:  # else its server has just ended it
                     self.end(id)
@@ -111,6 +114,7 @@
         attempt = self.attempts[id]
         self.attempts[id] += 1
         self.held[server] += 1
+        self.waiting.discard(id)
         self.where[id] = number, server
         return api.Established(id, attempt, server, HOP)
 
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -6,6 +6,8 @@
 from crowd import Crowd
 from world import SECOND
 
+from wheatstile.rules import FRESH
+
 WARM = [f"w{number}" for number in range(6)]
 
 
@@ -31,3 +33,17 @@
     # At 6 s a cold server bears 0.3 of 60 connections.
     assert sum(crowd.held[entry.server] for entry in cold) >= 20
     assert all(crowd.most_within(entry.server, 1_500_000) <= 0.3 * 60 for entry in cold)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_forty_balancers_that_found_the_fleet_full_use_the_room_that_comes(seed: int) -> None:
+    """Each kept the mean load of a full fleet, refused by it, and read nothing that would have changed it."""
+    crowd = Crowd(40, WARM, holds=60, seed=seed)
+    crowd.stand(60)
+    for number in range(150):
+        crowd.arrive(number * SECOND // 30)
+    crowd.run(20 * SECOND)
+    for id in crowd.random.sample(sorted(crowd.where), len(crowd.where) * 5 // 6):
+        crowd.end(id)
+    crowd.run(FRESH)
+    assert len(crowd.waiting) <= 20
