--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -721,7 +721,7 @@
     world = World(*names, loads=dict.fromkeys(names, X_FULL + 0.1))
     world.request("r", expires_in=4 * SECOND)
     world.run(4 * SECOND)
-    assert 6 <= len(of(world.log, api.Probe)) <= 20
+    assert 6 <= len(of(world.log, api.Probe)) <= 14
     assert of(world.log, api.Refuse)
 
 
--- a/wheatstile/rules.py
+++ b/wheatstile/rules.py
@@ -346,7 +346,7 @@
         elif expired:  # the fleet has room though this pair has not: another pair
             self.place_anew(conn)
         elif best:  # reports are late: asked again at once, the servers say what they said
-            self.hold(conn, HOLD << conn.pairs >> 2)
+            self.hold(conn, HOLD << conn.pairs >> 1)
 
     def send(self, conn: Connection, server: Server) -> None:
         """One attempt. Its time-out is half of the time left, to try again in, or the aim if that is more."""
