Work the mean load out where it is asked for, and keep ids with colons whole in timers

Who stands at a server was looked for in three places, in one of them at every report; held_at does it, only for full servers. A hold timer's token was split at each colon, so that an id with one lost its only timer; the platform's ids are hexadecimal, so none was lost there. The id comes last now; the test fails without it (2 probes instead of 6).

A test's bounds, widened to 15 and 41 by the change of the mean, are 20 and 40 again, counted after the first refusal. The model of a fleet took settings and a default that no test used. One test set the mean that it starts with.

--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -22,9 +22,9 @@
 class Crowd:
     """Balancers by number, servers by name; clients that are refused or moved come again elsewhere."""
 
-    def __init__(self, balancers: int, servers: list[str], holds: int, seed: int, **changes: object) -> None:
+    def __init__(self, balancers: int, servers: list[str], holds: int, seed: int) -> None:
         self.now, self.random, self.holds = 1000 * SECOND, Random(seed), holds
-        self.settings = settings(fleet_size=balancers, tells_delay=False, **changes)
+        self.settings = settings(fleet_size=balancers, tells_delay=False)
         self._due: list[tuple[int, int, Callable[[], None]]] = []
         self._order, self._ids = count(), count()
         self.entries = {name: api.ListEntry(name, "ready", "here") for name in servers}
@@ -64,7 +64,7 @@
         age = (self.now - started) / self.settings.warm_after if started > 0 else 1.0
         return self.held[server] / self.holds / min(1.0, max(self.settings.cold_from, age))
 
-    def arrive(self, delay: int = 0, returning: bool = False) -> None:
+    def arrive(self, delay: int, returning: bool = False) -> None:
         """A client comes to a random balancer."""
         self.later(delay, lambda: self._request(returning))
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -304,9 +304,10 @@
     world = World("a", "b", loads={"a": 1.0, "b": 1.0})
     world.request("first")
     assert of(world.log, api.Refuse)  # given up on, and told at once
+    mark = len(world.log)
     for index in range(40):
         world.tell(api.Request(f"r{index}", "web", 2 * SECOND))
-    assert 15 < len(of(world.log, api.Refuse)) < 41
+    assert 20 < len(of(world.log[mark:], api.Refuse)) < 40
 
 
 def test_a_balancer_that_found_the_fleet_full_asks_again_before_long() -> None:
@@ -489,7 +490,6 @@
 
 def test_an_unread_load_is_unknown_and_not_idle() -> None:
     world = World("a", "b", loads={"a": 0.3, "b": 0.3})
-    world.balancer.mean_x = 0.5
     world.tell(api.Request("r", "web", 2 * SECOND))
     world.probes.clear()
     world.tell(api.Probed("a", "ok", 10, {"load": 0.3}))
@@ -719,7 +719,7 @@
     """Each draw armed a timer that drew again: at forty balancers with full servers 1,200 probes a second."""
     names = [f"s{number}" for number in range(40)]  # too many for one request to find all full
     world = World(*names, loads=dict.fromkeys(names, X_FULL + 0.1))
-    world.request("r", expires_in=4 * SECOND)
+    world.request("r:1", expires_in=4 * SECOND)  # with a colon in its id, its timers were lost
     world.run(4 * SECOND)
     assert 6 <= len(of(world.log, api.Probe)) <= 14
     assert of(world.log, api.Refuse)
--- a/wheatstile/rules.py
+++ b/wheatstile/rules.py
@@ -131,10 +131,10 @@
         self.connections: dict[str, Connection] = {}
         self.open: dict[Connection, None] = {}
         self.returns: dict[str, Move] = {}  # by client key: moved from here and not seen since
-        self.clock, self.mean_x = 0, USUAL  # of slots; mean of the ready servers' loads
+        self.mean: float | None = None  # mean_x, if it was asked for in this event
         self.pace, self.credits, self.credit_at, self.peak = PACE_START, 1.0, 0, 0.0
         self.closing = False
-        self.now, self.watch_delay, self.look_delay = 0, SECOND, LOOK
+        self.clock, self.now, self.watch_delay, self.look_delay = 0, 0, SECOND, LOOK  # a clock of slots
         self.handlers: dict[type, Callable[..., None]] = {
             api.ServerList: self.on_list, api.Request: self.on_request, api.OpenConnection: self.on_open,
             api.Established: self.on_established, api.AttemptEnded: self.on_ended, api.ClientLeft: self.drop,
@@ -159,7 +159,7 @@
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         """Take one event at this time and say what to do. What is no longer held is passed over."""
-        self.now, self.actions = now, []
+        self.now, self.actions, self.mean = now, [], None
         if type(event) in self.handlers:
             self.handlers[type(event)](event)
         return self.actions
@@ -278,7 +278,6 @@
             if target.suspect_until <= self.now and self.fit(target, conn):
                 conn.left = None if move.back else move
                 return self.send(conn, target)
-        self.measure()
         holder = self.draw(conn, near=self.settings.cross_price > 0) if event.midflow and not again else None
         if holder:  # the likelier of the pair; anywhere else it would be reset and set up anew
             self.send(conn, holder)
@@ -287,11 +286,14 @@
         else:
             self.place_anew(conn)
 
-    def measure(self) -> None:
+    @property
+    def mean_x(self) -> float:
         """The mean load. Servers count once, old readings do not: who refuses by them reads no others."""
-        heard = [s for s in self.ready if s.x is None or s.x < UNREAD]
-        loads = [min(s.x, 1.0) if s.x is not None and self.now - s.x_at < FRESH else USUAL for s in heard]
-        self.mean_x = sum(loads) / len(loads) if loads else USUAL
+        if self.mean is None:
+            heard = [s for s in self.ready if s.x is None or s.x < UNREAD]
+            loads = [min(s.x, 1.0) if s.x is not None and self.now - s.x_at < FRESH else USUAL for s in heard]
+            self.mean = sum(loads) / len(loads) if loads else USUAL
+        return self.mean
 
     def credit(self) -> bool:
         """Spend one set-up of this balancer's pace: errors slow it down, time without them speeds it up.
@@ -327,7 +329,7 @@
         """Wait with it; only its last timer counts, else each would start a chain of draws of its own."""
         delay = max(1, min(delay, conn.deadline - self.now))
         conn.due = self.now + delay
-        self.actions.append(api.SetTimer(delay, f"hold:{conn.id}:{conn.due}"))
+        self.actions.append(api.SetTimer(delay, f"hold:{conn.due}:{conn.id}"))
 
     def choose(self, conn: Connection, expired: bool = False) -> None:
         """Send a held request to the less loaded candidate once both have answered, or time is up."""
@@ -353,8 +355,7 @@
         left = conn.deadline - self.now
         if left <= 0:
             return self.answer(conn)
-        conn.attempts += 1
-        conn.server, conn.out, conn.pair = server, True, []
+        conn.server, conn.out, conn.pair, conn.attempts = server, True, [], conn.attempts + 1
         server.tokens -= 1.0
         limit = left // 2 if conn.attempts < self.settings.max_attempts else left
         self.actions.append(api.Send(conn.id, server.entry.server, max(limit, min(conn.kind.aim, left))))
@@ -389,8 +390,7 @@
 
     def drop(self, over: Connection | api.ClientLeft) -> None:
         """Forget a connection that is over, or whose client has left."""
-        conn = self.connections.pop(over.id, None)
-        if conn:
+        if conn := self.connections.pop(over.id, None):
             self.open.pop(conn, None)
 
     def on_ended(self, event: api.AttemptEnded) -> None:
@@ -448,12 +448,11 @@
             # One that answers with an error stands and serves whom it holds: nobody is moved for it.
             server.x = None if first or event.outcome == "error" else UNREAD
             self.suspect(server)
-        self.measure()
         for then, conn in waiting:
             then(conn)
-        held = next((conn for conn in self.open if conn.server is server), None)
-        if held and event.outcome == "ok" and self.load(server) > X_BRIM and not self.settings.tells_delay:
-            self.looked(held)  # whatever it was read for: between two looks a server fills in seconds
+        full = event.outcome == "ok" and self.load(server) > X_BRIM and not self.settings.tells_delay
+        if full and (held := self.held_at(server)):
+            self.looked(held[0])  # whatever it was read for: between two looks a server fills in seconds
 
     def on_delay(self, event: api.DelayNote) -> None:
         """Messages take longer than wanted at a server: read its load now, at most once a REACT."""
@@ -465,7 +464,7 @@
         if late and server.relief_at <= self.now:
             server.relief_at = self.now + REACT
             # All balancers are told in the same instant: asking at once they would fill the server.
-            self.actions.append(api.SetTimer(1 + int(self.random.random() * REACT / 2), "relief:" + conn.id))
+            self.actions.append(api.SetTimer(1 + int(self.random.random() * REACT / 2), "relief::" + conn.id))
 
     def on_load(self, event: api.LoadNote) -> None:
         if event.id in self.connections:
@@ -489,17 +488,19 @@
             return
         server.relief_at, self.look_delay = self.now + REACT, LOOK
         if self.load(server) >= UNREAD:
-            self.actions.append(api.SetTimer(REACT // 2, "relief:" + conn.id))
+            self.actions.append(api.SetTimer(REACT // 2, "relief::" + conn.id))
         else:
             self.relieve(conn)
-            held = next((held for held in self.open if held.server is server), None)
-            if held and self.load(server) > X_BRIM:  # of many balancers, each looks here seldom
-                self.actions.append(api.SetTimer(REACT, "look:" + held.id))
+            if self.load(server) > X_BRIM and (held := self.held_at(server)):  # drawn looks come here seldom
+                self.actions.append(api.SetTimer(REACT, "look::" + held[0].id))
+
+    def held_at(self, server: Server | None) -> list[Connection]:
+        return [conn for conn in self.open if conn.server is server]
 
     def relieve(self, conn: Connection) -> None:
         """Move the share of its connections that is too much for a server, all if it is unread."""
         x = max(self.load(conn.server), conn.server.least_x) if conn.server else 0.0
-        for held in [held for held in self.open if held.server is conn.server]:
+        for held in self.held_at(conn.server):
             # A wave of set-ups is work that is soon over, and in a report it looks like load.
             settled = self.settings.tells_delay or self.now - held.since >= SETTLE
             if settled and self.random.random() * x < x - X_FULL:
@@ -510,7 +511,7 @@
         return self.mean_x if server.x is None else server.x
 
     def on_timer(self, event: api.TimerFired) -> None:
-        task, held, due = (event.token + "::").split(":")[:3]
+        task, due, held = [*event.token.split(":", 2), "", ""][:3]  # an id may hold a colon
         conn = self.connections.get(held)
         if task == "slot":
             self.slot()
