Run the fault link as a process: routes on loopback, commands on stdin, RST on reset

Need: faults between the fleet's processes have to be put by something of ours, one way as well as both, and lifted again, with the same verdict every run.

Change: 'wheatstile link SRC:DST:LISTEN:TARGET...' relays each route with asyncio's socket calls; bytes read while a cut stands are held (the stream stalls as on a lost route and goes on at heal), delays are waited out, a reset cancels the pair's task, whose end closes both sides with RST. tests/fleet.py gains Program, one process of the program whose lines are waited on.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -53,3 +53,57 @@
         asyncio.run_coroutine_threadsafe(end(), self._loop).result()
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
+
+
+class Program:
+    """One process of the program (`python -m wheatstile ARGS`), its lines on standard output in a queue.
+
+    `expect` waits on a line, not on time; signals go to this process alone, by its id."""
+
+    def __init__(self, *args: str) -> None:
+        import queue
+        import subprocess
+        import sys
+
+        self.lines: queue.Queue[str] = queue.Queue()
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "wheatstile", *args], stdin=subprocess.PIPE, stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL, text=True, bufsize=1)
+        self._reader = threading.Thread(target=self._read, daemon=True)
+        self._reader.start()
+
+    def _read(self) -> None:
+        assert self.process.stdout
+        for line in self.process.stdout:
+            self.lines.put(line.rstrip("\n"))
+        self.lines.put("<end>")
+
+    def expect(self, prefix: str, within: float = 60.0) -> str:
+        """The next line that starts with `prefix`; the bound is only against a hang, never a verdict."""
+        while True:
+            line = self.lines.get(timeout=within)
+            if line.startswith(prefix) or line == "<end>":
+                assert line != "<end>", f"the process ended before {prefix!r}"
+                return line
+
+    def tell(self, line: str) -> str:
+        """Sends one command line; its answer."""
+        assert self.process.stdin
+        self.process.stdin.write(line + "\n")
+        self.process.stdin.flush()
+        return self.expect("")
+
+    def signal(self, number: int) -> None:
+        self.process.send_signal(number)
+
+    def close(self) -> int:
+        """Ends the process by closing its input, then by SIGKILL if it does not; its exit status."""
+        import subprocess
+
+        if self.process.stdin:
+            self.process.stdin.close()
+        try:
+            return self.process.wait(timeout=30)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            return self.process.wait()
--- /dev/null
+++ b/tests/link/test_relay.py
@@ -0,0 +1,105 @@
+"""The fault link as a process between a client and an echo server: cuts hold, heals release."""
+
+from __future__ import annotations
+
+import socket
+import threading
+
+import pytest
+from fleet import Program
+
+
+class Echo:
+    """A server on loopback that records what it got, in order, and echoes it."""
+
+    def __init__(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self.listener.getsockname()[1]
+        self.got: list[bytes] = []
+        self.resets = 0
+        self.arrived = threading.Condition()
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self) -> None:
+        while True:
+            try:
+                conn, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._echo, args=(conn,), daemon=True).start()
+
+    def _echo(self, conn: socket.socket) -> None:
+        with conn:
+            try:
+                while data := conn.recv(4096):
+                    with self.arrived:
+                        self.got.append(data)
+                        self.arrived.notify_all()
+                    conn.sendall(data)
+            except ConnectionResetError:
+                with self.arrived:
+                    self.resets += 1
+                    self.arrived.notify_all()
+
+    def wait_for(self, data: bytes) -> None:
+        with self.arrived:
+            assert self.arrived.wait_for(lambda: data in b"".join(self.got), timeout=60)
+
+
+@pytest.fixture
+def link() -> tuple[Program, Echo, int]:  # type: ignore[misc]
+    echo = Echo()
+    relay = Program("link", f"a:b:0:{echo.port}")
+    port = int(relay.expect("listening a->b").split()[-1])
+    relay.expect("ready")
+    yield relay, echo, port
+    assert relay.close() == 0
+    echo.listener.close()
+
+
+def read_exactly(sock: socket.socket, n: int) -> bytes:
+    data = b""
+    while len(data) < n:
+        part = sock.recv(n - len(data))
+        assert part, "closed"
+        data += part
+    return data
+
+
+def test_a_one_way_cut_holds_bytes_until_healed(link: tuple[Program, Echo, int]) -> None:
+    relay, echo, port = link
+    with socket.create_connection(("127.0.0.1", port)) as client:
+        client.sendall(b"one")
+        echo.wait_for(b"one")
+        assert read_exactly(client, 3) == b"one"
+        assert relay.tell("cut b a") == "ok"  # answers are held; requests still pass
+        client.sendall(b"two")
+        echo.wait_for(b"two")
+        assert relay.tell("cut a b") == "ok"
+        client.sendall(b"three")
+        with echo.arrived:
+            seen_at_heal = b"".join(echo.got)
+        assert relay.tell("heal") == "ok"
+        # 'three' was sent before the cut was lifted and could not pass it; the answer to 'two' neither
+        assert b"three" not in seen_at_heal
+        assert read_exactly(client, 8) == b"twothree"
+
+
+def test_a_reset_ends_the_connection_with_rst(link: tuple[Program, Echo, int]) -> None:
+    relay, echo, port = link
+    with socket.create_connection(("127.0.0.1", port)) as client:
+        client.sendall(b"x")
+        echo.wait_for(b"x")
+        assert read_exactly(client, 1) == b"x"
+        assert relay.tell("reset a b") == "ok"
+        with pytest.raises(ConnectionResetError):
+            while client.recv(1):
+                pass
+    with echo.arrived:  # both ways: the server's side was reset as well
+        assert echo.arrived.wait_for(lambda: echo.resets == 1, timeout=60)
+
+
+def test_a_bad_command_is_refused_with_its_word(link: tuple[Program, Echo, int]) -> None:
+    relay, _, _ = link
+    assert relay.tell("delay a b soon") == "error: word 4: 'soon' is not a number of seconds"
+    assert relay.tell("cut a") == "error: cut takes 2 arguments, not 1"
