Run a store node as a process on its disk, and check three of them through kills and cuts

Need: the Raft core and its disk had no process round them; faults between processes could not be put.

Not yet: reads that are linearizable on any member, sessions, watches, commands for people.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -66,6 +66,7 @@
         import sys
 
         self.lines: queue.Queue[str] = queue.Queue()
+        self.history: list[str] = []  # every line, for the checkers over histories
         self.process = subprocess.Popen(
             [sys.executable, "-m", "wheatstile", *args], stdin=subprocess.PIPE, stdout=subprocess.PIPE,
             stderr=subprocess.DEVNULL, text=True, bufsize=1)
@@ -75,6 +76,7 @@
     def _read(self) -> None:
         assert self.process.stdout
         for line in self.process.stdout:
+            self.history.append(line.rstrip("\n"))
             self.lines.put(line.rstrip("\n"))
         self.lines.put("<end>")
 
--- a/wheatstile/cli/__init__.py
+++ b/wheatstile/cli/__init__.py
@@ -8,7 +8,7 @@
 from wheatstile import __version__
 
 # Command -> its module here.
-COMMANDS = {name: name for name in ("serve", "check", "schema", "servers", "descriptions", "link")}
+COMMANDS = {name: name for name in ("serve", "check", "schema", "servers", "descriptions", "link", "store")}
 
 
 class LazyGroup(click.Group):
