--- a/tests/peers.py
+++ b/tests/peers.py
@@ -14,7 +14,7 @@
 import unittest
 from collections.abc import Iterable
 from pathlib import Path
-from typing import Any
+from typing import IO, Any
 
 ROOT = Path(__file__).parent.parent
 PATIENCE = 20.0  # seconds within which whatever has to happen must have happened
@@ -146,14 +146,14 @@
             "settings": SETTINGS | self.settings,
         }
 
-    def launch(self, files: int = 1024, **variables: str) -> None:
+    def launch(self, files: int = 1024, stderr: int | IO[bytes] = subprocess.PIPE, **variables: str) -> None:
         """Start the program on the configuration's file as it is."""
         environ = {key: value for key, value in os.environ.items() if not key.startswith("RELAY_")}
         self.node = subprocess.Popen(
             [sys.executable, "-m", "wheatstile", *self.arguments],
             cwd=ROOT,
             env=environ | {"RELAY_CONFIG": str(self.path)} | variables,
-            stderr=subprocess.PIPE,
+            stderr=stderr,
             text=True,
             preexec_fn=lambda: self.limit(files),
         )
@@ -163,11 +163,12 @@
         resource.setrlimit(resource.RLIMIT_FSIZE, (self.file_size, self.file_size))
 
     def start(
-        self, members: Iterable[dict[str, Any]] | None = None, text: str | None = None, files: int = 1024
+        self, members: Iterable[dict[str, Any]] | None = None, text: str | None = None, files: int = 1024,
+        stderr: int | IO[bytes] = subprocess.PIPE,
     ) -> None:
         """Start the program, and return once it answers PING (unless the configuration's text is given)."""
         self.path.write_text(json.dumps(self.config(members)) if text is None else text)
-        self.launch(files)
+        self.launch(files, stderr)
         if text is None:
             self.ready()
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -429,6 +429,22 @@
         # 3.7 s are promised; neither the longest deadline, of 9 s, nor the silent channel may count.
         self.assertLess(time.monotonic() - told, 7.0)
 
+    def test_a_log_that_cannot_be_written_ends_nothing(self) -> None:
+        with open("/dev/full", "wb") as full:
+            self.start(stderr=full)
+            client, _server = self.up()
+            self.terminate()  # which logs again
+            self.assertEqual(client.line(), "MOVE")
+            assert self.node
+            self.assertEqual(self.node.wait(PATIENCE), 0)
+
+    def test_an_address_that_is_still_held_is_waited_for(self) -> None:
+        self.path.write_text(json.dumps(self.config()))
+        with socket.create_server(self.listen):
+            self.launch()
+            self.logged("the address is held")
+        self.logged("serving")
+
     def test_a_bad_configuration_is_one_plain_line(self) -> None:
         lacking = json.dumps(self.config() | {"settings": {}})
         for text, word in [("{", "config.json"), (lacking, "missing"), ("[]", "config.json")]:
--- a/wheatstile/node.py
+++ b/wheatstile/node.py
@@ -1,6 +1,7 @@
 """One real balancer: its signals, and its life from start to drain."""
 
 import asyncio
+import errno
 import os
 import resource
 import signal
@@ -30,6 +31,7 @@
 log = structlog.get_logger()
 
 BACKLOG = 1024
+ADDRESS_WITHIN = 6.0  # seconds: more than the longest drain, after which a predecessor's address is free
 KILLED_AFTER = 0.7  # seconds, beside the longest deadline, from SIGTERM to SIGKILL at the earliest
 COUNTED_DEADLINE = 3.0  # seconds that a longer longest deadline is taken as there
 STILL_COMING = 0.5  # seconds in which new connections still come after SIGTERM
@@ -40,6 +42,29 @@
 OPERATOR_FILE = "WHEATSTILE_FILE"  # the variable that names the operator's file, where no option does
 
 
+async def listening(address: tuple[str, int]) -> socket.socket:
+    """A listener on `address`; while a process that is about to end still holds it, it is waited for.
+
+    Raises OSError when it cannot be had within ADDRESS_WITHIN.
+    """
+    loop = asyncio.get_running_loop()
+    end, told = loop.time() + ADDRESS_WITHIN, False
+    while True:
+        try:
+            listener = socket.create_server(address, backlog=BACKLOG)
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE or loop.time() > end:
+                raise
+            if not told:
+                where = f"{address[0]}:{address[1]}"
+                log.warning("the address is held", address=where, wait_s=ADDRESS_WITHIN)
+            told = True
+            await asyncio.sleep(0.05)
+        else:
+            listener.setblocking(False)
+            return listener
+
+
 async def supervised(name: str, work: Callable[[], Awaitable[None]]) -> None:
     """Keep a part of the balancer at work: a fault is logged, and the part goes on."""
     while True:
@@ -136,8 +161,7 @@
 
     async def run(self) -> None:
         """Serve from start to SIGTERM, then send every client away while there is time."""
-        with socket.create_server(self.config.listen, backlog=BACKLOG) as listener:
-            listener.setblocking(False)
+        with await listening(self.config.listen) as listener:
             self.core.start(self.subchannels, self.resolver)
             self.resolver.take(self.config.known, "cached")
             self.follow_operator()
