--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -101,7 +101,7 @@
     for names in ("a", "abc", "abcde"):
         with tempfile.TemporaryDirectory(dir=ROOT / "benchmarks") as folder:
             base = fsyncs(Path(folder), seconds / 2)
-            members = Members(Path(folder), 1, names if len(names) > 1 else "ab", compact_every=5000)
+            members = Members(Path(folder), 1, names if len(names) > 1 else "ab", 5000, direct=True)
             try:
                 members.start(*names, voters=names)
                 made = asyncio.run(throughput(members, counts, seconds))
--- a/tests/store/cluster.py
+++ b/tests/store/cluster.py
@@ -29,10 +29,14 @@
 
 
 class Members:
-    """Every message between two members goes through the link. `close` ends all processes."""
+    """Every message between two members goes through the link, but where they are `direct` (then they do not
+    say what they apply either). `close` ends all processes."""
 
-    def __init__(self, root: Path, seed: int, names: str = "abcde", compact_every: int = 40) -> None:
+    def __init__(
+        self, root: Path, seed: int, names: str = "abcde", compact_every: int = 40, direct: bool = False,
+    ) -> None:
         self.root, self.seed, self.names, self.compact_every = root, seed, names, compact_every
+        self.direct = direct
         pairs = [(x, y) for x in names for y in names if x != y]
         ports = free_ports(2 * len(names) + len(pairs))
         self.listen = dict(zip(names, ports, strict=False))
@@ -48,10 +52,11 @@
         """Starts these at once, and returns when all are ready; a name outside `voters` joins."""
         for name in names:
             join = ["--join"] if voters and name not in voters else []
-            peers = [f"--peer={y}={self.via[name, y]}" for y in self.names
+            peers = [f"--peer={y}={self.listen[y] if self.direct else self.via[name, y]}" for y in self.names
                      if y != name and (join or not voters or y in voters)]
+            trace = [] if self.direct else ["--trace"]
             self.nodes[name] = Program(
-                "store", "serve", "--name", name, "--listen", str(self.listen[name]), "--trace", *join,
+                "store", "serve", "--name", name, "--listen", str(self.listen[name]), *trace, *join,
                 "--client", str(self.clients[name]), "--dir", str(self.root / name), "--seed", str(self.seed),
                 "--compact-every", str(self.compact_every), *peers)
         for name in names:
--- a/wheatstile/store/client.py
+++ b/wheatstile/store/client.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from wheatstile.store.machine import Command, Event, Op, Result
-from wheatstile.store.protocol import Found, Reply, Request, Status, connect, frame, read_frame
+from wheatstile.store.protocol import Found, Frames, Reply, Request, Status, connect, frame
 
 PAUSE = 0.05
 """Seconds between two rounds of asking, while nobody leads."""
@@ -130,7 +130,7 @@
         sock = self._socks[name]
         try:
             await asyncio.get_running_loop().sock_sendall(sock, frame(request))
-            reply = await read_frame(sock, Reply)
+            reply = await Frames(sock).next(Reply)  # one answer to one request: nothing is left in it
         except BaseException:
             self._drop(name)  # an answer that is still to come would be taken for the next one's
             raise
@@ -154,9 +154,10 @@
                 with sock:
                     request = Request("watch", key=pattern, after=after)
                     await asyncio.get_running_loop().sock_sendall(sock, frame(request))
+                    frames = Frames(sock)
                     while True:
                         async with asyncio.timeout(SILENT):
-                            reply = await read_frame(sock, Reply)
+                            reply = await frames.next(Reply)
                         if reply is None:
                             break
                         if reply.error == "behind":
--- a/wheatstile/store/member.py
+++ b/wheatstile/store/member.py
@@ -33,6 +33,9 @@
 COMPACT_EVERY = 5_000
 """Applied entries after which the log is compacted into a snapshot."""
 
+GROUP, GROUP_WAIT = 512, 0.005
+"""Commands that wait at most for those before them to be committed, and seconds."""
+
 
 class DiskFailed(Exception):
     """What is on the disk is not known any more, so nothing may be said on the strength of it."""
@@ -72,6 +75,8 @@
         self.failed: asyncio.Future[None] = self.loop.create_future()
         self.applied_one = asyncio.Event()
         self._writes: dict[int, tuple[int, asyncio.Future[Result]]] = {}  # index -> (term, who waits)
+        self._queue: list[tuple[float, Command, asyncio.Future[Result]]] = []
+        self._proposed = 0  # the index of the last command taken from the queue
         self._reads: dict[int, asyncio.Future[int]] = {}
         # A read's number: not one of an earlier life of this member, whose answer may still come.
         self._numbers = itertools.count(time.monotonic_ns())
@@ -123,16 +128,31 @@
     async def write(self, command: Command) -> Result:
         """The command's result once it is committed and applied here. Raises `NotLeader`, `Unknown`."""
         self.catch_up()
-        stamped = msgspec.structs.replace(command, now_ms=self.clock_ms())
-        index = self.node.propose(msgspec.msgpack.encode(stamped))
+        if self.node.role is not Role.LEADER:
+            raise NotLeader(self.node.leader)
         future: asyncio.Future[Result] = self.loop.create_future()
-        self._writes[index] = (self.node.term, future)
+        self._queue.append((self.loop.time(), command, future))
         self.kick()
-        try:
-            return await future
-        finally:
-            if self._writes.get(index, (0, None))[1] is future:
-                del self._writes[index]
+        return await future
+
+    def _propose_queued(self) -> None:
+        """Takes what waits into the log, all at once, when what was taken before is committed: the more there
+        is to do, the more goes by one fsync. Nothing waits longer than `GROUP_WAIT` and a tick."""
+        if not self._queue or (
+            self.node.commit < self._proposed and len(self._queue) < GROUP
+            and self.loop.time() - self._queue[0][0] < GROUP_WAIT
+        ):
+            return
+        queue, self._queue = self._queue, []
+        for _, command, future in queue:
+            if future.done():
+                continue  # its client's time is up, and nothing has been done
+            try:
+                stamped = msgspec.structs.replace(command, now_ms=self.clock_ms())
+                self._proposed = self.node.propose(msgspec.msgpack.encode(stamped))
+                self._writes[self._proposed] = (self.node.term, future)
+            except NotLeader as error:
+                future.set_exception(error)
 
     async def current(self) -> None:
         """Returns once what is applied here holds all that was committed before the call. Raises `NotLeader`
@@ -189,6 +209,7 @@
         self._kicked = False
         if self.failed.done():
             return
+        self._propose_queued()
         ready = self.node.ready()
         if ready.empty():
             return
--- a/wheatstile/store/protocol.py
+++ b/wheatstile/store/protocol.py
@@ -20,6 +20,8 @@
 """Bytes of one frame at most: a batch of entries, each a command of at most `MAX_REQUEST`."""
 MAX_REQUEST = 4 * 1024 * 1024
 """Bytes of a client's frame."""
+CHUNK = 256 * 1024
+"""Bytes read at once."""
 
 
 class Hello(msgspec.Struct, frozen=True):
@@ -86,28 +88,28 @@
     return LENGTH.pack(len(body)) + body
 
 
-async def read_frame(sock: socket.socket, kind: Any, most: int = MAX_FRAME) -> Any:
-    """One frame as a `kind`; None at the end of the stream. Raises ValueError (too large, not a `kind`)."""
-    head = await _read(sock, LENGTH.size)
-    if head is None:
-        return None
-    (length,) = LENGTH.unpack(head)
-    if length > most:
-        raise ValueError(f"a frame of {length} bytes, {most} at most")
-    body = await _read(sock, length)
-    return None if body is None else msgspec.msgpack.decode(body, type=kind)
-
-
-async def _read(sock: socket.socket, count: int) -> bytes | None:
-    loop = asyncio.get_running_loop()
-    buffer, got = bytearray(count), 0
-    view = memoryview(buffer)
-    while got < count:
-        part = await loop.sock_recv_into(sock, view[got:])
-        if part == 0:
-            return None
-        got += part
-    return bytes(buffer)
+class Frames:
+    """The frames that come on a connection; many of them with one read, where they came together."""
+
+    def __init__(self, sock: socket.socket, most: int = MAX_FRAME) -> None:
+        self._sock, self._most, self._rest = sock, most, bytearray()
+        self._loop = asyncio.get_running_loop()
+
+    async def next(self, kind: Any) -> Any:
+        """One frame as a `kind`; None at the end of the stream. Raises ValueError (too large, no `kind`)."""
+        while True:
+            if len(self._rest) >= LENGTH.size:
+                (length,) = LENGTH.unpack_from(self._rest)
+                if length > self._most:
+                    raise ValueError(f"a frame of {length} bytes, {self._most} at most")
+                end = LENGTH.size + length
+                if len(self._rest) >= end:
+                    body = bytes(memoryview(self._rest)[LENGTH.size:end])
+                    del self._rest[:end]
+                    return msgspec.msgpack.decode(body, type=kind)
+            if not (data := await self._loop.sock_recv(self._sock, CHUNK)):
+                return None
+            self._rest += data
 
 
 async def connect(address: tuple[str, int]) -> socket.socket:
--- a/wheatstile/store/server.py
+++ b/wheatstile/store/server.py
@@ -19,12 +19,12 @@
 from wheatstile.store.protocol import (
     MAX_REQUEST,
     Found,
+    Frames,
     Hello,
     Reply,
     Request,
     connect,
     frame,
-    read_frame,
 )
 
 log = structlog.get_logger()
@@ -133,19 +133,23 @@
                 with await connect(("127.0.0.1", port)) as sock:
                     await loop.sock_sendall(sock, frame(Hello(self.place.cluster, self.place.name, peer)))
                     while True:
-                        await loop.sock_sendall(sock, frame(msg))
+                        frames = [frame(msg)]
+                        while not outbox.empty():
+                            frames.append(frame(outbox.get_nowait()))
+                        await loop.sock_sendall(sock, b"".join(frames))
                         msg = await outbox.get()
             except OSError:
                 await asyncio.sleep(REDIAL)  # what was on the way may be lost, as Raft allows
 
     async def _from_peer(self, sock: socket.socket) -> None:
-        hello: Hello | None = await read_frame(sock, Hello)
+        frames = Frames(sock)
+        hello: Hello | None = await frames.next(Hello)
         if hello is None:
             return
         if (hello.cluster, hello.to) != (self.place.cluster, self.place.name):
             log.warning("a peer is refused", name=hello.name, cluster=hello.cluster, to=hello.to)
             return
-        while (msg := await read_frame(sock, Message)) is not None:
+        while (msg := await frames.next(Message)) is not None:
             if (msg.src, msg.dst) != (hello.name, self.place.name):
                 raise ValueError(f"a message from {msg.src} to {msg.dst} on the connection of {hello.name}")
             if msg.kind is Kind.SNAPSHOT and not isinstance(msg.snapshot, Snapshot):
@@ -159,7 +163,8 @@
             return
         self._clients += 1
         try:
-            while (request := await read_frame(sock, Request, MAX_REQUEST)) is not None:
+            frames = Frames(sock, MAX_REQUEST)
+            while (request := await frames.next(Request)) is not None:
                 if request.op == "watch":
                     return await self._watch(sock, request)
                 await self._tell(sock, await self._answer(request))
