--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -23,7 +23,7 @@
 
 from wheatstile import interface as api  # noqa: E402
 
-SERVERS, CONNECTIONS = (10, 60, 600), (100, 1_000, 10_000)
+SERVERS, CONNECTIONS = (10, 90, 1_000), (100, 1_000, 10_000)
 
 
 def seconds(work: Callable[[int], object], times: int) -> float:
