--- a/wheatstile/cli/store.py
+++ b/wheatstile/cli/store.py
@@ -280,3 +280,57 @@
         return 0
 
     return asked(members, within, work)
+
+
+@command.command()
+@click.argument("file", type=click.Path(dir_okay=False, path_type=Path))
+@members
+@within
+def backup(file: Path, members: dict[str, int], within: float) -> int:
+    """Writes the whole store, as it stands now, to FILE."""
+    from wheatstile.store import archive
+
+    async def work(client: Any) -> int:
+        statuses = [await client.status(name) for name in members if await reached(client, name)]
+        revision, data = await client.backup()
+        archive.write(file, statuses[0].cluster if statuses else "", revision, data)
+        print(f"revision {revision}, {len(data)} bytes")
+        return 0
+
+    return asked(members, within, work)
+
+
+@command.command()
+@click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@click.option("--dir", "directory", type=click.Path(file_okay=False, path_type=Path), required=True)
+@click.option("--cluster", required=True, help="The new cluster's name, not the old one's.")
+@click.option("--name", default="store", show_default=True, help="Its one member, to which others are added.")
+def restore(file: Path, directory: Path, cluster: str, name: str) -> int:
+    """Makes an empty directory that of the first member of a new cluster with what FILE holds."""
+    from wheatstile.store import archive
+    from wheatstile.store.disk import Damaged
+
+    try:
+        head = archive.restore(file, directory, cluster, name)
+    except (Damaged, ValueError, OSError) as error:
+        return refuse([str(error)])
+    print(f"revision {head.revision} of {head.cluster}")
+    return 0
+
+
+@command.command()
+@click.argument("directory", type=click.Path(exists=True, file_okay=False, path_type=Path))
+@as_json
+def inspect(directory: Path, as_json: bool) -> int:
+    """What a member's directory holds; it is not changed, and no member needs to run."""
+    from tabulate import tabulate
+
+    from wheatstile.store import archive
+    from wheatstile.store.disk import Damaged
+
+    try:
+        found = archive.inspect(directory)
+    except (Damaged, OSError) as error:
+        return refuse([str(error)])
+    print(json.dumps(found) if as_json else tabulate(found.items(), tablefmt="plain", disable_numparse=True))
+    return 0
--- a/wheatstile/store/client.py
+++ b/wheatstile/store/client.py
@@ -50,6 +50,7 @@
         self._names = itertools.cycle(sorted(members))
         self._target = next(self._names)
         self._socks: dict[str, socket.socket] = {}
+        self._frames: dict[str, Frames] = {}
         self._session, self._seq = uuid.uuid4().hex, 0
         self._writing = asyncio.Lock()
 
@@ -97,6 +98,17 @@
     async def transfer(self, to: str) -> None:
         await self.ask(Request("transfer", key=to))
 
+    async def backup(self) -> tuple[int, bytes]:
+        """The revision and the whole state at it, linearizable. Raises `Undecided`, `StoreError`."""
+        reply = await self.ask(Request("backup"))
+        data, name = bytearray(reply.data), self._target
+        while reply.left:
+            async with asyncio.timeout(self.within):
+                if (reply := await self._frames[name].next(Reply)) is None:
+                    raise Undecided(f"{name} closed the connection before the backup's end")
+            data += reply.data
+        return reply.revision, bytes(data)
+
     async def ask(self, request: Request) -> Reply:
         """Asks member after member until one answers for good. Raises `Undecided`, `StoreError`."""
         loop = asyncio.get_running_loop()
@@ -127,10 +139,11 @@
     async def _once(self, name: str, request: Request) -> Reply:
         if name not in self._socks:
             self._socks[name] = await connect(("127.0.0.1", self.members[name]))
+            self._frames[name] = Frames(self._socks[name])
         sock = self._socks[name]
         try:
             await asyncio.get_running_loop().sock_sendall(sock, frame(request))
-            reply = await Frames(sock).next(Reply)  # one answer to one request: nothing is left in it
+            reply = await self._frames[name].next(Reply)
         except BaseException:
             self._drop(name)  # an answer that is still to come would be taken for the next one's
             raise
--- a/wheatstile/store/disk.py
+++ b/wheatstile/store/disk.py
@@ -86,6 +86,20 @@
         offset += FRAME.size + length
 
 
+@dataclass
+class Found:
+    head: Head
+    loaded: Loaded
+    end: int  # the log's bytes up to its last whole record
+
+
+def _decode(body: bytes, kind: Any, path: Path, offset: int) -> Any:
+    try:
+        return msgspec.msgpack.decode(body, type=kind)
+    except msgspec.DecodeError as error:
+        raise Damaged(f"{path}: offset {offset}: {error}") from error
+
+
 class Disk:
     """Owns the directory's files; `close` is their one place of release.
 
@@ -108,18 +122,36 @@
         self._saved = (state.term, state.vote) if state else None
 
     def _load(self) -> Loaded:
-        loaded, log = Loaded(), self.directory / "log"
-        for offset, body in records(self.directory / "snapshot"):
-            loaded.snapshot = self._decode(body, Snapshot, self.directory / "snapshot", offset)
-        if (self.directory / "snapshot").exists() and loaded.snapshot is None:
-            raise Damaged(f"{self.directory / 'snapshot'}: offset 0: not whole")
+        log = self.directory / "log"
+        found = self.look(self.directory)
+        if found.head.format == 0:  # nothing is there yet
+            self._replace("log", framed(Head(FORMAT, self.cluster, self.name)))
+            return found.loaded
+        if (found.head.cluster, found.head.name) != (self.cluster, self.name):
+            whose = f"the log of {found.head.name!r} in cluster {found.head.cluster!r}"
+            raise Damaged(f"{log}: offset 0: {whose}, not of {self.name!r} in {self.cluster!r}")
+        if found.loaded.torn_bytes:
+            with open(log, "r+b") as handle:
+                handle.truncate(found.end)
+                os.fsync(handle.fileno())
+        return found.loaded
+
+    @staticmethod
+    def look(directory: Path) -> Found:
+        """What the directory holds, unchanged; a head of format 0 where it is empty. Raises `Damaged`."""
+        loaded, log = Loaded(), directory / "log"
+        for offset, body in records(directory / "snapshot"):
+            loaded.snapshot = _decode(body, Snapshot, directory / "snapshot", offset)
+        if (directory / "snapshot").exists() and loaded.snapshot is None:
+            raise Damaged(f"{directory / 'snapshot'}: offset 0: not whole")
         head, end, entries = None, 0, list[Entry]()
         for offset, body in records(log):
             if head is None:
-                head = self._decode(body, Head, log, offset)
-                self._check(head, log)
+                head = _decode(body, Head, log, offset)
+                if head.format != FORMAT:
+                    raise Damaged(f"{log}: offset 0: format {head.format}, and this program reads {FORMAT}")
             else:
-                record = self._decode(body, Record, log, offset)
+                record = _decode(body, Record, log, offset)
                 loaded.hard_state = record.hard_state or loaded.hard_state
                 if record.entries:
                     first = record.entries[0].index
@@ -132,12 +164,7 @@
         if head is None:
             if loaded.snapshot:
                 raise Damaged(f"{log}: offset 0: no log for the snapshot")
-            self._replace("log", framed(Head(FORMAT, self.cluster, self.name)))
-            return loaded
-        if loaded.torn_bytes:
-            with open(log, "r+b") as handle:
-                handle.truncate(end)
-                os.fsync(handle.fileno())
+            return Found(Head(0, "", ""), loaded, end)
         snap = loaded.snapshot
         if head.after > (snap.index if snap else 0):
             raise Damaged(f"{log}: offset 0: follows a snapshot at {head.after} that is not there")
@@ -146,21 +173,7 @@
             at = next((e.term for e in entries if e.index == snap.index), None)
             entries = [e for e in entries if e.index > snap.index] if at == snap.term else []
         loaded.entries = entries
-        return loaded
-
-    def _check(self, head: Head, log: Path) -> None:
-        if head.format != FORMAT:
-            raise Damaged(f"{log}: offset 0: format {head.format}, and this program reads {FORMAT}")
-        if (head.cluster, head.name) != (self.cluster, self.name):
-            raise Damaged(f"{log}: offset 0: the log of {head.name!r} in cluster {head.cluster!r}, "
-                          f"not of {self.name!r} in {self.cluster!r}")
-
-    @staticmethod
-    def _decode(body: bytes, kind: Any, path: Path, offset: int) -> Any:
-        try:
-            return msgspec.msgpack.decode(body, type=kind)
-        except msgspec.DecodeError as error:
-            raise Damaged(f"{path}: offset {offset}: {error}") from error
+        return Found(head, loaded, end)
 
     def save(self, hard_state: HardState | None, entries: list[Entry]) -> None:
         """Persists what one `Ready` asks, before its messages go out. After an OSError nothing more may be
--- a/wheatstile/store/member.py
+++ b/wheatstile/store/member.py
@@ -190,7 +190,7 @@
         return Status(node.name, node.role.value, node.leader or "", node.term, node.commit, node.applied,
                       node.snap.index, sorted(node.config.voters), sorted(node.config.learners),
                       bool(node.config.old), self.age_ms, self.clock_ms(), len(self.machine.keys),
-                      self.disk.syncs)
+                      self.disk.syncs, self.place.cluster)
 
     def step(self, msg: Message) -> None:
         self.catch_up()
--- a/wheatstile/store/protocol.py
+++ b/wheatstile/store/protocol.py
@@ -1,7 +1,8 @@
 """What goes over the store's connections: frames of a 4-byte big-endian length and a MessagePack body.
 
 A member sends another `Hello` and then `messages.Message`s, one way. A client sends `Request`s and gets one
-`Reply` for each, in order; a watch's replies go on until either side ends the connection.
+`Reply` for each, in order; a watch's replies go on until either side ends the connection, a backup's until
+nothing is left.
 """
 
 from __future__ import annotations
@@ -33,7 +34,7 @@
 class Request(msgspec.Struct, frozen=True):
     """`within_ms` bounds the answer. A read is linearizable, unless `stale_ms` says how old it may be."""
 
-    op: Literal["write", "get", "list", "history", "watch", "status", "members", "transfer"]
+    op: Literal["write", "get", "list", "history", "watch", "status", "members", "transfer", "backup"]
     command: Command | None = None
     key: str = ""  # or a pattern, or a member's name
     after: int = 0  # a watch: events after this revision
@@ -66,6 +67,7 @@
     clock_ms: int
     keys: int
     syncs: int
+    cluster: str
 
 
 class Reply(msgspec.Struct, frozen=True):
@@ -81,6 +83,8 @@
     revision: int = 0
     age_ms: int = 0
     status: Status | None = None
+    data: bytes = b""  # a piece of a backup, `left` bytes of which are still to come
+    left: int = 0
 
 
 def frame(value: object) -> bytes:
--- a/wheatstile/store/server.py
+++ b/wheatstile/store/server.py
@@ -35,6 +35,8 @@
 """Seconds before a lost peer is dialled again."""
 CONNECTIONS = 1024
 """Clients at once; more are closed at once."""
+PIECE = 1 << 20
+"""Bytes of a backup in one reply."""
 SLOW = 5.0
 """Seconds in which a client has to take an answer; a watch that does not is cut."""
 MAX_FOUND = 10_000
@@ -167,7 +169,11 @@
             while (request := await frames.next(Request)) is not None:
                 if request.op == "watch":
                     return await self._watch(sock, request)
-                await self._tell(sock, await self._answer(request))
+                reply = await self._answer(request)
+                if request.op == "backup" and not reply.error:
+                    await self._backup(sock)
+                else:
+                    await self._tell(sock, reply)
         finally:
             self._clients -= 1
 
@@ -214,7 +220,7 @@
                 while member.node.term == term:
                     await asyncio.sleep(0.01)
                 return Reply(status=member.status())
-        if request.stale_ms < 0:
+        if request.stale_ms < 0 or request.op == "backup":
             await member.current()
         elif member.age_ms > request.stale_ms:
             return Reply("stale", f"{member.age_ms} ms old, {request.stale_ms} at most", age_ms=member.age_ms)
@@ -222,6 +228,8 @@
 
     def _read(self, request: Request) -> Reply:
         machine, found = self.member.machine, []
+        if request.op == "backup":
+            return Reply()
         if request.op == "get":
             version = machine.get(request.key)
             found = [(request.key, version)] if version else []
@@ -235,6 +243,13 @@
         return Reply(found=[Found(key, v.revision, v.op, v.value, v.at_ms) for key, v in found],
                      revision=self.member.machine_index, age_ms=self.member.age_ms)
 
+    async def _backup(self, sock: socket.socket) -> None:
+        """The whole state as it stands now, in pieces."""
+        data, revision = self.member.machine.dump(), self.member.machine_index
+        for start in range(0, len(data), PIECE):
+            piece = data[start:start + PIECE]
+            await self._tell(sock, Reply(revision=revision, data=piece, left=len(data) - start - len(piece)))
+
     async def _watch(self, sock: socket.socket, request: Request) -> None:
         """Events in order, all of a revision in one reply, none left out and none twice. A reply without
         events says up to which revision there was nothing. Who is slow is cut, and asks from its last."""
