--- a/wheatstile/store/server.py
+++ b/wheatstile/store/server.py
@@ -7,6 +7,7 @@
 import socket
 import sys
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import dataclass
 
 import msgspec
@@ -258,24 +259,22 @@
         if self.member.machine_index < at:
             await self._tell(sock, Reply(revision=at))  # this member is behind: what is new comes in time
         while True:
-            moved = self.member.next_applied()
-            waiting = asyncio.ensure_future(moved)
+            moved = self.member.applied_one  # taken before the look: what comes in between is not missed
             try:
                 events = self.member.machine.events_after(at)
             except Behind as behind:
-                waiting.cancel()
                 return await self._tell(sock, Reply("behind", f"the oldest is after {behind.args[0]}",
                                                     revision=int(behind.args[0])))
             if events:
-                waiting.cancel()
                 at = events[-1].revision
                 wanted = [event for event in events if matches(request.key, event.key)]
                 if wanted:
                     await self._tell(sock, Reply(events=wanted, revision=at))
                     told = asyncio.get_running_loop().time()
                 continue
-            await asyncio.wait([waiting], timeout=1.0)
-            waiting.cancel()
+            with suppress(TimeoutError):
+                async with asyncio.timeout(1.0):
+                    await moved.wait()
             if asyncio.get_running_loop().time() - told >= 1.0:
                 # It may be cut off: who watches learns how old what it has been told may be.
                 told = asyncio.get_running_loop().time()
