Ask all members for their status in one place, and drop twins and dead state of the store and link

Commands asked each member for its status twice (once to see whether it answers); three places and the tests each had the loop with the same exceptions: Client.statuses and Client.leader serve all, and 'add' and 'remove' go through Client.change, which nothing called. A client kept each connection in two tables; Frames holds its socket, and is typed by what it is asked for, so a cast of its answer is gone. Member.machine_index and next_applied were other names for what stood there; the clock was read once for each tick made up. The relay's flag against closing twice and an argument of its pumps were used by nothing, and its listener is socket.create_server's.

Two faults met on the way are mended, so those cases behave otherwise: a backup that broke off left its pieces to be read as the next request's answer (the connection is dropped now), and a backup taken while no member told its status was written without the cluster's name, past the check of restore (it is refused now). Neither has a test of its own.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,6 +1,9 @@
 """Stand-in servers that answer by themselves, in a thread of their own: for load, not for scripted cases."""
 
 import asyncio
+import queue
+import subprocess
+import sys
 import threading
 from collections import Counter
 from collections.abc import Iterable
@@ -61,10 +64,6 @@
     `expect` waits on a line, not on time; signals go to this process alone, by its id."""
 
     def __init__(self, *args: str) -> None:
-        import queue
-        import subprocess
-        import sys
-
         self.lines: queue.Queue[str] = queue.Queue()
         self.history: list[str] = []  # every line, for the checkers over histories
         self.process = subprocess.Popen(
@@ -105,8 +104,6 @@
 
     def close(self) -> int:
         """Ends the process by closing its input, then by SIGKILL if it does not; its exit status."""
-        import subprocess
-
         if self.process.stdin:
             self.process.stdin.close()
         try:
--- a/tests/store/cluster.py
+++ b/tests/store/cluster.py
@@ -8,13 +8,16 @@
 import signal
 import socket
 import time
+from collections.abc import Callable, Coroutine
 from contextlib import suppress
 from pathlib import Path
+from typing import Any
 
 from fleet import Program
 
 from wheatstile.store.client import Client
-from wheatstile.store.protocol import Status
+
+Written = dict[str, list[str]]  # lines by member
 
 
 def free_ports(count: int) -> list[int]:
@@ -84,32 +87,34 @@
 
     async def leader(self) -> str:
         """Who leads in the highest term that any member knows of."""
-        client = self.client()
+        client = Client({name: self.clients[name] for name in set(self.nodes) - self.stopped})
         try:
-            while True:
-                told = [await _status(client, name) for name in set(self.nodes) - self.stopped]
-                leaders = [(said.term, said.name) for said in told if said and said.role == "leader"]
-                if leaders:
-                    return max(leaders)[1]
+            while not (leader := await client.leader()):
                 await asyncio.sleep(0.05)
+            return leader.name
         finally:
             client.close()
 
-    def close(self) -> dict[str, list[str]]:
+    def close(self) -> Written:
         for name in list(self.nodes):
             self.kill(name)
         self.link.close()
         return self.written
 
 
-async def _status(client: Client, name: str) -> Status | None:
+def played(
+    members: Members, work: Callable[[Members], Coroutine[Any, Any, None]], voters: str = "",
+) -> Written:
+    """Starts the members (or only `voters`), does the work, and ends them all; what each wrote."""
     try:
-        return await client.status(name)
-    except (OSError, TimeoutError, ValueError):
-        return None
+        members.start(*(voters or members.names), voters=voters)
+        asyncio.run(work(members))
+    finally:
+        written = members.close()
+    return written
 
 
-def check(written: dict[str, list[str]]) -> int:
+def check(written: Written) -> int:
     """One leader a term, one entry at each index, each applied in order; how many were applied."""
     leaders: dict[str, str] = {}
     truth: dict[int, tuple[str, ...]] = {}
--- a/tests/store/test_archive.py
+++ b/tests/store/test_archive.py
@@ -13,7 +13,7 @@
 from contextlib import suppress
 from pathlib import Path
 
-from cluster import Members
+from cluster import Members, played
 from fleet import Program
 
 from wheatstile.store.client import Client, Undecided
@@ -45,10 +45,10 @@
 
 
 def test_a_backup_becomes_another_cluster(tmp_path: Path) -> None:
-    members, file, folder = Members(tmp_path, 1, "abc"), tmp_path / "backup", tmp_path / "new"
+    file, folder = tmp_path / "backup", tmp_path / "new"
     revision = 0
 
-    async def fill() -> None:
+    async def fill(members: Members) -> None:
         nonlocal revision
         client = members.client()
         for i in range(60):
@@ -57,11 +57,7 @@
         options = [f"--member={n}={p}" for n, p in members.clients.items()]
         assert (await asyncio.to_thread(store, "backup", file, *options)).returncode == 0
 
-    try:
-        members.start(*"abc")
-        asyncio.run(fill())
-    finally:
-        members.close()
+    played(Members(tmp_path, 1, "abc"), fill)
     new = ("--dir", folder, "--name", "a", "--cluster")
     refused = store("restore", file, *new, "wheatstile")
     assert refused.returncode == 1 and "needs another name" in refused.stderr
--- a/tests/store/test_processes.py
+++ b/tests/store/test_processes.py
@@ -18,7 +18,7 @@
 from pathlib import Path
 
 import pytest
-from cluster import Members, check
+from cluster import Members, check, played
 from linearizable import Done, linearizable
 
 from wheatstile.store.client import Client, Undecided
@@ -130,13 +130,7 @@
         answered = sum(d.ended < inf for history in histories.values() for d in history)
         assert answered > 30, f"seed {seed}: only {answered} answered, faults {log}"
 
-    members = Members(tmp_path, seed)
-    try:
-        members.start(*members.names)
-        asyncio.run(run(members))
-    finally:
-        written = members.close()
-    assert check(written) > 30
+    assert check(played(Members(tmp_path, seed), run)) > 30
 
 
 def test_members_are_added_replaced_and_handed_over(tmp_path: Path) -> None:
@@ -156,7 +150,7 @@
         found = await client.get("k/0", stale_ms=60_000)
         assert found and found.value == b"0"
 
-    async def run() -> None:
+    async def run(members: Members) -> None:
         client = members.client(within=30)
         for i in range(100):
             revision = (await client.put(f"k/{i}", str(i).encode())).revision
@@ -173,11 +167,7 @@
             await asyncio.to_thread(store, "put", "k/99", "x", "--revision", "1")
         client.close()
 
-    try:
-        members.start(*"abc", voters="abc")
-        asyncio.run(run())
-    finally:
-        written = members.close()
+    written = played(members, run, voters="abc")
     assert check(written) > 100 and any(line.startswith("snapshot") for line in written["d"])
 
 
@@ -205,12 +195,7 @@
         assert len(seen) == 6 * 11 + 1 and len(set(seen)) == len(seen)
         assert seen == sorted(seen, key=lambda v: (v == "end", v[:2], "without" in v))
 
-    members = Members(tmp_path, 2, "abc")
-    try:
-        members.start(*"abc")
-        asyncio.run(run(members))
-    finally:
-        members.close()
+    played(Members(tmp_path, 2, "abc"), run)
 
 
 def test_a_member_cut_off_never_answers_as_if_it_were_current(tmp_path: Path) -> None:
@@ -237,12 +222,7 @@
         for each in (client, alone, others):
             each.close()
 
-    members = Members(tmp_path, 3, "abc")
-    try:
-        members.start(*"abc")
-        asyncio.run(run(members))
-    finally:
-        members.close()
+    played(Members(tmp_path, 3, "abc"), run)
 
 
 def test_a_malformed_frame_costs_its_connection_alone(tmp_path: Path) -> None:
@@ -260,12 +240,7 @@
         assert reply.found[0].value == b"1"
         client.close()
 
-    members = Members(tmp_path, 4, "ab")
-    try:
-        members.start("a", voters="a")
-        asyncio.run(run(members))
-    finally:
-        members.close()
+    played(Members(tmp_path, 4, "ab"), run, voters="a")
 
 
 def test_the_checker_knows_bad_histories() -> None:
--- a/wheatstile/cli/store.py
+++ b/wheatstile/cli/store.py
@@ -191,45 +191,30 @@
     from tabulate import tabulate
 
     async def work(client: Any) -> int:
-        rows, lost = [], 0
-        for name in sorted(members):
-            try:
-                row = msgspec.structs.asdict(await client.status(name))
-            except (OSError, TimeoutError, ValueError) as error:
-                row, lost = {"name": name, "role": f"not reached: {str(error) or 'no answer'}"}, lost + 1
-            rows.append(row)
+        said = await client.statuses()
+        rows = [{"name": name, "role": f"not reached: {status}"} if isinstance(status, str)
+                else msgspec.structs.asdict(status) for name, status in said.items()]
         columns = ("name", "role", "leader", "term", "commit", "applied", "age_ms", "keys", "voters",
                    "learners")
         print(json.dumps(rows) if as_json else tabulate([[row.get(c, "") for c in columns] for row in rows],
                                                         columns, disable_numparse=True))
-        return REFUSED if lost else 0
+        return REFUSED if any(isinstance(status, str) for status in said.values()) else 0
 
     return asked(members, within, work)
 
 
 async def changed(client: Any, change: Callable[[set[str], set[str]], None]) -> int:
     """Changes the members from what they are; the client asks the leader, whoever that is."""
-    from wheatstile.store.protocol import Request
-
-    seen = [await client.status(name) for name in client.members if await reached(client, name)]
-    leader = next((s for s in sorted(seen, key=lambda s: -s.term) if s.role == "leader"), None)
+    leader = await client.leader()
     if leader is None:
         return refuse(["no leader is reached"])
     voters, learners = set(leader.voters), set(leader.learners)
     change(voters, learners)
-    reply = await client.ask(Request("members", voters=sorted(voters), learners=sorted(learners - voters)))
-    print(f"voters {' '.join(reply.status.voters)}; learners {' '.join(reply.status.learners) or 'none'}")
+    status = await client.change(voters, learners - voters)
+    print(f"voters {' '.join(status.voters)}; learners {' '.join(status.learners) or 'none'}")
     return 0
 
 
-async def reached(client: Any, name: str) -> bool:
-    try:
-        await client.status(name)
-    except (OSError, TimeoutError, ValueError):
-        return False
-    return True
-
-
 @command.command()
 @click.argument("name")
 @click.option("--peer-port", type=int, required=True, help="Where the others reach it.")
@@ -291,9 +276,11 @@
     from wheatstile.store import archive
 
     async def work(client: Any) -> int:
-        statuses = [await client.status(name) for name in members if await reached(client, name)]
+        leader = await client.leader()
+        if leader is None:
+            return refuse(["no leader is reached"])
         revision, data = await client.backup()
-        archive.write(file, statuses[0].cluster if statuses else "", revision, data)
+        archive.write(file, leader.cluster, revision, data)
         print(f"revision {revision}, {len(data)} bytes")
         return 0
 
--- a/wheatstile/link/relay.py
+++ b/wheatstile/link/relay.py
@@ -57,7 +57,6 @@
     client: socket.socket
     upstream: socket.socket
     task: asyncio.Task[None] | None = None
-    closed: bool = False
 
     def reset(self) -> None:
         """Ends the pair's task, whose end closes both sides with RST."""
@@ -66,9 +65,6 @@
 
     def release(self) -> None:
         """Closes both sides with RST; the one place where a joined pair's sockets are released."""
-        if self.closed:
-            return
-        self.closed = True
         for sock in (self.client, self.upstream):
             with contextlib.suppress(OSError):  # already gone; close it all the same
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -90,10 +86,7 @@
         loop = asyncio.get_running_loop()
         async with asyncio.TaskGroup() as tasks:
             for route in self.routes:
-                listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-                listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                listener.bind(("127.0.0.1", route.listen))
-                listener.listen(128)
+                listener = socket.create_server(("127.0.0.1", route.listen), backlog=128)
                 listener.setblocking(False)
                 print(f"listening {route.src}->{route.dst} {listener.getsockname()[1]}", flush=True)
                 tasks.create_task(self._accept(loop, route, listener, tasks))
@@ -132,11 +125,11 @@
         route = pair.route
         await loop.sock_connect(pair.upstream, ("127.0.0.1", route.target))
         async with asyncio.TaskGroup() as pumps:
-            pumps.create_task(self._pump(loop, pair, route.src, route.dst, pair.client, pair.upstream))
-            pumps.create_task(self._pump(loop, pair, route.dst, route.src, pair.upstream, pair.client))
+            pumps.create_task(self._pump(loop, route.src, route.dst, pair.client, pair.upstream))
+            pumps.create_task(self._pump(loop, route.dst, route.src, pair.upstream, pair.client))
 
-    async def _pump(self, loop: asyncio.AbstractEventLoop, pair: Joined, src: str, dst: str,
-                    a: socket.socket, b: socket.socket) -> None:
+    async def _pump(self, loop: asyncio.AbstractEventLoop, src: str, dst: str, a: socket.socket,
+                    b: socket.socket) -> None:
         """One direction: what is read waits its time in order, however much is read meanwhile."""
         waiting: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(HELD)
         async with asyncio.TaskGroup() as both:
--- a/wheatstile/store/client.py
+++ b/wheatstile/store/client.py
@@ -7,11 +7,9 @@
 
 import asyncio
 import itertools
-import socket
 import uuid
 from collections.abc import AsyncIterator, Iterable
 from contextlib import suppress
-from typing import Any
 
 import msgspec
 
@@ -49,8 +47,7 @@
         self.members, self.within = members, within
         self._names = itertools.cycle(sorted(members))
         self._target = next(self._names)
-        self._socks: dict[str, socket.socket] = {}
-        self._frames: dict[str, Frames] = {}
+        self._open: dict[str, Frames] = {}
         self._session, self._seq = uuid.uuid4().hex, 0
         self._writing = asyncio.Lock()
 
@@ -92,8 +89,27 @@
         assert reply.status
         return reply.status
 
-    async def change(self, voters: Iterable[str], learners: Iterable[str] = ()) -> None:
-        await self.ask(Request("members", voters=sorted(voters), learners=sorted(learners)))
+    async def statuses(self) -> dict[str, Status | str]:
+        """What each member says of itself, or why it was not reached."""
+        said: dict[str, Status | str] = {}
+        for name in sorted(self.members):
+            try:
+                said[name] = await self.status(name)
+            except (OSError, TimeoutError, ValueError) as error:
+                said[name] = str(error) or "no answer"
+        return said
+
+    async def leader(self) -> Status | None:
+        """Who leads in the highest term that any member tells of."""
+        said = (await self.statuses()).values()
+        leaders = [status for status in said if isinstance(status, Status) and status.role == "leader"]
+        return max(leaders, key=lambda status: status.term, default=None)
+
+    async def change(self, voters: Iterable[str], learners: Iterable[str] = ()) -> Status:
+        """The leader's status once these are the members. Raises `Undecided`, `StoreError`."""
+        reply = await self.ask(Request("members", voters=sorted(voters), learners=sorted(learners)))
+        assert reply.status
+        return reply.status
 
     async def transfer(self, to: str) -> None:
         await self.ask(Request("transfer", key=to))
@@ -102,11 +118,13 @@
         """The revision and the whole state at it, linearizable. Raises `Undecided`, `StoreError`."""
         reply = await self.ask(Request("backup"))
         data, name = bytearray(reply.data), self._target
-        while reply.left:
-            async with asyncio.timeout(self.within):
-                if (reply := await self._frames[name].next(Reply)) is None:
-                    raise Undecided(f"{name} closed the connection before the backup's end")
-            data += reply.data
+        try:
+            while reply.left:
+                async with asyncio.timeout(self.within):
+                    reply = await self._answer(name)
+                data += reply.data
+        except (OSError, TimeoutError, ValueError) as error:
+            raise Undecided(f"{name}: {str(error) or 'silent'} before the backup's end") from error
         return reply.revision, bytes(data)
 
     async def ask(self, request: Request) -> Reply:
@@ -137,24 +155,28 @@
         raise Undecided(last)
 
     async def _once(self, name: str, request: Request) -> Reply:
-        if name not in self._socks:
-            self._socks[name] = await connect(("127.0.0.1", self.members[name]))
-            self._frames[name] = Frames(self._socks[name])
-        sock = self._socks[name]
+        if name not in self._open:
+            self._open[name] = Frames(await connect(("127.0.0.1", self.members[name])))
         try:
-            await asyncio.get_running_loop().sock_sendall(sock, frame(request))
-            reply = await self._frames[name].next(Reply)
+            await asyncio.get_running_loop().sock_sendall(self._open[name].sock, frame(request))
+        except BaseException:
+            self._drop(name)
+            raise
+        return await self._answer(name)
+
+    async def _answer(self, name: str) -> Reply:
+        try:
+            reply = await self._open[name].next(Reply)
+            if reply is None:
+                raise ConnectionResetError(f"{name} closed the connection")
         except BaseException:
             self._drop(name)  # an answer that is still to come would be taken for the next one's
             raise
-        if reply is None:
-            self._drop(name)
-            raise ConnectionResetError(f"{name} closed the connection")
-        return _reply(reply)
+        return reply
 
     def _drop(self, name: str) -> None:
-        if sock := self._socks.pop(name, None):
-            sock.close()
+        if frames := self._open.pop(name, None):
+            frames.sock.close()
 
     async def watch(self, pattern: str, after: int) -> AsyncIterator[Event]:
         """Events of matching keys after this revision, without a gap or a repeat, over members' deaths.
@@ -181,10 +203,5 @@
             await asyncio.sleep(PAUSE)
 
     def close(self) -> None:
-        for name in list(self._socks):
+        for name in list(self._open):
             self._drop(name)
-
-
-def _reply(value: Any) -> Reply:
-    assert isinstance(value, Reply)
-    return value
--- a/wheatstile/store/member.py
+++ b/wheatstile/store/member.py
@@ -73,7 +73,7 @@
                          loaded.entries, ticks=self._now())
         self.loop = asyncio.get_running_loop()
         self.failed: asyncio.Future[None] = self.loop.create_future()
-        self.applied_one = asyncio.Event()
+        self.applied_one = asyncio.Event()  # of the next application, and then replaced
         self._writes: dict[int, tuple[int, asyncio.Future[Result]]] = {}  # index -> (term, who waits)
         self._queue: list[tuple[float, Command, asyncio.Future[Result]]] = []
         self._proposed = 0  # the index of the last command taken from the queue
@@ -93,11 +93,12 @@
 
     def catch_up(self) -> None:
         """Brings the core's ticks up to the clock: a process that was stopped has been away as long."""
-        due = self._now() - self.node.ticks
+        now = self._now()
+        due = now - self.node.ticks
         if due > CATCH_UP:
             log.warning("a pause", seconds=round(due * TICK, 2))
             self.node.ticks += due - CATCH_UP
-        while self.node.ticks < self._now():
+        while self.node.ticks < now:
             self.node.tick()
 
     async def run(self) -> None:
@@ -168,16 +169,8 @@
         finally:
             del self._reads[number]
             self.node.forget(number)
-        while self.machine_index < index:
-            await self.next_applied()
-
-    @property
-    def machine_index(self) -> int:
-        return self.node.applied
-
-    async def next_applied(self) -> None:
-        event = self.applied_one
-        await event.wait()
+        while self.node.applied < index:
+            await self.applied_one.wait()
 
     @property
     def age_ms(self) -> int:
--- a/wheatstile/store/protocol.py
+++ b/wheatstile/store/protocol.py
@@ -10,12 +10,13 @@
 import asyncio
 import socket
 import struct
-from typing import Any, Literal
+from typing import Literal, TypeVar
 
 import msgspec
 
 from wheatstile.store.machine import Command, Event, Result
 
+T = TypeVar("T")
 LENGTH = struct.Struct(">I")
 MAX_FRAME = 16 * 1024 * 1024
 """Bytes of one frame at most: a batch of entries, each a command of at most `MAX_REQUEST`."""
@@ -96,10 +97,10 @@
     """The frames that come on a connection; many of them with one read, where they came together."""
 
     def __init__(self, sock: socket.socket, most: int = MAX_FRAME) -> None:
-        self._sock, self._most, self._rest = sock, most, bytearray()
+        self.sock, self._most, self._rest = sock, most, bytearray()
         self._loop = asyncio.get_running_loop()
 
-    async def next(self, kind: Any) -> Any:
+    async def next(self, kind: type[T]) -> T | None:
         """One frame as a `kind`; None at the end of the stream. Raises ValueError (too large, no `kind`)."""
         while True:
             if len(self._rest) >= LENGTH.size:
@@ -111,7 +112,7 @@
                     body = bytes(memoryview(self._rest)[LENGTH.size:end])
                     del self._rest[:end]
                     return msgspec.msgpack.decode(body, type=kind)
-            if not (data := await self._loop.sock_recv(self._sock, CHUNK)):
+            if not (data := await self._loop.sock_recv(self.sock, CHUNK)):
                 return None
             self._rest += data
 
--- a/wheatstile/store/raft.py
+++ b/wheatstile/store/raft.py
@@ -88,7 +88,8 @@
         self.applied = self.snap.index
         self._configs = [(self.snap.index, self.snap.config)]
         self._configs += [(e.index, e.config) for e in self.log if e.config]
-        self.role, self.leader = Role.FOLLOWER, None
+        self.role = Role.FOLLOWER
+        self.leader: str | None = None
         self.fresh = ticks - 1_000_000  # the tick of our own clock as of which our commit is known to be true
         self._elapsed = self._heartbeat = 0
         self._timeout = self._new_timeout()
@@ -107,8 +108,6 @@
         self._ready = Ready()
         self._saved = self.hard_state
 
-    leader: str | None
-
     @property
     def hard_state(self) -> HardState:
         return HardState(self.term, self.vote, self.commit)
--- a/wheatstile/store/server.py
+++ b/wheatstile/store/server.py
@@ -211,8 +211,8 @@
             case "members":
                 index = member.node.change(request.voters, request.learners)
                 member.kick()
-                while member.machine_index < index or member.node.config.old:
-                    await member.next_applied()
+                while member.node.applied < index or member.node.config.old:
+                    await member.applied_one.wait()
                 return Reply(status=member.status())
             case "transfer":
                 term = member.node.term
@@ -221,7 +221,10 @@
                 while member.node.term == term:
                     await asyncio.sleep(0.01)
                 return Reply(status=member.status())
-        if request.stale_ms < 0 or request.op == "backup":
+            case "backup":
+                await member.current()
+                return Reply()
+        if request.stale_ms < 0:
             await member.current()
         elif member.age_ms > request.stale_ms:
             return Reply("stale", f"{member.age_ms} ms old, {request.stale_ms} at most", age_ms=member.age_ms)
@@ -229,8 +232,6 @@
 
     def _read(self, request: Request) -> Reply:
         machine, found = self.member.machine, []
-        if request.op == "backup":
-            return Reply()
         if request.op == "get":
             version = machine.get(request.key)
             found = [(request.key, version)] if version else []
@@ -242,11 +243,11 @@
         else:
             found = [(request.key, version) for version in machine.keys.get(request.key, [])]
         return Reply(found=[Found(key, v.revision, v.op, v.value, v.at_ms) for key, v in found],
-                     revision=self.member.machine_index, age_ms=self.member.age_ms)
+                     revision=self.member.node.applied, age_ms=self.member.age_ms)
 
     async def _backup(self, sock: socket.socket) -> None:
         """The whole state as it stands now, in pieces."""
-        data, revision = self.member.machine.dump(), self.member.machine_index
+        data, revision = self.member.machine.dump(), self.member.node.applied
         for start in range(0, len(data), PIECE):
             piece = data[start:start + PIECE]
             await self._tell(sock, Reply(revision=revision, data=piece, left=len(data) - start - len(piece)))
@@ -256,7 +257,7 @@
         events says up to which revision there was nothing. Who is slow is cut, and asks from its last."""
         at = request.after
         told = asyncio.get_running_loop().time()
-        if self.member.machine_index < at:
+        if self.member.node.applied < at:
             await self._tell(sock, Reply(revision=at))  # this member is behind: what is new comes in time
         while True:
             moved = self.member.applied_one  # taken before the look: what comes in between is not missed
