Open the watch at once where lists are pushed, and take an indented list, not bytes, as life

Counters of such a balancer: no ServerList after the first. Cause: the module asks for the list only where it is on request, and node.py left it at that, so that no watch was ever opened there. It is opened at the start now, and again after each failure, as elsewhere.

A list ends now with the line that closes its brackets. - SILENT_AFTER counted 5 s from the last byte, twice for a call (connect, then answer), and any byte started it anew: a line that drips and never ends kept a dead watch for ever; with a back-off of 0.5 to 1.5 s the next call left 5.5 to 6.5 s after the silence, where what is missed counts as told after 6. Now 3 s without a whole list or an empty line (due every 2 s), and 5 s from a call to its answer's head. - A watch that stood but told no change did not end the back-off: after three failures, the break of a watch that had stood for minutes was followed by 4 to 12 s without one. Its first line does now.

--- a/wheatstile/net/discovery.py
+++ b/wheatstile/net/discovery.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import re
 import socket
 from collections.abc import Callable
 from typing import Protocol
@@ -17,8 +18,12 @@
 log = structlog.get_logger()
 
 PATH = "/discovery/hosts"
-SILENT_AFTER = 5.0  # seconds without a byte: an empty line is due every 2 s
-LINE_MAX = 1 << 20  # bytes of one list; ten thousand servers take about as much
+CALL_WITHIN = 5.0  # seconds from a call to the head of its answer: calls wait for their turn, some for 3 s
+# Seconds without a whole list or an empty line, which is due every 2 s. What a silent watch misses counts as
+# told after 6 s: of these, 3 are left for the back-off (1.5 s at most) and the next call.
+SILENT_AFTER = 3.0
+LIST_MAX = 1 << 22  # bytes of one list; twenty thousand servers take about as much, ten thousand if indented
+STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 
 
 class DiscoveryError(Exception):
@@ -63,6 +68,7 @@
         self.revision = 0
         self._strange = False  # the revision is another discovery's
         self._silent = False  # calls fail, and it has been logged
+        self._first = True  # nothing has come on this watch yet
         self._watch: asyncio.Task[None] | None = None
 
     def take(self, result: ResolverResult, kind: str) -> None:
@@ -108,6 +114,7 @@
         if self._strange:
             await self._call(PATH, whole=True)
             self._strange = False
+        self._first = True
         await self._call(f"{PATH}?watch=1&after={self.revision}")
 
     async def _call(self, path: str, whole: bool = False) -> None:
@@ -115,30 +122,39 @@
         loop = asyncio.get_running_loop()
         with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
             sock.setblocking(False)
-            async with asyncio.timeout(SILENT_AFTER):
+            silent_at = loop.time() + CALL_WITHIN
+            async with asyncio.timeout_at(silent_at):
                 await loop.sock_connect(sock, self.address)
                 host, port = self.address
                 await loop.sock_sendall(sock, f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
-            answer = _Answer(self._line, whole)
+            answer = _Answer(self._text, whole)
             parser = httptools.HttpResponseParser(answer)
             buffer = memoryview(bytearray(16384))
             while not (whole and answer.over):
-                async with asyncio.timeout(SILENT_AFTER):
+                if answer.alive:  # bytes alone are no life: a list that never ends tells nothing
+                    answer.alive, silent_at = False, loop.time() + SILENT_AFTER
+                async with asyncio.timeout_at(silent_at):
                     count = await loop.sock_recv_into(sock, buffer)
                 if not count:
                     raise DiscoveryError("discovery closed the call")
                 parser.feed_data(buffer[:count])
                 answer.check(parser.get_status_code() if answer.begun else 0)
 
-    def _line(self, line: bytes) -> None:
-        if not line.strip():
-            self._silent = False
-            return self.sink.heard()
-        try:
-            result = ResolverResult.read(json.loads(line))
-        except (ValueError, KeyError, TypeError, OSError) as error:
-            raise DiscoveryError(f"discovery sent no list: {error!r}") from error
+    def _text(self, text: bytes) -> None:
+        """A list, or an empty line."""
+        result = None
+        if text.strip():
+            try:
+                result = ResolverResult.read(json.loads(text))
+            except (ValueError, KeyError, TypeError, AttributeError, OSError, RecursionError) as error:
+                raise DiscoveryError(f"discovery sent no list: {error!r}") from error
         self._silent = False
+        if self._first:  # the watch stands, also where it has nothing to tell: its back-off starts anew
+            self._first = False
+            if result is None or not (result.complete or result.revision > self.revision):
+                self.core.tell(api.ServerList("delta"))
+        if result is None:
+            return self.sink.heard()
         # A change from before the list that stands would undo what is known by now.
         if result.complete or result.revision > self.revision:
             self.take(result, "full" if result.complete else "delta")
@@ -147,35 +163,54 @@
 
 
 class _Answer:
-    """What httptools calls while it reads one answer; lines of the body go on as they come, or all as one."""
+    """What httptools calls while it reads one answer; lists go on as they come, or the whole body as one.
+
+    A list may stand on one line or be indented over several: it ends with the line that closes its brackets.
+    """
 
-    def __init__(self, line: Callable[[bytes], None], whole: bool) -> None:
-        self._line, self._rest, self._whole = line, b"", whole
+    def __init__(self, text: Callable[[bytes], None], whole: bool) -> None:
+        self._text, self._whole = text, whole
+        self._lines: list[bytes] = []  # of a list that has begun
+        self._open = 0  # brackets in them that are not closed
+        self._rest = bytearray()  # of a line
+        self._size = 0  # of all that
         self.begun = self.over = False
+        self.alive = False  # a list or an empty line has come whole since somebody set this to False
         self.error: DiscoveryError | None = None
 
     def on_headers_complete(self) -> None:
-        self.begun = True
+        self.begun = self.alive = True
 
     def on_message_complete(self) -> None:
         self.over = True
         if self._whole:
-            self._take([self._rest])
+            self._take(bytes(self._rest))
 
     def on_body(self, body: bytes) -> None:
-        lines: list[bytes] = []
         self._rest += body
-        if not self._whole:
-            *lines, self._rest = self._rest.split(b"\n")
-        if len(self._rest) > LINE_MAX:
-            self.error = DiscoveryError("discovery sent a line without an end")
-        self._take(lines)
+        self._size += len(body)
+        if not self._whole and b"\n" in body:
+            *lines, rest = bytes(self._rest).split(b"\n")
+            self._rest = bytearray(rest)
+            for line in lines:
+                self._line(line)
+        if self._size > LIST_MAX:
+            self.error = self.error or DiscoveryError("discovery sent a list without an end")
 
-    def _take(self, lines: list[bytes]) -> None:
+    def _line(self, line: bytes) -> None:
+        self._lines.append(line)
+        bare = STRING.sub(b"", line)
+        self._open += sum(map(bare.count, b"{[")) - sum(map(bare.count, b"}]"))
+        if self._open <= 0:
+            self._take(b"\n".join(self._lines))
+            self._lines, self._open, self._size = [], 0, len(self._rest)
+
+    def _take(self, text: bytes) -> None:
+        if self.error:
+            return
         try:
-            for line in lines:
-                if not self.error:
-                    self._line(line)
+            self._text(text)
+            self.alive = True
         except DiscoveryError as error:  # httptools would wrap it
             self.error = error
 
--- a/wheatstile/node.py
+++ b/wheatstile/node.py
@@ -164,6 +164,8 @@
         with await listening(self.config.listen) as listener:
             self.core.start(self.subchannels, self.resolver)
             self.resolver.take(self.config.known, "cached")
+            if not self.config.settings.list_on_request:
+                self.resolver.watch()  # what is pushed counts as told from the first moment
             self.follow_operator()
             parts = [
                 asyncio.create_task(supervised("accept", lambda: self.channels.serve(listener))),
