Send nothing on for a client that has left or to a server that drains, and answer all at the end

- Clients: the reader learns of a FIN or reset one turn after what was ready with it.
With a first line and its FIN in one turn an attempt began; with a connect that came up just before the FIN the first line went out to the server (seen: the server read OPEN for a client that had been gone for a second).
Asked now in the same turn, by a peek at the socket, before the request is told, before a connection is begun, and before the line's first byte.
- servers.py, Attempt.run: a drain told while the connection came up was not looked at, so that the first byte could leave after any grace.
Nothing is sent now to a server told as leaving ("moot": it never ran); nor after its time.
The line goes out in one turn; a time-out while a rest of it waits counts as "may have run".
- Probes: a kept connection that ended as the probe went out read as a failing server; repeated once on a new one.
- Hand-overs: MOVE after the server's BYE or own MOVE had gone to the client; nothing follows now.
UP is sent in one turn: a time-out in between would have given a second final answer (by reading; cannot be forced).
- The end: whoever stood in the backlog when the listener closed was reset, and all were after a stall (the time bound cut the answers off).
The backlog is taken in and the listener closed in one turn, all are answered, also those that have said nothing yet.
The time that clients are told to stay away follows retryAfter and maxRetryAfterUs.

--- a/wheatstile/net/channel.py
+++ b/wheatstile/net/channel.py
@@ -19,7 +19,7 @@
 FIRST_LINE_WITHIN = 2.0  # seconds for a channel's first line: clients send it at once, and are answered in 3
 REOPEN_WITHIN = 40.0  # seconds in which a connection from before the run has to be up again
 LATE = 0.02  # seconds past its client's time after which an RPC that nobody answered is failed here
-NO_DESCRIPTORS_RETRY = 1000  # milliseconds that a client is told to stay away when descriptors run out
+STAY_AWAY = 1000  # milliseconds that a client is told to when descriptors run out, or the balancer ends
 SILENT, DRAIN = "silent server", "drain"  # why a client is moved, beside the module's decision
 
 
@@ -72,6 +72,10 @@
         self._ending: asyncio.Future[str] = asyncio.get_running_loop().create_future()
         self._reader: asyncio.Task[None] | None = None
         self._to_client = asyncio.Lock()  # held while lines go out, so that MOVE goes between two
+        self._unsent = b""  # of UP
+        self._farewell = b""  # the server's last line, if it has gone to the client as its last
+        self._first_line_by: asyncio.Timeout | None = None
+        self._turned_away = False
 
     def decide(self, action: api.Send | api.Refuse | api.Fail | api.Move) -> None:
         if isinstance(action, api.Move):
@@ -91,6 +95,12 @@
         if not self._ending.done():
             self._ending.set_result(reason)
 
+    def turn_away(self) -> None:
+        """The balancer ends: a client that has asked for nothing yet is not waited for any longer."""
+        if self._first_line_by and not self._first_line_by.expired():
+            self._first_line_by.reschedule(asyncio.get_running_loop().time())
+        self._turned_away = True
+
     def unanswered(self, now: int) -> int:
         """For how long a line of the client's has waited for the server."""
         asked_at = self.attempt.subchannel.open.get(self.id, 0) if self.up and self.attempt else 0
@@ -139,14 +149,28 @@
                 task.cancel()
                 await asyncio.wait([task])
 
+    def _check_waiting(self) -> None:
+        """Raise if the client waits no more. Its end may have come in this very turn, unread: nothing may be
+        done for it then, and least of all be sent on."""
+        try:
+            unread = self.lines.peek()
+        except OSError:
+            raise ChannelEnded(reset=True) from None
+        if unread is not None:  # a client waits after its first line
+            raise Malformed if unread else ChannelEnded
+
     async def _serve(self) -> bytes:
         """Read the first line and serve what it asks; the last line that the client is owed, if any."""
-        first = FirstLine.read(await self._first_line())
+        line = await self._first_line()
+        if not line:
+            self.core.counters["turned away"] += 1
+            return self.front.unavailable(STAY_AWAY)
+        first = FirstLine.read(line)
         if first.fields["c"] not in self.front.limits.deadlines or self.front.seen(first.id):
             raise Malformed
         if self.front.full():
             self.core.counters["unavailable, no descriptors"] += 1
-            return self.front.unavailable(NO_DESCRIPTORS_RETRY)
+            return self.front.unavailable(STAY_AWAY)
         self.id = first.id
         self.front.admit(self)
         self._reader = asyncio.create_task(self._read_channel())
@@ -157,26 +181,37 @@
             self.front.release(self)
 
     async def _first_line(self) -> bytes:
+        """Empty for a client that is turned away before it has asked for anything."""
         idle_ends: type[Exception] = Malformed
         try:
-            while True:
-                async with asyncio.timeout(FIRST_LINE_WITHIN):
-                    line = await self.lines.read_line()
+            while not self._turned_away:
+                try:
+                    async with asyncio.timeout(FIRST_LINE_WITHIN) as self._first_line_by:
+                        line = await self.lines.read_line()
+                finally:
+                    self._first_line_by = None
                 if line != b"PING\r\n" or self.lines.pending:
                     break
                 self.core.counters["pings"] += 1
                 await self.lines.send(b"PONG\r\n")
                 idle_ends = ChannelEnded
+            else:
+                line = b""
         except TimeoutError:
-            raise idle_ends from None
+            line = b""
+            if not self._turned_away:
+                raise idle_ends from None
         except LineTooLong:
             raise Malformed from None
         except OSError:
             raise ChannelEnded(reset=True) from None
+        if self._turned_away and not line and idle_ends is Malformed:
+            return b""
         if not line:
             raise ChannelEnded
         if self.lines.pending:  # a client waits after its first line
             raise Malformed
+        self._check_waiting()
         return line
 
     async def _set_up_in_time(self, first: FirstLine) -> bytes:
@@ -198,7 +233,8 @@
 
     async def _set_up(self, first: FirstLine) -> bytes:
         """Do as the module decides until the RPC is up or has its final answer."""
-        self.core.tell(first.request(self.front.longest(first)))
+        longest = self.front.longest(first)  # taken once: a reload may take the class away meanwhile
+        self.core.tell(first.request(longest))
         while True:
             action = await self._unless_left(self._decisions.get())
             if isinstance(action, api.Refuse):
@@ -207,13 +243,19 @@
             if isinstance(action, api.Fail):
                 self.core.counters["failed"] += 1
                 return b"ERR\r\n"
+            if self._answered.is_set():
+                continue  # given up on before it was sent: the answer is the next
             start = self.core.now()
-            timeout = (action.timeout or self.front.longest(first) * 1000) / 1e6
+            timeout = (action.timeout or longest * 1000) / 1e6
             outcome, line = await self._try(first.with_wait, action.server, timeout)
             elapsed = self.core.now() - start
             if outcome == "up":
-                await self._send_up(line)
-                self.core.tell(api.Established(self.id, self.number, action.server, elapsed))
+                self._send_up(line)
+                if self._answered.is_set():  # the module gave up in the same turn, and has forgotten it
+                    self.number = 0
+                    self.core.tell(api.OpenConnection(self.id, first.fields["c"], action.server, first.key))
+                else:
+                    self.core.tell(api.Established(self.id, self.number, action.server, elapsed))
                 return b""
             report = self.attempt.report if self.attempt else None
             self._drop_attempt()  # before the module can ask for the next
@@ -232,7 +274,7 @@
         as_is = first.with_wait(first.wait)
         outcome, line = await self._try(lambda _: as_is, server, within, patient=True)
         if outcome == "up":
-            await self._send_up(line)
+            self._send_up(line)
             self.core.tell(api.OpenConnection(self.id, first.fields["c"], server, first.key))
             return b""
         self.core.counters[f"not reopened, {outcome}"] += 1  # no log line for each: any client can write at=
@@ -242,10 +284,16 @@
         self, first_line: Callable[[int], bytes], server: str, timeout: float, patient: bool = False
     ) -> tuple[str, bytes]:
         """One attempt. The one before it was closed when it ended, so that there are never two."""
+        self._check_waiting()
         self.attempt = self.front.subchannels.attempt(server)
         if self.attempt is None:
             return "connect_failed", b""
-        run = asyncio.create_task(self.attempt.run(first_line, timeout, patient))
+
+        def still_wanted(wait: int) -> bytes | None:
+            self._check_waiting()
+            return None if self._answered.is_set() else first_line(wait)
+
+        run = asyncio.create_task(self.attempt.run(still_wanted, timeout, patient))
         answered = asyncio.create_task(self._answered.wait())
         try:
             await self._unless_left(_first_of(run, answered))
@@ -254,15 +302,18 @@
             run.cancel()
             answered.cancel()
             await asyncio.wait([run, answered])
+            if not run.cancelled():
+                run.exception()  # that the client has left may be known from the reader already
         self.core.counters[f"attempt {outcome}"] += 1
         return outcome, line
 
-    async def _send_up(self, line: bytes) -> None:
+    def _send_up(self, line: bytes) -> None:
+        """In one turn: were its time out in between, the client would get a second final answer."""
         assert self.attempt
         self.attempt.subchannel.open[self.id] = 0
         self.up = True  # from here on the reader passes the client's lines on
         try:
-            await self._unless_left(self.lines.send(line))
+            self._unsent = self.lines.send_now(line)
         except OSError:
             raise ChannelEnded(reset=True) from None
 
@@ -285,9 +336,13 @@
                     return b""
                 last = b"MOVE\r\n"
                 outcome = "reset" if self._ending.result() == SILENT else "cancelled"
-                self.core.counters[f"MOVE, {self._ending.result()}"] += 1
             async with asyncio.timeout(LINGER):
                 await self._to_client.acquire()  # and keep it: no further line may follow the last
+            if self._farewell:  # the server's last line was on its way
+                outcome, report = verdict_of(self._farewell)
+                return b""
+            if last == b"MOVE\r\n":
+                self.core.counters[f"MOVE, {self._ending.result()}"] += 1
             return last
         except TimeoutError:  # a client that takes nothing stands in the middle of a line
             reset = True
@@ -310,8 +365,9 @@
         subchannel, last = self.attempt.subchannel, b""
         reset = False
         while True:
+            lines, self._unsent = self._unsent, b""
             try:
-                lines = await self.attempt.lines.read_lines()
+                lines = lines or await self.attempt.lines.read_lines()
             except OSError:
                 lines, reset = b"", True
             except LineTooLong:
@@ -328,6 +384,7 @@
             try:
                 async with self._to_client:
                     await self.lines.send(lines)
+                    self._farewell = last if last.startswith((b"BYE", b"MOVE")) else b""
             except OSError:
                 raise ChannelEnded(reset=True) from None
         outcome, report = verdict_of(last) if last.startswith((b"BYE", b"MOVE")) else ("reset", None)
--- a/wheatstile/net/clients.py
+++ b/wheatstile/net/clients.py
@@ -11,10 +11,9 @@
 
 from wheatstile import interface as api
 from wheatstile.config.platform import ChannelLimits
-from wheatstile.net.channel import DRAIN, NO_DESCRIPTORS_RETRY, SILENT, Channel
+from wheatstile.net.channel import DRAIN, SILENT, STAY_AWAY, Channel
 from wheatstile.net.core import Core
 from wheatstile.net.first_line import FirstLine
-from wheatstile.net.lines import LINGER
 from wheatstile.net.servers import Subchannels
 
 log = structlog.get_logger()
@@ -83,32 +82,47 @@
             self.core.counters["crowded out"] += 1
 
     def unavailable(self, milliseconds: int) -> bytes:
-        """The unavailable status, with the time after which to come again."""
+        """The unavailable status, with the time after which to come again, if the settings allow it."""
+        milliseconds = min(milliseconds, self.limits.most_advice)
         return b"BUSY %d\r\n" % milliseconds if milliseconds > 0 else b"BUSY\r\n"
 
     async def serve(self, listener: socket.socket) -> None:
         """Accept for ever, also while descriptors are out: whoever cannot be kept is refused politely."""
         loop = asyncio.get_running_loop()
         while True:
+            failed: asyncio.Future[None] = loop.create_future()
+            loop.add_reader(listener, self._accept, listener, failed)
             try:
-                sock, _ = await loop.sock_accept(listener)
-            except OSError as error:
-                self.core.counters[f"accept failed: {errno.errorcode.get(error.errno or 0, '?')}"] += 1
-                if error.errno in (errno.EMFILE, errno.ENFILE):
-                    self._refuse_one(listener)
-                await asyncio.sleep(0.01)
-                continue
-            self._make_room()
-            channel = Channel(self, sock)
-            channel.task = asyncio.create_task(channel.run())
-            self.channels[channel.task], self._unserved[channel] = channel, channel.task
-            channel.task.add_done_callback(self._over)
+                await failed
+            finally:
+                loop.remove_reader(listener)
+            await asyncio.sleep(0.01)
+
+    def _accept(self, listener: socket.socket, failed: "asyncio.Future[None] | None" = None) -> bool:
+        """Accept one, which has its owner in the same turn: no wait is there to lose it. False: none came."""
+        try:
+            sock, _ = listener.accept()
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            self.core.counters[f"accept failed: {errno.errorcode.get(error.errno or 0, '?')}"] += 1
+            if error.errno in (errno.EMFILE, errno.ENFILE):
+                self._refuse_one(listener)
+            if failed and not failed.done():
+                failed.set_result(None)
+            return False
+        self._make_room()
+        channel = Channel(self, sock)
+        channel.task = asyncio.create_task(channel.run())
+        self.channels[channel.task], self._unserved[channel] = channel, channel.task
+        channel.task.add_done_callback(self._over)
+        return True
 
     def _refuse(self, sock: socket.socket) -> None:
         self.core.counters["unavailable, no descriptors"] += 1
         with sock, suppress(OSError):
             sock.setblocking(False)
-            sock.send(self.unavailable(NO_DESCRIPTORS_RETRY))
+            sock.send(self.unavailable(STAY_AWAY))
 
     def _refuse_one(self, listener: socket.socket) -> None:
         """With no descriptor left, a spare one is given up for as long as it takes to refuse one client.
@@ -139,17 +153,26 @@
                     channel.end(SILENT)
 
     async def drain(self, seconds: float) -> None:
-        """Move every client, spread over this time; whoever is not up by then gets the final answer."""
+        """Move every client, spread over this time; whoever comes meanwhile is still served."""
         end = asyncio.get_running_loop().time() + seconds
         while self.core.rpcs and (left := end - asyncio.get_running_loop().time()) > 0:
             standing = [channel for channel in self.channels.values() if channel.standing]
             if standing:
                 standing[0].end(DRAIN)
             await asyncio.sleep(min(0.1, left / (len(standing) + 1)))
+
+    async def close(self, listener: socket.socket) -> None:
+        """Answer whoever is not up, and whoever still stands in the backlog; nobody accepts beside this.
+
+        The listener is closed in the turn in which the backlog was found empty: whoever comes later is
+        refused by the kernel, and knows that nobody has taken its request.
+        """
         self.core.tell(api.Closing())
-        while self.core.rpcs:  # a few may have come up in this instant
+        while self._accept(listener):
+            pass
+        listener.close()
+        while self.channels:  # each has LINGER to take its last line
             for channel in self.channels.values():
-                channel.end(DRAIN)
-            await asyncio.sleep(0.02)
-        if self.channels:  # some are still taking their last line; the silent ones are not waited for
-            await asyncio.wait(self.channels, timeout=LINGER)
+                channel.end(DRAIN)  # a few may have come up in this instant
+                channel.turn_away()
+            await asyncio.wait(self.channels, timeout=0.02)
--- a/wheatstile/net/discovery.py
+++ b/wheatstile/net/discovery.py
@@ -50,7 +50,7 @@
         self.core, self.subchannels = core, subchannels
 
     def take(self, result: ResolverResult, kind: str) -> None:
-        self.subchannels.update(result.addresses.items(), kind != "delta")
+        self.subchannels.update(result.members, kind != "delta")
         self.core.tell(api.ServerList(kind, result.entries))
 
     def heard(self) -> None:
--- a/wheatstile/net/lines.py
+++ b/wheatstile/net/lines.py
@@ -68,15 +68,26 @@
     async def send(self, data: bytes) -> None:
         await self._loop.sock_sendall(self.sock, data)
 
+    def send_now(self, data: bytes) -> bytes:
+        """Send what the kernel takes in this very turn, and return the rest: nothing can come in between."""
+        try:
+            return data[self.sock.send(data) :]
+        except BlockingIOError:
+            return data
+
+    def peek(self) -> bytes | None:
+        """The next byte that has come but was not read; empty at the peer's end, None: nothing has come."""
+        try:
+            return self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return None
+
     def ended(self) -> bool:
         """Whether an idle connection has been ended by its peer, or has said what nobody asked for."""
         try:
-            self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
+            return self.pending or self.peek() is not None
         except OSError:
             return True
-        return True
 
     async def finish(self, last: bytes) -> None:
         """Send a last line and let the peer take it.
--- a/wheatstile/net/servers.py
+++ b/wheatstile/net/servers.py
@@ -3,7 +3,7 @@
 import asyncio
 import errno
 import socket
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from statistics import median
 
@@ -11,6 +11,7 @@
 
 from wheatstile import interface as api
 from wheatstile.config import reports
+from wheatstile.config.members import Named
 from wheatstile.config.platform import ServerLimits
 from wheatstile.net.core import Core
 from wheatstile.net.lines import LineSocket, LineTooLong
@@ -29,7 +30,6 @@
     "x1": "backlog_s",
 }
 OUTCOMES = {b"BYE": "ok", b"MOVE": "cancelled", b"ERR": "error", b"BUSY": "full"}
-PROBE_TIMEOUT = 0.1  # seconds that a server has for a probe; no setting tells it
 PROBES = 1 / 10  # of the descriptors, and no more, are for connections that probes go out on
 NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE)
 SWEEP = 1.0  # seconds between two looks at the delays of the subchannels' messages
@@ -56,6 +56,7 @@
     delays: list[float] = field(default_factory=list)  # of messages answered since the last sweep, in ms
     slow: bool = False  # messages took long at the last sweep
     owed: int = 0  # probes that the module has asked for and not been told of
+    leaving: bool = False  # it drains or is gone, as last told
     wanted: asyncio.Event = field(default_factory=asyncio.Event)
     prober: asyncio.Task[None] | None = None
 
@@ -82,12 +83,14 @@
         self.report: api.Report | None = None
 
     async def run(
-        self, first_line: Callable[[int], bytes], timeout: float, patient: bool = False
+        self, first_line: Callable[[int], bytes | None], timeout: float, patient: bool = False
     ) -> tuple[str, bytes]:
         """Connect, send the first line, and wait for the answer: the outcome ("up" or why not) and its line.
 
         A patient one takes all its time to connect: it has no other server to go to. Whether the attempt may
-        have run turns on the line's last byte: until it is written, whatever fails is a failed connect.
+        have run turns on the line's last byte: until it is written, whatever fails is a failed connect. If it
+        is sent at all is asked in the turn in which it goes out: while the connection came up the client may
+        have left, the server may have been told to drain, and the time may have run out.
         """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout
@@ -95,11 +98,23 @@
             self.lines = LineSocket(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
             async with asyncio.timeout(timeout if patient else min(self._limits.connect_timeout, timeout)):
                 await loop.sock_connect(self.lines.sock, self.subchannel.address)
-            async with asyncio.timeout_at(deadline):
-                await self.lines.send(first_line(max(1, int((deadline - loop.time()) * 1000))))
         except (OSError, TimeoutError) as error:
             # Without a descriptor of our own nothing was sent, and the server has not failed.
             return "moot" if getattr(error, "errno", 0) in NO_DESCRIPTORS else "connect_failed", b""
+        left = deadline - loop.time()
+        if left <= 0 or (self.subchannel.leaving and not patient):
+            return "moot", b""  # what stands at a server that drains may be set up again, nothing new
+        first = first_line(max(1, int(left * 1000)))
+        if first is None:
+            return "moot", b""
+        try:
+            if rest := self.lines.send_now(first):  # a new connection takes 4 KiB; should it not, wait for it
+                async with asyncio.timeout_at(deadline):
+                    await self.lines.send(rest)
+        except TimeoutError:
+            return "timeout", b""  # its last byte may have gone out in the same turn
+        except OSError:
+            return "connect_failed", b""
         try:
             async with asyncio.timeout_at(deadline):
                 line = await self.lines.read_line()
@@ -131,17 +146,19 @@
         self._probes = 0  # connections open for probes
         self._idle: dict[Subchannel, None] = {}  # those of them that are idle, the longest first
 
-    def update(self, addresses: Iterable[tuple[str, tuple[str, int] | None]], complete: bool) -> None:
+    def update(self, members: Collection[Named], complete: bool) -> None:
         """Follow the list: a changed address holds for what is opened next; None: the server is gone."""
-        latest = dict(addresses)
-        for name, address in latest.items():
+        latest = {member.entry.server: member.address for member in members}
+        for entry, address in members:
             if address is not None:
-                if name not in self.by_name:
-                    self.by_name[name] = Subchannel(name, address)
-                self.by_name[name].address = address
+                if entry.server not in self.by_name:
+                    self.by_name[entry.server] = Subchannel(entry.server, address)
+                subchannel = self.by_name[entry.server]
+                subchannel.address, subchannel.leaving = address, entry.state != "ready"
         for name in list(self.by_name) if complete else latest:
             if latest.get(name) is None and name in self.by_name:
                 subchannel = self.by_name.pop(name)
+                subchannel.leaving = True
                 if subchannel.prober:
                     subchannel.prober.cancel()
 
@@ -203,6 +220,7 @@
                         continue
                 if lines and lines.ended():  # a server may close what is idle; that is no failed probe
                     close()
+                reused = lines is not None
                 start = self.core.now()
                 outcome, report = "connect_failed", None
                 try:
@@ -210,7 +228,7 @@
                         self._spare_one()
                         lines = LineSocket(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
                         self._probes += 1
-                        async with asyncio.timeout(min(self.limits.connect_timeout, PROBE_TIMEOUT)):
+                        async with asyncio.timeout(self.limits.connect_timeout):
                             await asyncio.get_running_loop().sock_connect(lines.sock, subchannel.address)
                     outcome, report = await self._ask(lines)
                 except TimeoutError:
@@ -220,6 +238,9 @@
                         outcome = "moot"
                 if outcome != "ok":  # what it still owes would be taken for the next answer
                     close()
+                if reused and outcome == "reset":  # it was closed as idle while the probe went out
+                    self.core.counters["probe repeated"] += 1
+                    continue
                 self.core.counters[f"probe {outcome}"] += 1
                 subchannel.owed -= 1
                 self.core.tell(api.Probed(subchannel.name, outcome, self.core.now() - start, report))
@@ -235,7 +256,7 @@
 
     async def _ask(self, lines: LineSocket) -> tuple[str, api.Report | None]:
         try:
-            async with asyncio.timeout(PROBE_TIMEOUT):
+            async with asyncio.timeout(self.limits.probe_timeout):
                 await lines.send(b"STATS\r\n")
                 line = await lines.read_line()
         except TimeoutError:
--- a/wheatstile/node.py
+++ b/wheatstile/node.py
@@ -42,10 +42,11 @@
 OPERATOR_FILE = "WHEATSTILE_FILE"  # the variable that names the operator's file, where no option does
 
 
-async def listening(address: tuple[str, int]) -> socket.socket:
+async def listening(address: tuple[str, int], terminated: asyncio.Event) -> socket.socket | None:
     """A listener on `address`; while a process that is about to end still holds it, it is waited for.
 
-    Raises OSError when it cannot be had within ADDRESS_WITHIN.
+    None if this process is to end meanwhile: it has nobody to serve. Raises OSError when the address cannot
+    be had within ADDRESS_WITHIN.
     """
     loop = asyncio.get_running_loop()
     end, told = loop.time() + ADDRESS_WITHIN, False
@@ -59,7 +60,10 @@
                 where = f"{address[0]}:{address[1]}"
                 log.warning("the address is held", address=where, wait_s=ADDRESS_WITHIN)
             told = True
-            await asyncio.sleep(0.05)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(0.05):
+                    await terminated.wait()
+                return None
         else:
             listener.setblocking(False)
             return listener
@@ -161,14 +165,19 @@
 
     async def run(self) -> None:
         """Serve from start to SIGTERM, then send every client away while there is time."""
-        with await listening(self.config.listen) as listener:
-            self.core.start(self.subchannels, self.resolver)
-            self.resolver.take(self.config.known, "cached")
-            if not self.config.settings.list_on_request:
-                self.resolver.watch()  # what is pushed counts as told from the first moment
-            self.follow_operator()
+        # Before the address is had: a signal may be acted on as soon as there is somebody to tell of it.
+        self.core.start(self.subchannels, self.resolver)
+        self.resolver.take(self.config.known, "cached")
+        if not self.config.settings.list_on_request:
+            self.resolver.watch()  # what is pushed counts as told from the first moment
+        self.follow_operator()
+        listener = await listening(self.config.listen, self.terminated)
+        if listener is None:
+            log.info("told to end before it served")
+            return
+        with listener:
+            accepting = asyncio.create_task(supervised("accept", lambda: self.channels.serve(listener)))
             parts = [
-                asyncio.create_task(supervised("accept", lambda: self.channels.serve(listener))),
                 asyncio.create_task(supervised("silence", self.channels.sweep)),
                 asyncio.create_task(supervised("delays", self.subchannels.sweep)),
             ]
@@ -176,18 +185,21 @@
             await self.terminated.wait()
             log.info("draining", connections=len(self.core.rpcs))
             time = min(self.config.longest_deadline, COUNTED_DEADLINE) + KILLED_AFTER
-            with suppress(TimeoutError):
-                async with asyncio.timeout(time - SPARE + LINGER):
-                    begin = max(STILL_COMING, time - SPARE - SPREAD)
-                    await asyncio.sleep(begin)
-                    await self.channels.drain(time - SPARE - begin)
+            begin = max(STILL_COMING, time - SPARE - SPREAD)
+            await asyncio.sleep(begin)
+            await self.channels.drain(time - SPARE - begin)
+            accepting.cancel()
+            await asyncio.wait([accepting])
+            with suppress(TimeoutError):  # a time of its own: however late it is, all get an answer
+                async with asyncio.timeout(LINGER):
+                    await self.channels.close(listener)
             self.resolver.close()
             for section in (self.servers_section, self.descriptions_section):
                 if section:
                     section.close()
-            for part in parts:
+            for part in (accepting, *parts):
                 part.cancel()
-            await asyncio.wait(parts)
+            await asyncio.wait([accepting, *parts])
         log.info("counters", **self.core.counters)
 
 
--- a/wheatstile/resolvers/combined.py
+++ b/wheatstile/resolvers/combined.py
@@ -138,11 +138,10 @@
                     work = (now, choice, told, self.file, dict(self.lines))
                     lines = await asyncio.to_thread(merge.merge, *work)
                     delta = await asyncio.to_thread(merge.changes, work[4], lines)
-                    # Addresses alone decide nothing, so they may come in portions.
+                    # Addresses alone send nothing, so they may come in portions.
                     for start in range(0, len(delta), PORTION):
                         part = delta[start : start + PORTION]
-                        new = [(one.entry.server, one.address) for one in part if one.address]
-                        self.subchannels.update(new, False)
+                        self.subchannels.update([one for one in part if one.address], False)
                         await asyncio.sleep(0)
                     if version != self._version:
                         continue
@@ -171,12 +170,10 @@
     def _tell(self, changes: list[Named], addresses: bool = True) -> None:
         """One event for all that has changed: the module never sees a part of a list."""
         if addresses:
-            self.subchannels.update(
-                [(one.entry.server, one.address) for one in changes if one.address], False
-            )
+            self.subchannels.update([one for one in changes if one.address], False)
         with uncollected():
             self.core.tell(api.ServerList("delta", [one.entry for one in changes]))
-        gone = [(one.entry.server, None) for one in changes if one.address is None]
+        gone = [one for one in changes if one.address is None]
         if gone:
             self.subchannels.update(gone, False)
         log.debug("the module was told", changed=len(changes), gone=len(gone))
