--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -201,6 +201,21 @@
         self.assertEqual(client.line(), "UP r")
 
 
+    def test_a_server_that_leaves_while_its_probe_is_out_holds_nobody(self) -> None:
+        self.start()
+        watch, _ = self.discovery.watch()
+        watch.begin_watch()
+        self.up(1)
+        client = self.open(2)
+        self.assertEqual(self.server.probes[0].line(), "STATS")  # and no answer
+        other = Listener()
+        watch.chunk(2, self.member("s2", host_port=other.address), complete=True)
+        server, line = other.rpc()
+        self.assertIn("0000000000000002", line)
+        server.send("UP r")
+        self.assertEqual(client.line(), "UP r")
+
+
 class Drains(CrossingTest):
     settings = UNPROBED
 
@@ -346,6 +361,18 @@
         self.until("event ServerList", 3)
         self.up()
 
+    def test_a_change_from_before_the_list_that_stands_undoes_nothing(self) -> None:
+        self.start()
+        watch, _ = self.discovery.watch()
+        watch.begin_watch()
+        watch.chunk(5, self.member(phase="draining"))
+        watch.chunk(4, self.member(phase="ready"))
+        watch.chunk(6, self.member("s2", phase="draining"))
+        self.until("event ServerList", 3)
+        client = self.open(wait=300)
+        self.assertRegex(client.line(), "^BUSY")
+        self.assertEqual(select.select([self.server.sock], [], [], 0)[0], [])
+
     def test_a_list_that_never_ends_is_silence(self) -> None:
         self.start()
         watch, _ = self.discovery.watch()
