Give cold servers their budget by the window of the settings, and repeats only twice the credit

Traced (one line a send to a cold server, a trial on a scratch copy; 200 balancers): of 40 to 47 sends in the worst 1.5 s, 16 to 41 were repeats; each balancer held 4.2 requests, of which 0.8 were open, and had saved up to one credit. Lines at fault: rules.py, cold_room took a set-up to weigh one second of a connection, but what is sent in a window stays through it; and fit let each balancer spend its saved credit on repeats.

Both new tests in test_rules.py fail on the text before.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -259,6 +259,34 @@
 # Rule 4.
 
 
+def test_a_repeat_goes_to_a_cold_server_only_with_twice_the_credit() -> None:
+    """In a storm most of what reached cold servers were repeats, one from each of many balancers."""
+    world = World("a", cold_multiple=20.0)
+    world.tell(api.ServerList("full", entries("a", started=world.now)))
+    for number in range(20):
+        world.connect(f"c{number}", "a")
+    server, conn = world.balancer.servers["a"], next(iter(world.balancer.open))
+    for attempts, tokens, may in ((0, 0.9, False), (0, 1.0, True), (1, 1.9, False), (1, 2.0, True)):
+        conn.attempts, server.tokens, server.tokens_at = attempts, tokens, world.balancer.now
+        assert world.balancer.fit(server, conn) is may
+
+
+def test_a_cold_servers_budget_is_for_the_window_that_the_settings_give() -> None:
+    grown = []
+    for window in (SECOND, 2 * SECOND, 4 * SECOND):
+        world = World("a", "b", cold_window=window)
+        world.tell(api.ServerList("full", entries("a") + entries("b", started=world.now)))
+        for number in range(100):
+            world.connect(f"c{number}", "a")
+        server = world.balancer.servers["b"]
+        server.tokens, server.tokens_at = 0.0, world.balancer.now
+        world.balancer.now += SECOND // 10
+        world.balancer.cold_room(server, False)
+        grown.append(server.tokens)
+    assert grown[0] > 0
+    assert grown[1:] == pytest.approx([grown[0] / 2, grown[0] / 4])
+
+
 def test_a_cold_server_gets_a_small_part_until_it_is_warm() -> None:
     world = World("a", "b", loads={"a": 0.5, "b": 0.0})
     for index in range(20):
--- a/wheatstile/rules.py
+++ b/wheatstile/rules.py
@@ -207,26 +207,26 @@
                     slot = (slot + 1) & last
                 table[slot] = server
 
-    def cold_room(self, server: Server) -> bool:
+    def cold_room(self, server: Server, repeat: bool) -> bool:
         """Rule 4: whether a cold server may be sent one more, within this balancer's part of its budget.
 
         What fills a server is taken from the others: clients here, spread over them, make the mean load.
-        All balancers' parts, in waves too, add up to what one server holds. A set-up weighs no more than a
-        connection's second: so many a second are what it can do, by its warmth, and the budget a multiple.
+        All balancers' parts, in waves too, add up to what one server holds. A set-up weighs as a connection for
+        the window at most: so many a window are what it can do, by its warmth. Repeats need twice.
         """
         age = self.now - server.entry.started
         if server.entry.started <= 0 or age >= self.settings.warm_after:
             return True
         warmth = max(self.settings.cold_from, age / self.settings.warm_after)
         holds = (len(self.connections) + 1) / len(self.ready) / max(self.mean_x, 0.2) * warmth
-        rate = holds * self.settings.cold_multiple / SECOND
+        rate = holds * self.settings.cold_multiple / max(SECOND, self.settings.cold_window)
         gain, most = (self.now - server.tokens_at) * rate, self.settings.cold_window * rate
         server.tokens, server.tokens_at = min(max(most, 1.0), server.tokens + gain), self.now
-        return server.tokens >= 1.0
+        return server.tokens >= 1.0 + repeat
 
     def fit(self, server: Server, conn: Connection | None) -> bool:
         """Whether a connection may go here; rule 2: once it may have run, where repeats are discarded."""
-        if server.entry.state != "ready" or not self.cold_room(server):
+        if server.entry.state != "ready" or not self.cold_room(server, bool(conn and conn.attempts)):
             return False
         if not conn or not conn.ran or conn.kind.repeat == "safe":
             return True
