--- a/wheatstile/rules.py
+++ b/wheatstile/rules.py
@@ -211,8 +211,8 @@
         """Rule 4: whether a cold server may be sent one more, within this balancer's part of its budget.
 
         What fills a server is taken from the others: clients here, spread over them, make the mean load.
-        All balancers' parts, in waves too, add up to what one server holds. A set-up weighs as a connection for
-        the window at most: so many a window are what it can do, by its warmth. Repeats need twice.
+        All balancers' parts, in waves too, add up to what one server holds. A set-up weighs as a connection
+        for the window at most: so many a window are what it can do, by its warmth. A repeat needs twice that.
         """
         age = self.now - server.entry.started
         if server.entry.started <= 0 or age >= self.settings.warm_after:
