Serve a request that comes on a resting connection in the moment its time is up

Seen by reading channel.py, _first_line, and shown by a test: after PONG a client may rest for 2 s; a request that came in the turn in which these were up was read by the very read that the time-out then cancelled, and the connection was closed with no answer. A request that stood unread at that moment was closed over, which is a reset. Ruled out: the same at the end of the balancer (`turn_away`); its test passes on the text before as well. Now whoever rests is waited for without reading (LineSocket.readable), and what has come by the end of the time is read.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -457,6 +457,40 @@
             self.assertIn(client.line(), ("ERR", "BUSY 1000"))
         self.assertEqual(pinging.line(), "")
 
+    def test_a_request_on_a_resting_connection_as_its_time_is_up_is_served(self) -> None:
+        """Before, a balancer that ended it closed over the unread request: a reset, and no answer."""
+        self.start()
+        resting, silent = self.client(), self.client()
+        for client in (resting, silent):
+            client.send("PING")
+            self.assertEqual(client.line(), "PONG")
+        with self.stopped():
+            time.sleep(2.1)  # more than FIRST_LINE_WITHIN, which is up before it goes on
+            resting.send("OPEN 0000000000000001 key1 c=web,d=9000,g=abc")
+        server, line = self.server.rpc()
+        self.assertIn("0000000000000001", line)
+        server.send("UP r")
+        self.assertEqual(resting.line(), "UP r")
+        self.assertEqual(silent.line(), "")
+        self.goes_on(2)
+
+    def test_a_request_on_a_resting_connection_as_the_balancer_ends_is_answered(self) -> None:
+        self.start()
+        self.terminate()
+        self.logged("draining")
+        resting = [self.client() for _ in range(3)]
+        for client in resting:
+            client.send("PING")
+            self.assertEqual(client.line(), "PONG")
+        with self.stopped():
+            time.sleep(1.9)  # with nobody to move it closes 1.7 s after the signal
+            for number, client in enumerate(resting, 1):
+                client.send(f"OPEN {number:016x} key{number} c=web,d=9000,g=abc")
+        for client in resting:
+            self.assertRegex(client.line(), "^BUSY [1-9]")
+        assert self.node
+        self.assertEqual(self.node.wait(PATIENCE), 0)
+
     def test_whoever_stands_in_the_backlog_when_it_ends_is_answered_however_late_it_is(self) -> None:
         self.start()
         self.terminate()
--- a/wheatstile/net/channel.py
+++ b/wheatstile/net/channel.py
@@ -182,7 +182,7 @@
 
     async def _first_line(self) -> bytes:
         """Empty for a client that is turned away before it has asked for anything."""
-        idle_ends: type[Exception] = Malformed
+        line = b""
         try:
             while not self._turned_away:
                 try:
@@ -194,18 +194,16 @@
                     break
                 self.core.counters["pings"] += 1
                 await self.lines.send(b"PONG\r\n")
-                idle_ends = ChannelEnded
-            else:
                 line = b""
+                await self._rest()
         except TimeoutError:
-            line = b""
             if not self._turned_away:
-                raise idle_ends from None
+                raise Malformed from None
         except LineTooLong:
             raise Malformed from None
         except OSError:
             raise ChannelEnded(reset=True) from None
-        if self._turned_away and not line and idle_ends is Malformed:
+        if self._turned_away and not line:
             return b""
         if not line:
             raise ChannelEnded
@@ -214,6 +212,20 @@
         self._check_waiting()
         return line
 
+    async def _rest(self) -> None:
+        """Wait for a client that has been told PONG and may ask for something, or may not.
+
+        What it asks in the very moment in which its time is up stays unread: it is answered, not closed over.
+        """
+        try:
+            async with asyncio.timeout(FIRST_LINE_WITHIN) as self._first_line_by:
+                await self.lines.readable()
+        except TimeoutError:
+            if self.lines.peek() is None:
+                raise ChannelEnded from None
+        finally:
+            self._first_line_by = None
+
     async def _set_up_in_time(self, first: FirstLine) -> bytes:
         """Empty once the RPC is up, else its final answer."""
         self.core.counters["RPCs"] += 1
--- a/wheatstile/net/lines.py
+++ b/wheatstile/net/lines.py
@@ -75,6 +75,15 @@
         except BlockingIOError:
             return data
 
+    async def readable(self) -> None:
+        """Until something has come, or the peer's end. Whoever gives up waiting loses nothing that came."""
+        ready = asyncio.Event()
+        self._loop.add_reader(self.sock, ready.set)
+        try:
+            await ready.wait()
+        finally:
+            self._loop.remove_reader(self.sock)
+
     def peek(self) -> bytes | None:
         """The next byte that has come but was not read; empty at the peer's end, None: nothing has come."""
         try:
