Keep a group to the same servers beyond its pair, and restore the pace by connections held

Lines at fault, both in rules.py: - place_anew drew a request's second pair at random. Each server that holds any of a group pays for the group, so in a wave all servers came to pay for all groups. The next pair is hashed from the one before now. - credit() restored 60 a second to a pace that failures cut, whatever the balancer's size. One of 200 sees a failure now and then and had its pace back before the next; and counted itself as 20 connections where it held 2. Restored by the connections held now, and a new balancer counts its part of 27 a server (20 at the size it was set for). Both new tests in test_rules.py fail on the text before.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -515,6 +515,38 @@
     assert all(finals(world, f"r{index}") or f"r{index}" in sent for index in range(40))
 
 
+def test_the_pace_comes_back_by_the_connections_held_as_failures_do() -> None:
+    """Each of two hundred balancers saw a failure now and then, and had its pace back before the next."""
+    grown = []
+    for number in (4, 100):
+        world = World("a", "b", fleet_size=200)
+        for index in range(number):
+            world.connect(f"c{index}", "a")
+        world.balancer.pace, world.balancer.credit_at = 1.0, world.balancer.now
+        world.balancer.now += SECOND
+        world.balancer.credit()
+        grown.append(world.balancer.pace - 1.0)
+    assert grown[0] < 4
+    assert 50 < grown[1] < 70
+
+
+def test_a_group_grows_to_the_same_servers_at_every_balancer() -> None:
+    """Beyond its pair each balancer drew others, until each server paid for each group and none had room."""
+    names = [f"s{index}" for index in range(20)]
+    for group in ("g1", "g2", "g3"):
+        first = World(*names, fleet_size=50)
+        probes = first.tell(api.Request("r", "web", SECOND, "k", group=group))
+        full = dict.fromkeys((probe.server for probe in of(probes, api.Probe)), X_FULL + 0.1)
+        assert len(full) == 2
+        chosen = set()
+        for seed in range(2, 8):
+            world = World(*names, fleet_size=50, seed=seed, loads=dict.fromkeys(names, 0.4) | full)
+            world.request("r", group=group)
+            world.run(SECOND)
+            chosen |= {send.server for send in of(world.log, api.Send)}
+        assert len(chosen) <= 2 and not chosen & set(full)
+
+
 def test_a_full_fleet_refuses_with_advice() -> None:
     """Newcomers placed on full servers made every message there late."""
     world = World("a", "b", loads={"a": X_FULL + 0.1, "b": X_FULL + 0.2})
--- a/wheatstile/rules.py
+++ b/wheatstile/rules.py
@@ -37,9 +37,9 @@
 COUNTS = ("inflight", "queue")  # report values whose size says nothing of a server's capacity
 X_NAMES = ("load", "busy", "backlog_s", *COUNTS)  # what is read as X, the best first
 LIFE = 60  # seconds: set-ups at a pace of 1 would renew all open connections in this time
-# Of that; per second, per failure. When a balancer ends, its clients all come again within a second or so.
-PACE_START, PACE_MAX, PACE_GAIN, PACE_CUT = 240.0, 480.0, 60.0, 0.7
-PACE_LEAST = 20  # connections that the pace counts a balancer as having had, that has just started
+# Of that; per second and connection, as failures are; per failure. An ended one's clients all come at once.
+PACE_START, PACE_MAX, PACE_GAIN, PACE_CUT = 240.0, 480.0, 0.6, 0.7
+PACE_LEAST = 27  # connections at each server, of which a balancer that has just started counts its part
 RETRY_ADVICE = SECOND  # a refused client stays away about this long
 
 
@@ -302,9 +302,10 @@
         Set-ups may share a store that a wave of them keeps from answering any in time, wave after wave.
         """
         passed, self.credit_at = (self.now - self.credit_at) / SECOND, self.now
-        self.pace = min(PACE_MAX, self.pace + PACE_GAIN * passed)
         self.peak = max(self.peak * (1 - 0.01 * min(passed, 1.0)), len(self.open))
-        rate = self.pace * (self.peak + PACE_LEAST) / LIFE
+        size = max(self.peak, PACE_LEAST * len(self.ready) / self.settings.fleet_size)
+        self.pace = min(PACE_MAX, self.pace + PACE_GAIN * size * passed)
+        rate = self.pace * size / LIFE
         self.credits = min(self.credits + rate * passed, max(1.0, rate / 2))
         spent = self.credits >= 1
         self.credits -= spent
@@ -320,7 +321,8 @@
         conn.again = False
         first = self.draw(conn, near=self.settings.cross_price > 0)
         second = self.draw(conn, first) if first else None
-        conn.pair, conn.spot, conn.pairs = [server for server in (first, second) if server], 0, conn.pairs + 1
+        conn.pair, conn.pairs = [server for server in (first, second) if server], conn.pairs + 1
+        conn.spot = crc32(b"next", conn.spot) if conn.spot else 0  # a group's next pair is one everywhere too
         for server in conn.pair:
             self.ask(server, self.choose, conn)
         if not conn.out:
@@ -328,9 +330,8 @@
 
     def hold(self, conn: Connection, delay: int) -> None:
         """Wait with it; only its last timer counts, else each would start a chain of draws of its own."""
-        delay = max(1, min(delay, conn.deadline - self.now))
-        conn.due = self.now + delay
-        self.actions.append(api.SetTimer(delay, f"hold:{conn.due}:{conn.id}"))
+        conn.due = self.now + max(1, min(delay, conn.deadline - self.now))
+        self.actions.append(api.SetTimer(conn.due - self.now, f"hold:{conn.due}:{conn.id}"))
 
     def choose(self, conn: Connection, expired: bool = False) -> None:
         """Send a held request to the less loaded candidate once both have answered, or time is up."""
@@ -339,9 +340,8 @@
             return
         fit = [s for s in conn.pair if not s.probing and self.load(s) < UNREAD and self.fit(s, conn)]
         fit = [s for s in fit if s.suspect_until <= self.now] or fit  # suspects if no other is left
-        price = CROSS_WEIGHT * self.settings.cross_price  # for as long as the connection lives
-        costs = [self.load(server) + price * (server.entry.zone != self.settings.zone) for server in fit]
-        best = fit[costs.index(min(costs))] if fit else None
+        price, home = CROSS_WEIGHT * self.settings.cross_price, self.settings.zone  # for all of its life
+        best = min(fit, key=lambda s: self.load(s) + price * (s.entry.zone != home), default=None)
         if best and self.load(best) < X_FULL:
             self.send(conn, best)
         elif self.now >= conn.deadline or (best and self.mean_x >= X_FULL):
