Meet cold servers by chance where a balancer's part of their budget is less than one request

Traced on a scratch copy, one line a send (182 balancers): at most 20 sends to a server in 1.5 s, none a repeat, each from another balancer, each with a credit of 1.00. So it is what each had saved up that goes out in a wave. Lines at fault: rules.py, cold_room let each balancer's part (0.1 to 0.4 a window there) add up to a whole one. Now a part below one is the chance to meet the server, and a send is owed until parts make up for it.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -271,6 +271,27 @@
         assert world.balancer.fit(server, conn) is may
 
 
+def test_two_hundred_balancers_do_not_save_up_one_request_each_for_a_cold_server() -> None:
+    """A server fell over that got one request from each of thirty balancers within 1.5 s."""
+    met = 0
+    for seed in range(200):
+        world = World(*"abcdefgh", fleet_size=200, seed=seed)
+        cold = entries("cold", started=world.now)
+        world.tell(api.ServerList("delta", cold))
+        for index in range(2):
+            world.connect(f"c{index}", "a")
+        server, conn = world.balancer.servers["cold"], next(iter(world.balancer.open))
+        conn.attempts = 0
+        world.balancer.now += 4 * SECOND  # with nobody to send
+        if world.balancer.fit(server, conn):
+            met += 1
+            server.tokens -= 1.0
+            assert not world.balancer.fit(server, conn)  # what is sent is owed
+    # 3 connections with this one, on 9 servers at a load of 0.5: a warm one holds 0.67, a cold one a fifth of it;
+    # three times so much may be sent to it, 80 by all of them.
+    assert 60 < met < 100
+
+
 def test_a_cold_servers_budget_is_for_the_window_that_the_settings_give() -> None:
     grown = []
     for window in (SECOND, 2 * SECOND, 4 * SECOND):
--- a/wheatstile/rules.py
+++ b/wheatstile/rules.py
@@ -207,12 +207,12 @@
                     slot = (slot + 1) & last
                 table[slot] = server
 
-    def cold_room(self, server: Server, repeat: bool) -> bool:
+    def cold_room(self, server: Server, repeat: bool, met: bool = False) -> bool:
         """Rule 4: whether a cold server may be sent one more, within this balancer's part of its budget.
 
-        What fills a server is taken from the others: clients here, spread over them, make the mean load.
-        All balancers' parts, in waves too, add up to what one server holds. A set-up weighs as a connection
-        for the window at most: so many a window are what it can do, by its warmth. A repeat needs twice that.
+        Clients here, spread over the others, make the mean load: all balancers' parts, in waves too, are what
+        one server holds. A set-up weighs as a connection for the window at most. A repeat needs twice that.
+        Less than one is the chance to meet it: saved up by each, it would go out at once in a wave.
         """
         age = self.now - server.entry.started
         if server.entry.started <= 0 or age >= self.settings.warm_after:
@@ -221,12 +221,12 @@
         holds = (len(self.connections) + 1) / len(self.ready) / max(self.mean_x, 0.2) * warmth
         rate = holds * self.settings.cold_multiple / max(SECOND, self.settings.cold_window)
         gain, most = (self.now - server.tokens_at) * rate, self.settings.cold_window * rate
-        server.tokens, server.tokens_at = min(max(most, 1.0), server.tokens + gain), self.now
-        return server.tokens >= 1.0 + repeat
+        server.tokens, server.tokens_at = min(most, server.tokens + gain), self.now
+        return server.tokens >= (1 + repeat) * (most >= 1 or (not met and self.random.random()))
 
-    def fit(self, server: Server, conn: Connection | None) -> bool:
+    def fit(self, server: Server, conn: Connection | None, met: bool = False) -> bool:
         """Whether a connection may go here; rule 2: once it may have run, where repeats are discarded."""
-        if server.entry.state != "ready" or not self.cold_room(server, bool(conn and conn.attempts)):
+        if server.entry.state != "ready" or not self.cold_room(server, bool(conn and conn.attempts), met):
             return False
         if not conn or not conn.ran or conn.kind.repeat == "safe":
             return True
@@ -338,7 +338,7 @@
         held = conn.id in self.connections and not conn.out and conn not in self.open
         if not held or (not expired and any(s.probing for s in conn.pair)):
             return
-        fit = [s for s in conn.pair if not s.probing and self.load(s) < UNREAD and self.fit(s, conn)]
+        fit = [s for s in conn.pair if not s.probing and self.load(s) < UNREAD and self.fit(s, conn, True)]
         fit = [s for s in fit if s.suspect_until <= self.now] or fit  # suspects if no other is left
         price, home = CROSS_WEIGHT * self.settings.cross_price, self.settings.zone  # for all of its life
         best = min(fit, key=lambda s: self.load(s) + price * (s.entry.zone != home), default=None)
