--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -287,7 +287,7 @@
             met += 1
             server.tokens -= 1.0
             assert not world.balancer.fit(server, conn)  # what is sent is owed
-    # 3 connections with this one, on 9 servers at a load of 0.5: a warm one holds 0.67, a cold one a fifth of it;
+    # 3 connections with this one, on 9 servers at a load of 0.5: a warm one holds 0.67, a cold one a fifth;
     # three times so much may be sent to it, 80 by all of them.
     assert 60 < met < 100
 
