Give a probe twice the shortest message aim, not that and the time to connect

The new test fails on the text before. Tests that hold a probe have an aim of their own now, so that no time runs out in them.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -20,9 +20,13 @@
 
 from peers import PATIENCE, ROOT, SETTINGS, Listener, NodeTest, Peer
 
+from wheatstile.config.platform import ServerLimits
+
 LIMITS: dict[str, Any] = SETTINGS["limits"]
 # The module sends at once, and looks at no server.
 UNPROBED = {"familyInfo": {}, "limits": LIMITS | {"mayProbe": False, "dialTimeoutUs": 8_000_000}}
+# A probe may be out for as long as the test holds it.
+PATIENT = {"familyInfo": SETTINGS["familyInfo"] | {"messageAimUs": [PATIENCE * 1e6]}}
 SYN_SENT = "02"  # in /proc/net/tcp
 
 
@@ -176,6 +180,8 @@
 
 
 class HeldByTheModule(CrossingTest):
+    settings = PATIENT
+
     def test_one_that_left_while_its_probe_was_out_is_not_sent_on(self) -> None:
         self.start()
         self.up(1)  # and so a probe's connection is there
@@ -299,6 +305,8 @@
 
 
 class Probes(CrossingTest):
+    settings = PATIENT
+
     def settled(self) -> Peer:
         """A probe's connection that has served, and a second client that waits for what it tells."""
         self.start()
@@ -325,6 +333,10 @@
                 self.assertNotIn("probe reset", counters)
                 self.stop()
 
+    def test_a_probes_time_is_twice_the_shortest_aim_of_the_settings(self) -> None:
+        for aim, seconds in ((50.0, 0.1), (100.0, 0.2), (0.0, 0.25)):
+            self.assertEqual(ServerLimits(0.25, 15.0, True, aim, 100).probe_timeout, seconds)
+
     def test_a_new_connection_that_ends_as_a_probe_goes_out_is_a_failure(self) -> None:
         self.settled().close()
         again = self.server.accept()
--- a/wheatstile/config/platform.py
+++ b/wheatstile/config/platform.py
@@ -24,9 +24,12 @@
 
     @property
     def probe_timeout(self) -> float:
-        """Seconds that a server has for a probe's answer: what it has to take a connection, and to answer a
-        message in time. Whatever takes longer is no place for a client, be it up or not."""
-        return self.connect_timeout + self.shortest_aim / 1000
+        """Seconds that a server has for a probe's answer, once connected: twice what a message may take.
+
+        It is answered beside the queue, so a sound server takes a pause of its own at most; each moment more
+        is one in which newcomers still go to a server that hangs. Without aims: what it has to be connected.
+        """
+        return 2 * self.shortest_aim / 1000 or self.connect_timeout
 
 
 @dataclass(frozen=True, slots=True)
