Say once what the last changes said twice, and drop a cancel that was dead

Read again as one change; no decision, bound or answer is another. - node.py cancelled and awaited `accepting` a second time at the end, long after it had ended. - discovery.py worked out twice whether a list is new; channel.py asked twice whether the server's last line was its last. - rules.py, cold_room: the credit that is needed is spelt out, where it was a product of truth values. - store/member.py looked up an unsettled read in two alike loops. - Tests: PING and PONG stood five times and the first line three times beside NodeTest.open: `resting`, and a client that `open` is given. NoAdvice and ShortAdvice were one test with two settings; both cases and answers are kept.

--- a/tests/peers.py
+++ b/tests/peers.py
@@ -178,10 +178,7 @@
         end = time.monotonic() + PATIENCE
         while True:
             try:
-                client = self.client()
-                client.send("PING")
-                self.assertEqual(client.line(), "PONG")
-                return client.close()
+                return self.resting().close()
             except ConnectionRefusedError:
                 self.assertIsNone(self.node.poll(), "the program ended")
                 self.assertLess(time.monotonic(), end, "the program never listened")
@@ -190,8 +187,19 @@
     def client(self) -> Peer:
         return Peer(socket.create_connection(self.listen, PATIENCE))
 
-    def open(self, number: int = 1, wait: int = 9000, more: str = "", group: str = "abc") -> Peer:
+    def resting(self) -> Peer:
+        """A client that has asked for nothing but PONG."""
         client = self.client()
+        client.send("PING")
+        self.assertEqual(client.line(), "PONG")
+        return client
+
+    def open(
+        self, number: int = 1, wait: int = 9000, more: str = "", group: str = "abc",
+        client: Peer | None = None,
+    ) -> Peer:
+        """A client, a new one if none is given, that has sent its first line."""
+        client = client or self.client()
         client.send(f"OPEN {number:016x} key{number} c=web,d={wait},g={group}{more}")
         return client
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -456,10 +456,9 @@
 
     def test_one_that_has_said_nothing_yet_is_told_to_come_again(self) -> None:
         self.start()
-        silent, half, pinging = self.client(), self.client(), self.client()
+        silent, half = self.client(), self.client()
         half.sock.sendall(b"OPEN 00000000000")
-        pinging.send("PING")
-        self.assertEqual(pinging.line(), "PONG")
+        pinging = self.resting()
         self.terminate()
         self.logged("draining")
         time.sleep(1.5)  # FIRST_LINE_WITHIN would have ended the first ones
@@ -472,13 +471,10 @@
     def test_a_request_on_a_resting_connection_as_its_time_is_up_is_served(self) -> None:
         """Before, a balancer that ended it closed over the unread request: a reset, and no answer."""
         self.start()
-        resting, silent = self.client(), self.client()
-        for client in (resting, silent):
-            client.send("PING")
-            self.assertEqual(client.line(), "PONG")
+        resting, silent = self.resting(), self.resting()
         with self.stopped():
             time.sleep(2.1)  # more than FIRST_LINE_WITHIN, which is up before it goes on
-            resting.send("OPEN 0000000000000001 key1 c=web,d=9000,g=abc")
+            self.open(1, client=resting)
         server, line = self.server.rpc()
         self.assertIn("0000000000000001", line)
         server.send("UP r")
@@ -490,14 +486,11 @@
         self.start()
         self.terminate()
         self.logged("draining")
-        resting = [self.client() for _ in range(3)]
-        for client in resting:
-            client.send("PING")
-            self.assertEqual(client.line(), "PONG")
+        resting = [self.resting() for _ in range(3)]
         with self.stopped():
             time.sleep(1.9)  # with nobody to move it closes 1.7 s after the signal
             for number, client in enumerate(resting, 1):
-                client.send(f"OPEN {number:016x} key{number} c=web,d=9000,g=abc")
+                self.open(number, client=client)
         for client in resting:
             self.assertRegex(client.line(), "^BUSY [1-9]")
         assert self.node
@@ -573,28 +566,19 @@
         self.ready()
 
 
-class NoAdvice(CrossingTest):
-    settings = UNPROBED | {"limits": UNPROBED["limits"] | {"retryAfter": False}}
-
-    def test_where_clients_are_told_no_time_none_is_told(self) -> None:
-        self.start()
-        self.terminate()
-        self.logged("draining")
-        time.sleep(1.5)
-        late = self.client()
-        self.assertEqual((late.line(), late.line()), ("BUSY", ""))
-
-
-class ShortAdvice(CrossingTest):
-    settings = UNPROBED | {"limits": UNPROBED["limits"] | {"maxRetryAfterUs": 300_000}}
-
-    def test_no_longer_time_is_told_than_clients_follow(self) -> None:
-        self.start()
-        self.terminate()
-        self.logged("draining")
-        time.sleep(1.5)
-        late = self.client()
-        self.assertEqual((late.line(), late.line()), ("BUSY 300", ""))
+class Advice(CrossingTest):
+    def test_no_longer_time_is_told_than_clients_follow_and_none_where_they_are_told_none(self) -> None:
+        for limits, answer in (({"retryAfter": False}, "BUSY"), ({"maxRetryAfterUs": 300_000}, "BUSY 300")):
+            with self.subTest(answer=answer):
+                self.setUp()
+                self.settings = UNPROBED | {"limits": UNPROBED["limits"] | limits}
+                self.start()
+                self.terminate()
+                self.logged("draining")
+                time.sleep(1.5)
+                late = self.client()
+                self.assertEqual((late.line(), late.line()), (answer, ""))
+                self.stop()
 
 
 class Settings(CrossingTest):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -264,9 +264,7 @@
 
     def test_an_own_want_of_descriptors_is_no_servers_failure(self) -> None:
         self.start()
-        client = self.client()
-        client.send("PING")
-        self.assertEqual(client.line(), "PONG")
+        client = self.resting()
         assert self.node
         resource.prlimit(self.node.pid, resource.RLIMIT_NOFILE, (3, 1024))
         client.send(f"OPEN {1:016x} key c=web,d=9000,g=a")
--- a/wheatstile/net/channel.py
+++ b/wheatstile/net/channel.py
@@ -399,7 +399,7 @@
                     self._farewell = last if last.startswith((b"BYE", b"MOVE")) else b""
             except OSError:
                 raise ChannelEnded(reset=True) from None
-        outcome, report = verdict_of(last) if last.startswith((b"BYE", b"MOVE")) else ("reset", None)
+        outcome, report = verdict_of(self._farewell) if self._farewell else ("reset", None)
         return outcome, report, reset and outcome == "reset"
 
     def _note_load(self, text: bytes) -> None:
--- a/wheatstile/net/discovery.py
+++ b/wheatstile/net/discovery.py
@@ -148,16 +148,15 @@
                 result = ResolverResult.read(json.loads(text))
             except (ValueError, KeyError, TypeError, AttributeError, OSError, RecursionError) as error:
                 raise DiscoveryError(f"discovery sent no list: {error!r}") from error
+        # A change from before the list that stands would undo what is known by now.
+        new = result if result and (result.complete or result.revision > self.revision) else None
         self._silent = False
         if self._first:  # the watch stands, also where it has nothing to tell: its back-off starts anew
             self._first = False
-            if result is None or not (result.complete or result.revision > self.revision):
+            if new is None:
                 self.core.tell(api.ServerList("delta"))
-        if result is None:
-            return self.sink.heard()
-        # A change from before the list that stands would undo what is known by now.
-        if result.complete or result.revision > self.revision:
-            self.take(result, "full" if result.complete else "delta")
+        if new:
+            self.take(new, "full" if new.complete else "delta")
         else:
             self.sink.heard()
 
--- a/wheatstile/node.py
+++ b/wheatstile/node.py
@@ -197,9 +197,9 @@
             for section in (self.servers_section, self.descriptions_section):
                 if section:
                     section.close()
-            for part in (accepting, *parts):
+            for part in parts:
                 part.cancel()
-            await asyncio.wait([accepting, *parts])
+            await asyncio.wait(parts)
         log.info("counters", **self.core.counters)
 
 
--- a/wheatstile/rules.py
+++ b/wheatstile/rules.py
@@ -210,9 +210,8 @@
     def cold_room(self, server: Server, repeat: bool, met: bool = False) -> bool:
         """Rule 4: whether a cold server may be sent one more, within this balancer's part of its budget.
 
-        Clients here, spread over the others, make the mean load: all balancers' parts, in waves too, are what
-        one server holds. A set-up weighs as a connection for the window at most. A repeat needs twice that.
-        Less than one is the chance to meet it: saved up by each, it would go out at once in a wave.
+        Clients here, spread over the others, make the mean load: all parts, in waves too, are what one server
+        holds. A repeat needs twice its part. Less than one is a chance: saved up, all would go in one wave.
         """
         age = self.now - server.entry.started
         if server.entry.started <= 0 or age >= self.settings.warm_after:
@@ -222,7 +221,8 @@
         rate = holds * self.settings.cold_multiple / max(SECOND, self.settings.cold_window)
         gain, most = (self.now - server.tokens_at) * rate, self.settings.cold_window * rate
         server.tokens, server.tokens_at = min(most, server.tokens + gain), self.now
-        return server.tokens >= (1 + repeat) * (most >= 1 or (not met and self.random.random()))
+        need = 1.0 if most >= 1 else 0.0 if met else self.random.random()
+        return server.tokens >= need * (1 + repeat)
 
     def fit(self, server: Server, conn: Connection | None, met: bool = False) -> bool:
         """Whether a connection may go here; rule 2: once it may have run, where repeats are discarded."""
--- a/wheatstile/store/member.py
+++ b/wheatstile/store/member.py
@@ -224,11 +224,11 @@
         for entry in ready.committed:
             self._apply(entry)
         for number, index in ready.reads:
-            if number in self._reads and not self._reads[number].done():
-                self._reads[number].set_result(index)
+            if waiting := self._waiting(number):
+                waiting.set_result(index)
         for number in ready.refused:
-            if number in self._reads and not self._reads[number].done():
-                self._reads[number].set_exception(NotLeader(self.node.leader))
+            if waiting := self._waiting(number):
+                waiting.set_exception(NotLeader(self.node.leader))
         if ready.committed or ready.snapshot:
             event, self.applied_one = self.applied_one, asyncio.Event()
             event.set()
@@ -240,6 +240,11 @@
         if self.node.applied - self.node.snap.index >= self.place.compact_every:
             self._compact()
 
+    def _waiting(self, number: int) -> asyncio.Future[int] | None:
+        """The read of this number, unless its client has left."""
+        future = self._reads.get(number)
+        return None if future is None or future.done() else future
+
     def _compact(self) -> None:
         self.node.compact(self.machine.dump())
         try:
