--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that several test files share."""
