--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -40,7 +40,7 @@
     """Seconds for a decision, a report and a list's change; bytes that this balancer holds."""
     names = [f"s{number}" for number in range(servers)]
     tracemalloc.start()
-    world = World(*names, tells_delay=False)
+    world = World(*names, reports_message_latency=False)
     for index in range(connections):
         world.connect(f"c{index}", names[index % servers], f"k{index}")
     held = tracemalloc.get_traced_memory()[0]
@@ -48,18 +48,18 @@
 
     def decide(index: int) -> None:
         world.log.clear()
-        world.request(f"r{index}", key=f"r{index}", group=f"r{index}")
-        assert any(isinstance(action, api.Send) for action in world.log)
-        world.tell(api.ClientLeft(f"r{index}"))
+        world.request(f"r{index}", key=f"r{index}", affinity_group=f"r{index}")
+        assert any(isinstance(action, api.StartAttempt) for action in world.log)
+        world.tell(api.ClientDisconnected(f"r{index}"))
 
     def report(index: int) -> None:
         server = names[index % servers]
         world.balancer.servers[server].probing = True  # as if it had been asked
-        world.tell(api.Probed(server, "ok", 1000, {"load": 0.4}))
+        world.tell(api.HealthCheckResult(server, api.AttemptOutcome.OK, 1000, {"load": 0.4}))
 
     def change(index: int) -> None:
-        state = ("draining", "ready")[index % 2]
-        world.tell(api.ServerList("delta", [api.ListEntry(names[0], state, "here")]))
+        state = (api.EndpointState.DRAINING, api.EndpointState.READY)[index % 2]
+        world.tell(api.EndpointUpdate(api.EndpointUpdateKind.DELTA, [api.Endpoint(names[0], state, "here")]))
 
     return seconds(decide, times), seconds(report, times), seconds(change, times), held
 
--- a/tests/config/test_operator.py
+++ b/tests/config/test_operator.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from wheatstile.config import operator
-from wheatstile.config.faults import Refused
+from wheatstile.config.violations import ConfigurationError
 
 ROOT = Path(__file__).parents[2]
 
@@ -23,7 +23,7 @@
 
 
 def lines(text: str | bytes) -> list[str]:
-    with pytest.raises(Refused) as refused:
+    with pytest.raises(ConfigurationError) as refused:
         operator.parse("f", text if isinstance(text, bytes) else text.encode())
     return refused.value.lines()
 
@@ -65,7 +65,7 @@
 def test_no_text_brings_any_other_error(text: str) -> None:
     try:
         operator.parse("f", text.encode(errors="replace"))
-    except Refused as refused:
+    except ConfigurationError as refused:
         assert refused.lines() and all(line.startswith("f:") for line in refused.lines())
 
 
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -24,10 +24,10 @@
 
     def __init__(self, balancers: int, servers: list[str], holds: int, seed: int) -> None:
         self.now, self.random, self.holds = 1000 * SECOND, Random(seed), holds
-        self.settings = settings(fleet_size=balancers, tells_delay=False)
+        self.settings = settings(fleet_size=balancers, reports_message_latency=False)
         self._due: list[tuple[int, int, Callable[[], None]]] = []
         self._order, self._ids = count(), count()
-        self.entries = {name: api.ListEntry(name, "ready", "here") for name in servers}
+        self.entries = {name: api.Endpoint(name, api.EndpointState.READY, "here") for name in servers}
         self.held: Counter[str] = Counter()  # open connections by server
         self.history: dict[str, list[tuple[int, float]]] = defaultdict(list)  # by server: when, which load
         self.where: dict[str, tuple[int, str]] = {}  # open connections: balancer and server
@@ -39,7 +39,7 @@
             balancer = Balancer(self.settings, self.random.getrandbits(32))
             self.balancers.append(balancer)
             self.carry_out(number, balancer.start(self.now))
-            self.tell(number, api.ServerList("cached", list(self.entries.values())))
+            self.tell(number, api.EndpointUpdate(api.EndpointUpdateKind.CACHED, list(self.entries.values())))
 
     def later(self, delay: int, work: Callable[[], None]) -> None:
         heapq.heappush(self._due, (self.now + delay, next(self._order), work))
@@ -51,27 +51,27 @@
             work()
         self.now = end
 
-    def relist(self, *changed: api.ListEntry) -> None:
+    def relist(self, *changed: api.Endpoint) -> None:
         """Every balancer is told of these changes, each at its own time within half a second."""
-        self.entries |= {entry.server: entry for entry in changed}
+        self.entries |= {entry.name: entry for entry in changed}
         for number in range(len(self.balancers)):
-            event = api.ServerList("delta", list(changed))
+            event = api.EndpointUpdate(api.EndpointUpdateKind.DELTA, list(changed))
             self.later(self.random.randrange(SECOND // 2), lambda n=number, e=event: self.tell(n, e))  # type: ignore[misc]
 
     def load(self, server: str) -> float:
         """What the server holds over what it can bear now."""
-        started = self.entries[server].started
-        age = (self.now - started) / self.settings.warm_after if started > 0 else 1.0
-        return self.held[server] / self.holds / min(1.0, max(self.settings.cold_from, age))
+        started = self.entries[server].started_at_us
+        age = (self.now - started) / self.settings.slow_start_duration_us if started > 0 else 1.0
+        return self.held[server] / self.holds / min(1.0, max(self.settings.slow_start_initial_capacity, age))
 
-    def arrive(self, delay: int, returning: bool = False) -> None:
+    def arrive(self, delay: int, reconnecting: bool = False) -> None:
         """A client comes to a random balancer."""
-        self.later(delay, lambda: self._request(returning))
+        self.later(delay, lambda: self._request(reconnecting))
 
-    def _request(self, returning: bool) -> None:
+    def _request(self, reconnecting: bool) -> None:
         id = f"c{next(self._ids)}"
         self.waiting.add(id)
-        request = api.Request(id, "web", 2 * SECOND, key=id, group=id, returning=returning)
+        request = api.Request(id, "web", 2 * SECOND, key=id, affinity_group=id, reconnecting=reconnecting)
         self.tell(self.random.choice(range(len(self.balancers))), request)
 
     def end(self, id: str) -> None:
@@ -79,7 +79,7 @@
         number, server = self.where.pop(id)
         self.held[server] -= 1
         attempt = max(0, self.attempts[id] - 1)
-        self.tell(number, api.AttemptEnded(id, attempt, server, "cancelled", closed=True))
+        self.tell(number, api.AttemptEnded(id, attempt, server, api.AttemptOutcome.CANCELLED, closed=True))
 
     def tell(self, number: int, event: api.Event) -> None:
         self.carry_out(number, self.balancers[number].handle(self.now, event))
@@ -92,23 +92,25 @@
             match action:
                 case api.SetTimer(delay, token):
                     to_it(delay, lambda token=token: api.TimerFired(token))  # type: ignore[misc]
-                case api.Probe(server):
+                case api.CheckHealth(server):
                     to_it(HOP, lambda server=server: self.probed(server))  # type: ignore[misc]
-                case api.Send(id, server):
+                case api.StartAttempt(id, server):
                     self.sends.append((self.now, server))
                     to_it(HOP, lambda id=id, server=server: self.sent(number, id, server))  # type: ignore[misc]
-                case api.Refuse(id):
+                case api.Reject(id):
                     self.later(SECOND, lambda id=id: self.waiting.discard(id))  # type: ignore[misc]
-                    self.arrive(SECOND, returning=True)
-                case api.Move(id) if id in self.where:  # else its server has just ended it
+                    self.arrive(SECOND, reconnecting=True)
+                case api.Migrate(id) if id in self.where:  # else its server has just ended it
                     self.end(id)
-                    self.arrive(100_000 + self.random.randrange(SECOND), returning=True)
+                    self.arrive(100_000 + self.random.randrange(SECOND), reconnecting=True)
 
     def probed(self, server: str) -> api.Event:
         # Reports are late: what is read is how it was.
         self.history[server].append((self.now, self.load(server)))
         old = [load for at, load in self.history[server] if at <= self.now - REPORT]
-        return api.Probed(server, "ok", HOP, {"load": old[-1] if old else self.history[server][0][1]})
+        return api.HealthCheckResult(
+            server, api.AttemptOutcome.OK, HOP, {"load": old[-1] if old else self.history[server][0][1]}
+        )
 
     def sent(self, number: int, id: str, server: str) -> api.Event:
         attempt = self.attempts[id]
@@ -125,7 +127,7 @@
                 id, number = f"o{next(self._ids)}", index % len(self.balancers)
                 self.held[server] += 1
                 self.where[id] = number, server
-                self.tell(number, api.OpenConnection(id, "web", server, id))
+                self.tell(number, api.ExistingConnection(id, "web", server, id))
 
     def most_within(self, server: str, window: int) -> int:
         """The most attempts that this server got within any window of this length."""
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -67,8 +67,13 @@
         self.lines: queue.Queue[str] = queue.Queue()
         self.history: list[str] = []  # every line, for the checkers over histories
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "wheatstile", *args], stdin=subprocess.PIPE, stdout=subprocess.PIPE,
-            stderr=subprocess.DEVNULL, text=True, bufsize=1)
+            [sys.executable, "-m", "wheatstile", *args],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+            text=True,
+            bufsize=1,
+        )
         self._reader = threading.Thread(target=self._read, daemon=True)
         self._reader.start()
 
--- a/tests/link/test_relay.py
+++ b/tests/link/test_relay.py
@@ -113,8 +113,17 @@
     runs = []
     for _ in range(2):
         echo = Echo()
-        relay = Program("link", f"a:b:0:{echo.port}", "--frames", "--control", "0", "--seed", "5",
-                        "--script", str(tmp_path / "script"))
+        relay = Program(
+            "link",
+            f"a:b:0:{echo.port}",
+            "--frames",
+            "--control",
+            "0",
+            "--seed",
+            "5",
+            "--script",
+            str(tmp_path / "script"),
+        )
         port = int(relay.expect("listening").split()[-1])
         control = int(relay.expect("control").split()[-1])
         relay.expect("ready")
@@ -129,7 +138,7 @@
                 got += part
         assert relay.close() == 0
         echo.listener.close()
-        runs.append([got[i:i + 6] for i in range(0, len(got), 6)])
+        runs.append([got[i : i + 6] for i in range(0, len(got), 6)])
     assert runs[0] == runs[1] and runs[0][0] == frames[0], "the first frame always passes, once"
     assert runs[0] == sorted(runs[0]) and set(runs[0]) < set(frames), "whole, and in their order"
     assert len(set(runs[0])) < len(runs[0]) and 40 < len(set(runs[0])) < 90
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -163,7 +163,10 @@
         resource.setrlimit(resource.RLIMIT_FSIZE, (self.file_size, self.file_size))
 
     def start(
-        self, members: Iterable[dict[str, Any]] | None = None, text: str | None = None, files: int = 1024,
+        self,
+        members: Iterable[dict[str, Any]] | None = None,
+        text: str | None = None,
+        files: int = 1024,
         stderr: int | IO[bytes] = subprocess.PIPE,
     ) -> None:
         """Start the program, and return once it answers PING (unless the configuration's text is given)."""
@@ -195,7 +198,11 @@
         return client
 
     def open(
-        self, number: int = 1, wait: int = 9000, more: str = "", group: str = "abc",
+        self,
+        number: int = 1,
+        wait: int = 9000,
+        more: str = "",
+        group: str = "abc",
         client: Peer | None = None,
     ) -> Peer:
         """A client, a new one if none is given, that has sent its first line."""
--- a/tests/resolvers/test_document.py
+++ b/tests/resolvers/test_document.py
@@ -9,8 +9,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wheatstile.config.faults import Refused
+from wheatstile import interface as api
 from wheatstile.config.operator import Servers
+from wheatstile.config.violations import ConfigurationError
 from wheatstile.resolvers.document import Document, Rules, canonical, digest_of, read
 
 RULES = Rules.of(Servers(networks=["127.0.0.0/8", "10.0.0.1-10.0.0.9"], most=50, most_bytes=5000))
@@ -29,7 +30,7 @@
 
 def refused(value: Any, rules: Rules = RULES) -> list[str]:
     data = value if isinstance(value, bytes) else json.dumps(value, indent=1).encode()
-    with pytest.raises(Refused) as error:
+    with pytest.raises(ConfigurationError) as error:
         read("f", data, rules)
     return error.value.lines()
 
@@ -58,7 +59,7 @@
     (one(weight=1001), "/servers/0/weight: 1001 is over 1000 times the least, 1"),
     (one(wieght=1), '/servers/0/wieght: unknown key, did you mean "weight"?'),
     (one(state="redy"), '"redy" is not known, did you mean "ready"?'),
-    (one(started=-1), "/servers/0/started"),
+    (one(started_at_us=-1), "/servers/0/started"),
     (one(id=""), "/servers/0/id"),
     ({"servers": []}, "empty list"),
     ({"servers": rows(*map(str, range(51)))}, "51 servers; 50 at most"),
@@ -66,7 +67,7 @@
     ({"servers": rows("x"), "seal": "md5:1"}, "/seal: "),
     ({"servers": rows("x"), "seal": digest_of({})}, "/seal: does not fit"),
     ({"servers": rows("x"), "sites": ["a", "b"]}, 'f:11: /sites/1: site "b" would keep 0 ready servers'),
-    ({"servers": rows("x", state="draining"), "sites": ["a"]}, 'site "a" would keep 0'),
+    ({"servers": rows("x", state=api.EndpointState.DRAINING), "sites": ["a"]}, 'site "a" would keep 0'),
     ({}, "/servers: is missing"),
     (b"[]", "is no object"),
     (b" " * 5001, "5001 bytes; 5000 at most"),
@@ -111,7 +112,7 @@
     before, after = sealed(old), sealed(new)
     cut = data.draw(st.integers(0, max(len(before), len(after))))
     mixed = after[:cut] + before[cut:]
-    with contextlib.suppress(Refused):
+    with contextlib.suppress(ConfigurationError):
         assert read("f", mixed, RULES).digest in (digest_of(old), digest_of(new))
 
 
@@ -125,7 +126,7 @@
         )
     try:
         found = read("f", bytes(text), RULES)
-    except Refused as error:
+    except ConfigurationError as error:
         assert all(line.startswith("f:") for line in error.lines())
     else:
         assert isinstance(found, Document) and found.servers
--- a/tests/support/decision_replay.py
+++ b/tests/support/decision_replay.py
@@ -14,12 +14,12 @@
 from wheatstile import interface as api
 
 SECOND_US = 1_000_000
-OUTCOMES = ("ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot")
+OUTCOMES = tuple(api.AttemptOutcome)
 SERVER_NAMES = tuple(f"s{number}" for number in range(14))
 ZONES = ("north", "south")
 STEPS_PER_INSTANCE = 6_000
 FIRST_CONNECTIONS = 300
-REPORTS = (
+REPORTS: tuple[api.LoadReport, ...] = (
     {"load": 0.3},
     {"load": 0.65},
     {"load": 0.9},
@@ -34,34 +34,58 @@
 )
 
 CLASSES = {
-    "safe": api.ServiceClass("safe", 300_000, "safe", message_aim=50_000),
-    "keyed_all": api.ServiceClass("keyed_all", 400_000, "keyed", "all", 3 * SECOND_US, 2.0, 80_000),
-    "keyed_zone": api.ServiceClass("keyed_zone", 400_000, "keyed", "zone", 2 * SECOND_US),
-    "keyed_cell": api.ServiceClass("keyed_cell", 400_000, "keyed", "cell", 2 * SECOND_US),
-    "unsafe": api.ServiceClass("unsafe", 500_000, "unsafe"),
+    "safe": api.ServiceClass(
+        "safe", 300_000, api.Idempotency.IDEMPOTENT, message_latency_objective_us=50_000
+    ),
+    "keyed_all": api.ServiceClass(
+        "keyed_all",
+        400_000,
+        api.Idempotency.IDEMPOTENCY_KEY,
+        api.DeduplicationScope.ALL,
+        3 * SECOND_US,
+        2.0,
+        80_000,
+    ),
+    "keyed_zone": api.ServiceClass(
+        "keyed_zone", 400_000, api.Idempotency.IDEMPOTENCY_KEY, api.DeduplicationScope.ZONE, 2 * SECOND_US
+    ),
+    "keyed_cell": api.ServiceClass(
+        "keyed_cell", 400_000, api.Idempotency.IDEMPOTENCY_KEY, api.DeduplicationScope.CELL, 2 * SECOND_US
+    ),
+    "unsafe": api.ServiceClass("unsafe", 500_000, api.Idempotency.NON_IDEMPOTENT),
 }
 BASE = api.Settings(
     fleet_size=4,
     zone="north",
     classes=CLASSES,
     max_attempts=3,
-    cold_from=0.2,
-    warm_after=12 * SECOND_US,
-    cold_multiple=3.0,
-    report_names=("load", "busy"),
-    retry_advice=True,
-    max_retry_advice=1_200_000,
+    slow_start_initial_capacity=0.2,
+    slow_start_duration_us=12 * SECOND_US,
+    slow_start_overload_factor=3.0,
+    load_metrics=("load", "busy"),
+    retry_after_enabled=True,
+    max_retry_after_us=1_200_000,
 )
 # One instance of the module each: everything that the settings switch is on in one and off in another.
 VARIANTS = (
     BASE,
-    replace(BASE, tells_delay=False, cross_price=0.08, fleet_size=40),
+    replace(BASE, reports_message_latency=False, cross_zone_cost=0.08, fleet_size=40),
     replace(
-        BASE, tells_delay=False, list_on_request=True, ask_every=4 * SECOND_US, cold_window=4 * SECOND_US
+        BASE,
+        reports_message_latency=False,
+        poll_endpoints=True,
+        poll_interval_us=4 * SECOND_US,
+        slow_start_overload_window_us=4 * SECOND_US,
+    ),
+    replace(BASE, health_checks_enabled=False, retry_after_enabled=False),
+    replace(BASE, load_metrics=(), max_attempts=1),
+    replace(
+        BASE,
+        reports_message_latency=False,
+        fleet_size=1,
+        slow_start_overload_factor=9.0,
+        slow_start_initial_capacity=0.5,
     ),
-    replace(BASE, may_probe=False, retry_advice=False),
-    replace(BASE, report_names=(), max_attempts=1),
-    replace(BASE, tells_delay=False, fleet_size=1, cold_multiple=9.0, cold_from=0.5),
 )
 
 
@@ -101,7 +125,9 @@
     def play(self) -> Iterator[str]:
         """Yield one line of text for each action of the module."""
         self.take(self.balancer.start(self.now_us))
-        self.tell(api.ServerList("cached", [self.entry(name) for name in SERVER_NAMES[:8]]))
+        self.tell(
+            api.EndpointUpdate(api.EndpointUpdateKind.CACHED, [self.entry(name) for name in SERVER_NAMES[:8]])
+        )
         for _ in range(FIRST_CONNECTIONS):  # exploration is rare: it takes many connections to be seen
             self.open_connection()
         for step in range(STEPS_PER_INSTANCE):
@@ -117,11 +143,11 @@
         if step % 997 == 500:
             changed = {
                 "max_attempts": self.random.randint(1, 4),
-                "cross_price": self.random.choice([0.0, 0.1]),
+                "cross_zone_cost": self.random.choice([0.0, 0.1]),
             }
             self.balancer.configure(replace(self.settings, **changed))  # type: ignore[arg-type]
         if step == self.shutdown_at_step:
-            self.tell(api.Closing())
+            self.tell(api.ShutdownStarted())
         self.now_us += int(self.random.expovariate(1 / self.mean_step_us))
         self.fire_timers()
         self.random.choices(
@@ -139,25 +165,25 @@
         """Write the actions down, and remember what has to be followed up."""
         for action in actions:
             match action:
-                case api.Send(id, server, timeout):
+                case api.StartAttempt(id, server, timeout):
                     self.write("attempt", id, server, timeout)
                     self.sessions[id].server = server
-                case api.Refuse(id, retry_after):
-                    self.write("reject", id, retry_after)
+                case api.Reject(id, retry_after_us):
+                    self.write("reject", id, retry_after_us)
                     self.sessions.pop(id)
                 case api.Fail(id):
                     self.write("fail", id)
                     self.sessions.pop(id)
-                case api.Move(id):
+                case api.Migrate(id):
                     self.write("migrate", id)
                     self.moved_keys.append(self.sessions.pop(id).key)
-                case api.Probe(server):
+                case api.CheckHealth(server):
                     self.write("check", server)
                     self.checks.append(server)
                 case api.SetTimer(delay, token):
                     self.write("timer", delay, token)
                     self.timers.append((self.now_us + delay, len(self.lines), token))
-                case api.WatchList():
+                case api.WatchEndpoints():
                     self.write("watch")
 
     def write(self, *words: object) -> None:
@@ -169,12 +195,12 @@
         for _, _, token in due:
             self.tell(api.TimerFired(token))
 
-    def entry(self, name: str) -> api.ListEntry:
+    def entry(self, name: str) -> api.Endpoint:
         weighted = self.seed % 2 == 0
         started = self.now_us - self.random.randrange(15 * SECOND_US) if self.random.random() < 0.4 else 0
-        return api.ListEntry(
+        return api.Endpoint(
             name,
-            self.random.choices(["ready", "draining", "gone"], [8, 1, 1])[0],
+            self.random.choices(list(api.EndpointState), [8, 1, 1])[0],
             self.random.choice(ZONES),
             self.random.randrange(3),
             self.random.choice([0.5, 1.0, 3.0]) if weighted else 1.0,
@@ -198,9 +224,9 @@
                 self.random.choice([0, 5_000, 300_000, SECOND_US, 3 * SECOND_US]),
                 key,
                 midflow=self.random.random() < 0.1,
-                returning=returning,
-                retry=self.random.random() < 0.2,
-                group=self.random.choice(["", f"g{self.random.randrange(5)}"]),
+                reconnecting=returning,
+                client_retry=self.random.random() < 0.2,
+                affinity_group=self.random.choice(["", f"g{self.random.randrange(5)}"]),
             )
         )
 
@@ -210,10 +236,10 @@
         name = self.checks.pop(self.random.randrange(len(self.checks)))
         if self.random.random() < (0.6 if self.mostly_failing else 0.12):
             outcome = self.random.choice(OUTCOMES[1:])
-            self.tell(api.Probed(name, outcome, 2_000))
+            self.tell(api.HealthCheckResult(name, outcome, 2_000))
             return
         report = self.random.choice(REPORTS[2:5] if self.load_level else REPORTS)
-        self.tell(api.Probed(name, "ok", 900, dict(report)))
+        self.tell(api.HealthCheckResult(name, api.AttemptOutcome.OK, 900, dict(report)))
 
     def waiting_sessions(self) -> list[Session]:
         return [session for session in self.sessions.values() if session.server and not session.established]
@@ -232,7 +258,7 @@
         closed = self.random.random() < 0.1
         self.finish(session, outcome, elapsed, closed)
 
-    def finish(self, session: Session, outcome: str, elapsed: int, closed: bool) -> None:
+    def finish(self, session: Session, outcome: api.AttemptOutcome, elapsed: int, closed: bool) -> None:
         report = dict(self.random.choice(REPORTS)) if self.random.random() < 0.3 else None
         event = api.AttemptEnded(
             session.id, session.attempt, session.server, outcome, elapsed, closed, report
@@ -252,44 +278,48 @@
         if self.sessions:
             id = self.random.choice(list(self.sessions))
             self.sessions.pop(id)
-            self.tell(api.ClientLeft(id))
+            self.tell(api.ClientDisconnected(id))
 
     def change_list(self) -> None:
-        kind = self.random.choices(["delta", "full", "cached", "failed", "moved"], [6, 2, 1, 3, 1])[0]
-        if kind in ("failed", "moved"):
-            self.tell(api.ServerList(kind))
+        kind = self.random.choices(list(api.EndpointUpdateKind), [6, 2, 1, 3, 1])[0]
+        if kind in (api.EndpointUpdateKind.FAILED, api.EndpointUpdateKind.MOVED):
+            self.tell(api.EndpointUpdate(kind))
             return
-        count = self.random.randint(0, 3) if kind == "delta" else self.random.randint(0, len(SERVER_NAMES))
+        count = (
+            self.random.randint(0, 3)
+            if kind is api.EndpointUpdateKind.DELTA
+            else self.random.randint(0, len(SERVER_NAMES))
+        )
         entries = [self.entry(name) for name in self.random.sample(SERVER_NAMES, count)]
-        self.tell(api.ServerList(kind, entries))
+        self.tell(api.EndpointUpdate(kind, entries))
 
     def notify_delay(self) -> None:
         if self.sessions:
             session = self.random.choice(list(self.sessions.values()))
-            delay_ms = self.random.choice([1.0, 30.0, 60.0, 200.0])
-            self.tell(api.DelayNote(session.id, session.server, delay_ms))
+            latency_ms = self.random.choice([1.0, 30.0, 60.0, 200.0])
+            self.tell(api.MessageLatencyChanged(session.id, session.server, latency_ms))
 
     def notify_load(self) -> None:
         if self.sessions:
             session = self.random.choice(list(self.sessions.values()))
-            self.tell(api.LoadNote(session.id, session.server, self.random.random() * 10))
+            self.tell(api.ConnectionLoadChanged(session.id, session.server, self.random.random() * 10))
 
     def open_connection(self) -> None:
         id = f"o{len(self.lines)}-{self.random.randrange(1000)}"
         server = self.random.choice([*SERVER_NAMES[:8], "never_listed"])
         if server != "never_listed":
             self.sessions[id] = Session(id, f"k-{id}", 0, server, established=True)
-        self.tell(api.OpenConnection(id, self.random.choice([*CLASSES]), server, f"k-{id}"))
+        self.tell(api.ExistingConnection(id, self.random.choice([*CLASSES]), server, f"k-{id}"))
 
     def stray(self) -> None:
         """Events about what the module does not hold are passed over."""
         for event in (
-            api.ClientLeft("nobody"),
+            api.ClientDisconnected("nobody"),
             api.Established("nobody", 0, "s0", 1),
-            api.AttemptEnded("nobody", 0, "s0", "reset"),
-            api.Probed("nobody", "ok"),
-            api.LoadNote("nobody", "s0", 1.0),
-            api.DelayNote("nobody", "s0", 99.0),
+            api.AttemptEnded("nobody", 0, "s0", api.AttemptOutcome.RESET),
+            api.HealthCheckResult("nobody", api.AttemptOutcome.OK),
+            api.ConnectionLoadChanged("nobody", "s0", 1.0),
+            api.MessageLatencyChanged("nobody", "s0", 99.0),
             api.TimerFired("hold:1:nobody"),
             api.TimerFired("unheard-of"),
         ):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -206,7 +206,6 @@
         server.send("UP r")
         self.assertEqual(client.line(), "UP r")
 
-
     def test_a_server_that_leaves_while_its_probe_is_out_holds_nobody(self) -> None:
         self.start()
         watch, _ = self.discovery.watch()
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -6,6 +6,7 @@
 from crowd import Crowd
 from world import SECOND
 
+from wheatstile import interface as api
 from wheatstile.rules import FRESH
 
 WARM = [f"w{number}" for number in range(6)]
@@ -13,10 +14,10 @@
 
 def drain(crowd: Crowd, *names: str) -> None:
     """These servers send all their clients away at once."""
-    crowd.relist(*(replace(crowd.entries[name], state="draining") for name in names))
+    crowd.relist(*(replace(crowd.entries[name], state=api.EndpointState.DRAINING) for name in names))
     for id in [id for id, (_, server) in crowd.where.items() if server in names]:
         crowd.end(id)
-        crowd.arrive(crowd.random.randrange(SECOND), returning=True)
+        crowd.arrive(crowd.random.randrange(SECOND), reconnecting=True)
 
 
 @pytest.mark.parametrize("seed", range(3))
@@ -25,14 +26,14 @@
     crowd = Crowd(40, WARM, holds=60, seed=seed)
     crowd.stand(27)
     crowd.run(5 * SECOND)
-    cold = [replace(crowd.entries["w0"], server=f"k{number}", started=crowd.now) for number in range(3)]
+    cold = [replace(crowd.entries["w0"], name=f"k{number}", started_at_us=crowd.now) for number in range(3)]
     crowd.relist(*cold)
     crowd.run(2 * SECOND)
     drain(crowd, *WARM[:3])  # half the fleet, into which the cold ones come
     crowd.run(4 * SECOND)
     # At 6 s a cold server bears 0.3 of 60 connections.
-    assert sum(crowd.held[entry.server] for entry in cold) >= 20
-    assert all(crowd.most_within(entry.server, 1_500_000) <= 0.3 * 60 for entry in cold)
+    assert sum(crowd.held[entry.name] for entry in cold) >= 20
+    assert all(crowd.most_within(entry.name, 1_500_000) <= 0.3 * 60 for entry in cold)
 
 
 @pytest.mark.parametrize("seed", range(3))
--- a/tests/test_decision_replay.py
+++ b/tests/test_decision_replay.py
@@ -1,4 +1,4 @@
-"""The decisions stay as they are, byte for byte, whatever becomes of the names and the shape of the module."""
+"""The decisions stay as they are, byte for byte, whatever becomes of the module's names and shape."""
 
 from support.decision_replay import digest, replay
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -269,7 +269,7 @@
         resource.prlimit(self.node.pid, resource.RLIMIT_NOFILE, (3, 1024))
         client.send(f"OPEN {1:016x} key c=web,d=9000,g=a")
         counters: dict[str, int] = {}
-        while not counters.get("probe moot"):
+        while not counters.get("probe not_sent"):
             self.node.send_signal(signal.SIGUSR1)
             counters = self.logged("counters")
         resource.prlimit(self.node.pid, resource.RLIMIT_NOFILE, (1024, 1024))
--- a/tests/test_ratio_rule.py
+++ b/tests/test_ratio_rule.py
@@ -43,10 +43,10 @@
     assert chance_to_return(1.0, 0.5, n=1, gamma=0.05) == 0.0
 
 
-def explored(world: World, number: int) -> list[api.Move]:
+def explored(world: World, number: int) -> list[api.Migrate]:
     for index in range(number):
         world.connect(f"c{index}", "a", f"k{index}")
-    return of(world.run(SLOT), api.Move)
+    return of(world.run(SLOT), api.Migrate)
 
 
 def test_share_that_explores_is_gamma() -> None:
@@ -59,8 +59,8 @@
     for seed in range(20):
         world = World("a", "b", "c", "d", seed=seed)
         for move in explored(world, 2000):
-            world.request(f"again-{move.id}", key=f"k{move.id[1:]}", returning=True)
-        targets.update(send.server for send in of(world.log, api.Send))
+            world.request(f"again-{move.id}", key=f"k{move.id[1:]}", reconnecting=True)
+        targets.update(send.server for send in of(world.log, api.StartAttempt))
     assert set(targets) == {"b", "c", "d"}
     assert min(targets.values()) > 0.8 * sum(targets.values()) / 3
 
@@ -69,7 +69,7 @@
     """Let one connection on a explore and come back here; the server that it now is on."""
     moves = explored(world, 1000)
     assert moves
-    world.request("again", key=f"k{moves[0].id[1:]}", returning=True)
+    world.request("again", key=f"k{moves[0].id[1:]}", reconnecting=True)
     return world.establish("again")
 
 
@@ -78,30 +78,30 @@
     world = World("a", "b", loads={"a": 0.4, "b": 0.3})
     assert explore_one(world) == "b"
     world.loads["b"] = after
-    moved = [move.id for move in of(world.run(SLOT), api.Move)]
+    moved = [move.id for move in of(world.run(SLOT), api.Migrate)]
     assert ("again" in moved) is returns
     if returns:
-        world.request("home", key=next(f"k{m.id[1:]}" for m in of(world.log, api.Move)), returning=True)
-        assert of(world.log, api.Send)[-1].server == "a"
+        world.request("home", key=next(f"k{m.id[1:]}" for m in of(world.log, api.Migrate)), reconnecting=True)
+        assert of(world.log, api.StartAttempt)[-1].server == "a"
 
 
 def test_a_refusal_after_a_move_counts_as_a_load_above() -> None:
     world = World("a", "b", "c", loads={"a": 0.4, "b": 0.3, "c": 0.3})
     moves = explored(world, 1000)
-    world.request("again", key=f"k{moves[0].id[1:]}", returning=True)
-    target = of(world.log, api.Send)[-1].server
+    world.request("again", key=f"k{moves[0].id[1:]}", reconnecting=True)
+    target = of(world.log, api.StartAttempt)[-1].server
     assert target != "a"
-    world.tell(api.AttemptEnded("again", 0, target, "full"))
-    assert [send.server for send in of(world.log, api.Send)] == [target, "a"]
+    world.tell(api.AttemptEnded("again", 0, target, api.AttemptOutcome.OVERLOADED))
+    assert [send.server for send in of(world.log, api.StartAttempt)] == [target, "a"]
 
 
 def test_a_drop_after_a_move_counts_as_a_load_above() -> None:
     world = World("a", "b", loads={"a": 0.4, "b": 0.3})
     assert explore_one(world) == "b"
-    key = f"k{of(world.log, api.Move)[0].id[1:]}"
-    world.tell(api.AttemptEnded("again", 0, "b", "reset", closed=True))
-    world.request("home", key=key, returning=True)
-    assert of(world.log, api.Send)[-1].server == "a"
+    key = f"k{of(world.log, api.Migrate)[0].id[1:]}"
+    world.tell(api.AttemptEnded("again", 0, "b", api.AttemptOutcome.RESET, closed=True))
+    world.request("home", key=key, reconnecting=True)
+    assert of(world.log, api.StartAttempt)[-1].server == "a"
 
 
 def test_a_fleet_of_one_does_not_explore() -> None:
@@ -119,7 +119,7 @@
     world = World(*names, loads={"a": 0.1, "b": 0.2, "c": 0.3, "d": 0.5})
     for index in range(1200):
         world.request(f"r{index}", key=f"k{index}")
-    sent = Counter(send.server for send in of(world.log, api.Send))
+    sent = Counter(send.server for send in of(world.log, api.StartAttempt))
     for name, pairs in zip(names, (3, 2, 1, 0), strict=True):  # of six pairs, those that it wins
         assert sent[name] == pytest.approx(1200 * pairs / 6, rel=0.15)
 
@@ -138,8 +138,8 @@
 
 def test_instances_share_nothing() -> None:
     one, two = World("a", "b"), World("a", "b")
-    one.tell(api.ServerList("full", entries("a")))
+    one.tell(api.EndpointUpdate(api.EndpointUpdateKind.FULL, entries("a")))
     assert isinstance(two.balancer, Balancer)
     two.loads = {"a": 0.6, "b": 0.1}
     two.request("r")
-    assert of(two.log, api.Send)[-1].server == "b"
+    assert of(two.log, api.StartAttempt)[-1].server == "b"
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -14,10 +14,18 @@
 from wheatstile import interface as api
 from wheatstile.rules import FRESH, PACE_START, X_FULL
 
-FINAL = (api.Refuse, api.Fail)
-OUTCOMES = ["ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot"]
-KEYED = {"web": api.ServiceClass("web", 500_000, "keyed", "zone", 5 * SECOND)}
-UNSAFE = {"web": api.ServiceClass("web", 500_000, "unsafe", window=5 * SECOND)}
+FINAL = (api.Reject, api.Fail)
+OUTCOMES = list(api.AttemptOutcome)
+KEYED = {
+    "web": api.ServiceClass(
+        "web", 500_000, api.Idempotency.IDEMPOTENCY_KEY, api.DeduplicationScope.ZONE, 5 * SECOND
+    )
+}
+UNSAFE = {
+    "web": api.ServiceClass(
+        "web", 500_000, api.Idempotency.NON_IDEMPOTENT, deduplication_window_us=5 * SECOND
+    )
+}
 
 
 def finals(world: World, id: str) -> int:
@@ -39,19 +47,19 @@
         world.tell(api.TimerFired(token))
         world.probes.clear()
         assert world.now <= start + 2 * SECOND
-    assert finals(world, "r") == 1 and not of(world.log, api.Send)
+    assert finals(world, "r") == 1 and not of(world.log, api.StartAttempt)
 
 
 def test_closing_answers_whatever_is_open_and_whatever_comes_after() -> None:
-    for classes, answer in ((settings().classes, api.Refuse), (UNSAFE, api.Fail)):
+    for classes, answer in ((settings().classes, api.Reject), (UNSAFE, api.Fail)):
         world = World("a", "b", classes=classes)
         world.request("sent")
         world.tell(api.Request("held", "web", 2 * SECOND))
         world.connect("stands", "a")
-        actions = world.tell(api.Closing())
+        actions = world.tell(api.ShutdownStarted())
         # What is out may run: only where a repeat is harmless may its client be told to come again.
-        assert [type(a) for a in actions] == [answer, api.Refuse]
-        assert [type(a) for a in world.tell(api.Request("late", "web", 2 * SECOND))] == [api.Refuse]
+        assert [type(a) for a in actions] == [answer, api.Reject]
+        assert [type(a) for a in world.tell(api.Request("late", "web", 2 * SECOND))] == [api.Reject]
 
 
 def test_closing_refuses_also_a_client_that_was_moved_and_comes_back_for_its_target() -> None:
@@ -63,22 +71,22 @@
         if moved := [key for key, move in world.balancer.returns.items() if move.until > world.now + SECOND]:
             break
     assert moved
-    world.tell(api.Closing())
+    world.tell(api.ShutdownStarted())
     for key in moved:  # whoever comes back now would be sent to its target without a look
-        back = world.tell(api.Request("again" + key, "web", 2 * SECOND, key=key, returning=True))
-        assert [type(action) for action in back] == [api.Refuse]
+        back = world.tell(api.Request("again" + key, "web", 2 * SECOND, key=key, reconnecting=True))
+        assert [type(action) for action in back] == [api.Reject]
 
 
 def test_lists_are_asked_for_within_the_time_that_the_settings_give_for_it() -> None:
-    for ask_every in (2 * SECOND, 5 * SECOND, 20 * SECOND):
+    for poll_interval_us in (2 * SECOND, 5 * SECOND, 20 * SECOND):
         delays = []
         for seed in range(40):
-            world = World("a", list_on_request=True, ask_every=ask_every, seed=seed)
+            world = World("a", poll_endpoints=True, poll_interval_us=poll_interval_us, seed=seed)
             delays += [due - world.now for due, _, token in world.timers if token == "list"]
-        assert len(delays) == 40 and max(delays) < ask_every
+        assert len(delays) == 40 and max(delays) < poll_interval_us
         for _ in range(9):  # after a failed call it is four times as long
-            timers = of(world.tell(api.ServerList("failed")), api.SetTimer)
-        assert all(timer.delay < 4 * ask_every for timer in timers)
+            timers = of(world.tell(api.EndpointUpdate(api.EndpointUpdateKind.FAILED)), api.SetTimer)
+        assert all(timer.delay_us < 4 * poll_interval_us for timer in timers)
 
 
 def test_an_empty_list_ends_in_a_refusal() -> None:
@@ -91,7 +99,7 @@
 def test_time_outs_leave_room_for_a_further_attempt() -> None:
     world = World("a", "b", "c")
     world.request("r", 2 * SECOND)
-    assert 500_000 <= of(world.log, api.Send)[0].timeout <= SECOND
+    assert 500_000 <= of(world.log, api.StartAttempt)[0].timeout_us <= SECOND
 
 
 def test_attempts_end_at_the_limit() -> None:
@@ -99,12 +107,12 @@
     world.request("r", 20 * SECOND)
     for attempt in range(3):
         world.run(4 * SECOND)
-        sends = of(world.log, api.Send)
+        sends = of(world.log, api.StartAttempt)
         assert len(sends) == attempt + 1
-        world.tell(api.AttemptEnded("r", attempt, sends[-1].server, "error", 1000))
+        world.tell(api.AttemptEnded("r", attempt, sends[-1].server, api.AttemptOutcome.ERROR, 1000))
     assert finals(world, "r") == 1
     world.run(30 * SECOND)
-    assert len(of(world.log, api.Send)) == 3
+    assert len(of(world.log, api.StartAttempt)) == 3
 
 
 @hypothesis_settings(max_examples=60, deadline=None, derandomize=True)
@@ -119,13 +127,22 @@
         max_size=60,
     ),
     st.integers(0, 5),
-    st.sampled_from(["safe", "keyed", "unsafe"]),
+    st.sampled_from(list(api.Idempotency)),
 )
 def test_any_order_of_events_keeps_the_rules(
-    script: list[tuple[str, int, str, bool]], seed: int, repeat: str
+    script: list[tuple[str, int, str, bool]], seed: int, repeat: api.Idempotency
 ) -> None:
     """Late, doubled and stray events: one final answer, one attempt at a time, nothing after the end."""
-    classes = {"web": api.ServiceClass("web", 500_000, repeat, "zone", 5 * SECOND, message_aim=50_000)}
+    classes = {
+        "web": api.ServiceClass(
+            "web",
+            500_000,
+            repeat,
+            api.DeduplicationScope.ZONE,
+            5 * SECOND,
+            message_latency_objective_us=50_000,
+        )
+    }
     world = World("s0", "s1", "s2", "s3", seed=seed, classes=classes)
     out: dict[str, int] = {}  # requests with an attempt out -> the attempt's number
     over: set[str] = set()
@@ -135,14 +152,18 @@
         answers: list[api.Action] = []
         if what == "request":
             id = f"r{index}-{step}"
-            answers = world.request(id, key=f"k{index}", returning=flag)
+            answers = world.request(id, key=f"k{index}", reconnecting=flag)
         elif what == "time":
             answers = world.run(SECOND if flag else 100_000)
         elif what == "list":
-            kept = [e for e in entries("s0", "s1", "s2", "s3") if flag or e.server != server]
-            answers = world.tell(api.ServerList("full", kept))
+            kept = [e for e in entries("s0", "s1", "s2", "s3") if flag or e.name != server]
+            answers = world.tell(api.EndpointUpdate(api.EndpointUpdateKind.FULL, kept))
         elif what == "probe":
-            answers = world.tell(api.Probed(server, outcome, 10, {"load": 0.5} if flag else None))
+            answers = world.tell(
+                api.HealthCheckResult(
+                    server, api.AttemptOutcome(outcome), 10, {"load": 0.5} if flag else None
+                )
+            )
         elif out:
             id = sorted(out)[index % len(out)]
             attempt = out[id]
@@ -151,21 +172,23 @@
                 if closed:
                     over.add(id)
                 del out[id]
-                answers = world.tell(api.AttemptEnded(id, attempt, server, outcome, 1000, closed))
+                answers = world.tell(
+                    api.AttemptEnded(id, attempt, server, api.AttemptOutcome(outcome), 1000, closed)
+                )
             elif what == "established":
                 answers = world.tell(api.Established(id, attempt, server, 1000))
             elif what == "delay":
-                answers = world.tell(api.DelayNote(id, server, 500.0))
+                answers = world.tell(api.MessageLatencyChanged(id, server, 500.0))
             elif what == "left":
                 over.add(id)
-                answers = world.tell(api.ClientLeft(id))
+                answers = world.tell(api.ClientDisconnected(id))
             answers = answers + world.answer_probes()
         for action in world.log[seen:]:
-            if isinstance(action, api.Send):
+            if isinstance(action, api.StartAttempt):
                 assert action.id not in over, "sent after the end"
                 assert action.id not in out, "two attempts out"
-                out[action.id] = sum(1 for a in of(world.log, api.Send) if a.id == action.id) - 1
-            elif isinstance(action, (*FINAL, api.Move)):
+                out[action.id] = sum(1 for a in of(world.log, api.StartAttempt) if a.id == action.id) - 1
+            elif isinstance(action, (*FINAL, api.Migrate)):
                 assert action.id not in over, "a second final answer"
                 over.add(action.id)
         seen = len(world.log)
@@ -176,9 +199,9 @@
 
 def fail_first(world: World, outcome: str) -> list[api.Action]:
     world.request("r", 10 * SECOND)
-    first = of(world.log, api.Send)[0].server
+    first = of(world.log, api.StartAttempt)[0].server
     mark = len(world.log)
-    world.tell(api.AttemptEnded("r", 0, first, outcome, 1000))
+    world.tell(api.AttemptEnded("r", 0, first, api.AttemptOutcome(outcome), 1000))
     world.answer_probes()
     world.run(SECOND)
     return world.log[mark:]
@@ -188,36 +211,48 @@
 def test_what_may_have_run_is_neither_repeated_nor_refused_when_unsafe(outcome: str) -> None:
     world = World("a", "b", "c", classes=UNSAFE)
     after = fail_first(world, outcome) + world.run(10 * SECOND)
-    assert not of(after, api.Send) and not of(after, api.Refuse)
+    assert not of(after, api.StartAttempt) and not of(after, api.Reject)
     assert of(after, api.Fail) == [api.Fail("r")]
 
 
-@pytest.mark.parametrize("outcome", ["full", "connect_failed", "moot"])
+@pytest.mark.parametrize("outcome", ["overloaded", "connect_failed", "not_sent"])
 def test_what_never_ran_is_repeated_even_when_unsafe(outcome: str) -> None:
-    assert of(fail_first(World("a", "b", "c", classes=UNSAFE), outcome), api.Send)
+    assert of(fail_first(World("a", "b", "c", classes=UNSAFE), outcome), api.StartAttempt)
 
 
 def test_keyed_repeats_stay_in_the_group_that_discards_them() -> None:
     for seed in range(12):
         world = World("a", "b", "c", "d", classes=KEYED, seed=seed)
-        there = [api.ListEntry(name, "ready", "there") for name in ("c", "d")]
-        world.tell(api.ServerList("full", entries("a", "b") + there))
+        there = [api.Endpoint(name, api.EndpointState.READY, "there") for name in ("c", "d")]
+        world.tell(api.EndpointUpdate(api.EndpointUpdateKind.FULL, entries("a", "b") + there))
         after = fail_first(world, "timeout")
-        group = {"a", "b"} if of(world.log, api.Send)[0].server in "ab" else {"c", "d"}
-        assert {send.server for send in of(after, api.Send)} <= group
-        assert of(after, api.Send)
+        group = {"a", "b"} if of(world.log, api.StartAttempt)[0].server in "ab" else {"c", "d"}
+        assert {send.server for send in of(after, api.StartAttempt)} <= group
+        assert of(after, api.StartAttempt)
 
 
 def test_keyed_repeats_end_with_the_window() -> None:
-    world = World("a", "b", classes={"web": api.ServiceClass("web", 500_000, "keyed", "zone", 100_000)})
+    world = World(
+        "a",
+        "b",
+        classes={
+            "web": api.ServiceClass(
+                "web", 500_000, api.Idempotency.IDEMPOTENCY_KEY, api.DeduplicationScope.ZONE, 100_000
+            )
+        },
+    )
     world.request("r", 10 * SECOND)
     world.now += 200_000
     mark = len(world.log)
-    world.tell(api.AttemptEnded("r", 0, of(world.log, api.Send)[0].server, "timeout", 200_000))
+    world.tell(
+        api.AttemptEnded(
+            "r", 0, of(world.log, api.StartAttempt)[0].server, api.AttemptOutcome.TIMEOUT, 200_000
+        )
+    )
     world.answer_probes()
     world.run(11 * SECOND)
     after = world.log[mark:]
-    assert not of(after, api.Send) and not of(after, api.Refuse) and of(after, api.Fail)
+    assert not of(after, api.StartAttempt) and not of(after, api.Reject) and of(after, api.Fail)
 
 
 # Rule 3.
@@ -226,34 +261,38 @@
 @pytest.mark.parametrize("state", ["draining", "gone"])
 def test_nothing_new_to_a_server_that_drains_or_is_gone(state: str) -> None:
     world = World("a", "b")
-    world.tell(api.ServerList("delta", [api.ListEntry("b", state, "here")]))
+    world.tell(
+        api.EndpointUpdate(
+            api.EndpointUpdateKind.DELTA, [api.Endpoint("b", api.EndpointState(state), "here")]
+        )
+    )
     for index in range(50):
         world.request(f"r{index}")
-    assert {send.server for send in of(world.log, api.Send)} == {"a"}
+    assert {send.server for send in of(world.log, api.StartAttempt)} == {"a"}
 
 
 def test_a_drain_told_while_the_probes_are_out_counts() -> None:
     world = World("a", "b", loads={"a": 0.6, "b": 0.1})
     world.tell(api.Request("r", "web", 2 * SECOND))
-    world.tell(api.ServerList("full", entries("a")))  # absent from a full list: gone
+    world.tell(api.EndpointUpdate(api.EndpointUpdateKind.FULL, entries("a")))  # absent from a full list: gone
     world.answer_probes()
-    assert [send.server for send in of(world.log, api.Send)] == ["a"]
+    assert [send.server for send in of(world.log, api.StartAttempt)] == ["a"]
 
 
 def test_a_failed_list_call_keeps_the_list_and_is_repeated_later_each_time() -> None:
-    world = World("a", list_on_request=True)
+    world = World("a", poll_endpoints=True)
     assert any(token == "list" for _, _, token in world.timers)
     delays = []
     for _ in range(6):
-        answers = world.tell(api.ServerList("failed"))
-        delays += [timer.delay for timer in of(answers, api.SetTimer) if timer.token == "list"]
+        answers = world.tell(api.EndpointUpdate(api.EndpointUpdateKind.FAILED))
+        delays += [timer.delay_us for timer in of(answers, api.SetTimer) if timer.token == "list"]
     assert len(delays) == 6 and delays[0] <= 2 * SECOND and 4 * SECOND <= min(delays[4:]) < 12 * SECOND
-    world.tell(api.ServerList("delta"))
-    again = of(world.tell(api.ServerList("failed")), api.SetTimer)
-    assert again[0].delay <= 2 * SECOND
-    assert of(world.tell(api.TimerFired("list")), api.WatchList)
+    world.tell(api.EndpointUpdate(api.EndpointUpdateKind.DELTA))
+    again = of(world.tell(api.EndpointUpdate(api.EndpointUpdateKind.FAILED)), api.SetTimer)
+    assert again[0].delay_us <= 2 * SECOND
+    assert of(world.tell(api.TimerFired("list")), api.WatchEndpoints)
     world.request("r")
-    assert of(world.log, api.Send)
+    assert of(world.log, api.StartAttempt)
 
 
 # Rule 4.
@@ -261,8 +300,8 @@
 
 def test_a_repeat_goes_to_a_cold_server_only_with_twice_the_credit() -> None:
     """In a storm most of what reached cold servers were repeats, one from each of many balancers."""
-    world = World("a", cold_multiple=20.0)
-    world.tell(api.ServerList("full", entries("a", started=world.now)))
+    world = World("a", slow_start_overload_factor=20.0)
+    world.tell(api.EndpointUpdate(api.EndpointUpdateKind.FULL, entries("a", started_at_us=world.now)))
     for number in range(20):
         world.connect(f"c{number}", "a")
     server, conn = world.balancer.servers["a"], next(iter(world.balancer.open))
@@ -276,8 +315,8 @@
     met = 0
     for seed in range(200):
         world = World(*"abcdefgh", fleet_size=200, seed=seed)
-        cold = entries("cold", started=world.now)
-        world.tell(api.ServerList("delta", cold))
+        cold = entries("cold", started_at_us=world.now)
+        world.tell(api.EndpointUpdate(api.EndpointUpdateKind.DELTA, cold))
         for index in range(2):
             world.connect(f"c{index}", "a")
         server, conn = world.balancer.servers["cold"], next(iter(world.balancer.open))
@@ -295,8 +334,12 @@
 def test_a_cold_servers_budget_is_for_the_window_that_the_settings_give() -> None:
     grown = []
     for window in (SECOND, 2 * SECOND, 4 * SECOND):
-        world = World("a", "b", cold_window=window)
-        world.tell(api.ServerList("full", entries("a") + entries("b", started=world.now)))
+        world = World("a", "b", slow_start_overload_window_us=window)
+        world.tell(
+            api.EndpointUpdate(
+                api.EndpointUpdateKind.FULL, entries("a") + entries("b", started_at_us=world.now)
+            )
+        )
         for number in range(100):
             world.connect(f"c{number}", "a")
         server = world.balancer.servers["b"]
@@ -312,19 +355,19 @@
     world = World("a", "b", loads={"a": 0.5, "b": 0.0})
     for index in range(20):
         world.connect(f"w{index}", "ab"[index % 2])
-    cold = entries("a") + entries("b", started=world.now)
-    world.tell(api.ServerList("full", cold))
+    cold = entries("a") + entries("b", started_at_us=world.now)
+    world.tell(api.EndpointUpdate(api.EndpointUpdateKind.FULL, cold))
     for index in range(20):
         world.request(f"r{index}")
         world.run(50_000)
     # 20 connections here fill two servers to 0.5 or less: 20 fill one, and 40 with those that now come. At
     # a fifth of the capacity, a set-up weighing as a connection's second, 3 times that is 12 to 24 a second.
-    assert 5 <= [send.server for send in of(world.log, api.Send)].count("b") < 20
+    assert 5 <= [send.server for send in of(world.log, api.StartAttempt)].count("b") < 20
     world.run(20 * SECOND)
-    mark = len(of(world.log, api.Send))
+    mark = len(of(world.log, api.StartAttempt))
     for index in range(20):
         world.request(f"x{index}")
-    assert [send.server for send in of(world.log, api.Send)[mark:]].count("b") == 20
+    assert [send.server for send in of(world.log, api.StartAttempt)[mark:]].count("b") == 20
 
 
 def test_a_restarted_server_starts_a_new_budget_whatever_it_was_sent_before() -> None:
@@ -333,12 +376,12 @@
     for index in range(300):
         world.request(f"w{index}")
         world.run(50_000)
-    world.tell(api.ServerList("delta", entries("b", started=world.now)))
-    mark = len(of(world.log, api.Send))
+    world.tell(api.EndpointUpdate(api.EndpointUpdateKind.DELTA, entries("b", started_at_us=world.now)))
+    mark = len(of(world.log, api.StartAttempt))
     for index in range(60):
         world.request(f"r{index}")
         world.run(50_000)
-    assert "b" in {send.server for send in of(world.log, api.Send)[mark:]}
+    assert "b" in {send.server for send in of(world.log, api.StartAttempt)[mark:]}
 
 
 def test_a_request_heard_twice_is_held_once() -> None:
@@ -353,15 +396,15 @@
 def test_every_balancer_draws_the_same_pair_for_a_key() -> None:
     """Packets that landed mid-flow at another balancer were reset: it knew no better than to draw anew."""
     names = [f"s{index}" for index in range(20)]
-    there = [api.ListEntry(name, "ready", "there") for name in names[10:]]
-    one, two = World(*names, seed=1, cross_price=0.1), World(*names, seed=2, cross_price=0.1)
+    there = [api.Endpoint(name, api.EndpointState.READY, "there") for name in names[10:]]
+    one, two = World(*names, seed=1, cross_zone_cost=0.1), World(*names, seed=2, cross_zone_cost=0.1)
     kept = 0
     for world in (one, two):
-        world.tell(api.ServerList("full", entries(*names[:10]) + there))
+        world.tell(api.EndpointUpdate(api.EndpointUpdateKind.FULL, entries(*names[:10]) + there))
     for index in range(200):
         one.request(f"r{index}", key=f"k{index}")
         two.tell(api.Request(f"r{index}", "web", 2 * SECOND, f"k{index}", midflow=True))
-        kept += of(one.log, api.Send)[-1].server == of(two.log, api.Send)[-1].server
+        kept += of(one.log, api.StartAttempt)[-1].server == of(two.log, api.StartAttempt)[-1].server
     assert kept > 150  # of two candidates the own zone's, unless the other is clearly less loaded
 
 
@@ -370,8 +413,8 @@
     sent = set()
     for index in range(16):
         world.run(15 * SECOND)
-        world.request(f"r{index}", key="k", returning=True)
-        sent.add(of(world.log, api.Send)[-1].server)
+        world.request(f"r{index}", key="k", reconnecting=True)
+        sent.add(of(world.log, api.StartAttempt)[-1].server)
     assert len(sent) > 4
 
 
@@ -379,11 +422,11 @@
     """On overloaded days the probes of requests that could only be refused cost more than they told."""
     world = World("a", "b", loads={"a": 1.0, "b": 1.0})
     world.request("first")
-    assert of(world.log, api.Refuse)  # given up on, and told at once
+    assert of(world.log, api.Reject)  # given up on, and told at once
     mark = len(world.log)
     for index in range(40):
         world.tell(api.Request(f"r{index}", "web", 2 * SECOND))
-    assert 20 < len(of(world.log[mark:], api.Refuse)) < 40
+    assert 20 < len(of(world.log[mark:], api.Reject)) < 40
 
 
 def test_a_balancer_that_found_the_fleet_full_asks_again_before_long() -> None:
@@ -394,8 +437,8 @@
     world.run(FRESH)
     for index in range(20):
         world.request(f"r{index}")
-    assert len(of(world.log, api.Refuse)) == 1
-    assert len(of(world.log, api.Send)) == 20
+    assert len(of(world.log, api.Reject)) == 1
+    assert len(of(world.log, api.StartAttempt)) == 20
 
 
 def test_hung_servers_do_not_make_the_fleet_look_full() -> None:
@@ -411,21 +454,24 @@
     world = World("a", "b", "c", loads={"a": 2.0, "b": 0.5, "c": 0.5})
     for index in range(60):
         world.connect(f"c{index}", "a")
-    world.tell(api.DelayNote("c0", "a", 400.0))
-    moved = of(world.run(SECOND // 2), api.Move)
+    world.tell(api.MessageLatencyChanged("c0", "a", 400.0))
+    moved = of(world.run(SECOND // 2), api.Migrate)
     assert 30 <= len(moved) <= 55
-    assert not of(world.tell(api.DelayNote(sorted(world.balancer.connections)[0], "a", 400.0)), api.Probe)
+    assert not of(
+        world.tell(api.MessageLatencyChanged(sorted(world.balancer.connections)[0], "a", 400.0)),
+        api.CheckHealth,
+    )
 
 
 def test_a_server_that_answers_no_probe_loses_all() -> None:
     world = World("a", "b", "c")
     world.silent = {"a"}
     world.connect("c0", "a")
-    world.tell(api.DelayNote("c0", "a", 9000.0))
-    assert of(world.run(SECOND // 2), api.Move) == [api.Move("c0")]
+    world.tell(api.MessageLatencyChanged("c0", "a", 9000.0))
+    assert of(world.run(SECOND // 2), api.Migrate) == [api.Migrate("c0")]
     for index in range(30):
         world.request(f"r{index}")
-    assert "a" not in {send.server for send in of(world.log, api.Send)}
+    assert "a" not in {send.server for send in of(world.log, api.StartAttempt)}
 
 
 def test_midflow_packets_wait_for_their_turn_while_set_ups_fail() -> None:
@@ -435,7 +481,7 @@
         world.balancer.pace = pace
         for index in range(40):
             world.request(f"r{index}", key=f"k{index}", midflow=True)
-        assert len(of(world.log, api.Send)) == sent
+        assert len(of(world.log, api.StartAttempt)) == sent
 
 
 def test_a_refused_probe_is_not_yet_a_sick_server() -> None:
@@ -445,13 +491,13 @@
     world.balancer.servers["a"].x, world.balancer.servers["a"].delay = 0.6, 500.0
     moves = []
     for _ in range(2):
-        world.tell(api.DelayNote("c0", "a", 400.0))
+        world.tell(api.MessageLatencyChanged("c0", "a", 400.0))
         while not world.probes:
             world.run_to_timer()
         assert world.probes.pop() == "a"
-        moves.append(of(world.tell(api.Probed("a", "full")), api.Move))
+        moves.append(of(world.tell(api.HealthCheckResult("a", api.AttemptOutcome.OVERLOADED)), api.Migrate))
         world.run(SECOND)
-    assert moves == [[], [api.Move("c0")]]  # the second time running it is as good as silence
+    assert moves == [[], [api.Migrate("c0")]]  # the second time running it is as good as silence
 
 
 def test_a_refused_probe_of_a_server_whose_delays_grow_is_silence() -> None:
@@ -459,10 +505,12 @@
     world = World("a", "b", "c")
     world.connect("c0", "a")
     world.balancer.servers["a"].x = 0.6
-    world.tell(api.DelayNote("c0", "a", 4000.0))
+    world.tell(api.MessageLatencyChanged("c0", "a", 4000.0))
     while not world.probes:
         world.run_to_timer()
-    assert of(world.tell(api.Probed("a", "full")), api.Move) == [api.Move("c0")]
+    assert of(world.tell(api.HealthCheckResult("a", api.AttemptOutcome.OVERLOADED)), api.Migrate) == [
+        api.Migrate("c0")
+    ]
 
 
 def test_relief_reads_are_spread() -> None:
@@ -471,7 +519,7 @@
     for seed in range(20):
         world = World("a", "b", "c", seed=seed)
         world.connect("c0", "a")
-        assert not of(world.tell(api.DelayNote("c0", "a", 400.0)), api.Probe)
+        assert not of(world.tell(api.MessageLatencyChanged("c0", "a", 400.0)), api.CheckHealth)
         start = world.now
         while not world.probes:
             world.run_to_timer()
@@ -486,42 +534,42 @@
         world = World("a", "b", "c", loads={"a": 0.1, "b": 0.4, "c": 0.4})
         for index in range(60):
             world.connect(f"c{index}", "a")
-        world.tell(api.DelayNote("c0", "a", delays[0] / 10))  # within the aim: no relief yet
+        world.tell(api.MessageLatencyChanged("c0", "a", delays[0] / 10))  # within the aim: no relief yet
         world.balancer.servers["a"].delay = delays[0]
-        world.tell(api.DelayNote("c0", "a", delays[1]))
-        moved[delays[1]] = len(of(world.run(SECOND // 2), api.Move))
+        world.tell(api.MessageLatencyChanged("c0", "a", delays[1]))
+        moved[delays[1]] = len(of(world.run(SECOND // 2), api.Migrate))
     assert 8 <= moved[400.0] <= 30
     assert moved[300.0] == 0
 
 
 def test_no_probe_where_probes_are_not_allowed() -> None:
-    world = World("a", "b", "c", may_probe=False)
+    world = World("a", "b", "c", health_checks_enabled=False)
     world.connect("c0", "a")
-    world.tell(api.DelayNote("c0", "a", 400.0))
+    world.tell(api.MessageLatencyChanged("c0", "a", 400.0))
     world.run(20 * SECOND)
-    assert not of(world.log, api.Probe)
+    assert not of(world.log, api.CheckHealth)
 
 
 def test_an_answered_probe_does_not_end_suspicion() -> None:
     """A server that hangs may still answer probes beside its queue, and was sent set-ups each time."""
     world = World("a", "b", "c")
     world.request("r", 20 * SECOND)
-    failed = of(world.log, api.Send)[0].server
-    world.tell(api.AttemptEnded("r", 0, failed, "timeout", SECOND))
+    failed = of(world.log, api.StartAttempt)[0].server
+    world.tell(api.AttemptEnded("r", 0, failed, api.AttemptOutcome.TIMEOUT, SECOND))
     world.connect("c0", failed)
-    world.tell(api.DelayNote("c0", failed, 400.0))
+    world.tell(api.MessageLatencyChanged("c0", failed, 400.0))
     world.run(SECOND // 2)
-    mark = len(of(world.log, api.Send))
+    mark = len(of(world.log, api.StartAttempt))
     for index in range(30):
         world.request(f"x{index}")
-    sent = {send.server for send in of(world.log, api.Send)[mark:] if send.id != "r"}
+    sent = {send.server for send in of(world.log, api.StartAttempt)[mark:] if send.id != "r"}
     assert failed not in sent and len(sent) == 2
 
 
 def test_messages_within_the_aim_move_nobody() -> None:
     world = World("a", "b", loads={"a": 2.0, "b": 0.1})
     world.connect("c0", "a")
-    world.tell(api.DelayNote("c0", "a", 49.0))
+    world.tell(api.MessageLatencyChanged("c0", "a", 49.0))
     assert not world.probes
 
 
@@ -529,10 +577,10 @@
     """Clients that all came again kept the store behind the servers saturated for ever."""
     world = World("a", "b", "c")
     for index in range(40):
-        world.request(f"r{index}", returning=True)
-    assert len(of(world.log, api.Send)) < 10
+        world.request(f"r{index}", reconnecting=True)
+    assert len(of(world.log, api.StartAttempt)) < 10
     world.run(3 * SECOND)
-    sent = {send.id for send in of(world.log, api.Send)}
+    sent = {send.id for send in of(world.log, api.StartAttempt)}
     assert all(finals(world, f"r{index}") or f"r{index}" in sent for index in range(40))
 
 
@@ -556,15 +604,15 @@
     names = [f"s{index}" for index in range(20)]
     for group in ("g1", "g2", "g3"):
         first = World(*names, fleet_size=50)
-        probes = first.tell(api.Request("r", "web", SECOND, "k", group=group))
-        full = dict.fromkeys((probe.server for probe in of(probes, api.Probe)), X_FULL + 0.1)
+        probes = first.tell(api.Request("r", "web", SECOND, "k", affinity_group=group))
+        full = dict.fromkeys((probe.server for probe in of(probes, api.CheckHealth)), X_FULL + 0.1)
         assert len(full) == 2
         chosen = set()
         for seed in range(2, 8):
             world = World(*names, fleet_size=50, seed=seed, loads=dict.fromkeys(names, 0.4) | full)
-            world.request("r", group=group)
+            world.request("r", affinity_group=group)
             world.run(SECOND)
-            chosen |= {send.server for send in of(world.log, api.Send)}
+            chosen |= {send.server for send in of(world.log, api.StartAttempt)}
         assert len(chosen) <= 2 and not chosen & set(full)
 
 
@@ -573,8 +621,8 @@
     world = World("a", "b", loads={"a": X_FULL + 0.1, "b": X_FULL + 0.2})
     world.request("r")
     world.run(2 * SECOND)
-    refusal = of(world.log, api.Refuse)[0]
-    assert 0 < refusal.retry_after <= 1_500_000 and not of(world.log, api.Send)
+    refusal = of(world.log, api.Reject)[0]
+    assert 0 < refusal.retry_after_us <= 1_500_000 and not of(world.log, api.StartAttempt)
 
 
 def test_a_full_pair_in_a_fleet_with_room_is_drawn_anew() -> None:
@@ -583,83 +631,93 @@
     for index in range(60):
         world.request(f"r{index}", key=f"k{index}")
     world.run(2 * SECOND)
-    assert len(of(world.log, api.Send)) == 60
+    assert len(of(world.log, api.StartAttempt)) == 60
 
 
 def test_crossing_zones_has_its_price() -> None:
-    world = World("a", "b", loads={"a": 0.45, "b": 0.4}, cross_price=0.1)
-    world.tell(api.ServerList("full", [*entries("a"), api.ListEntry("b", "ready", "there")]))
+    world = World("a", "b", loads={"a": 0.45, "b": 0.4}, cross_zone_cost=0.1)
+    world.tell(
+        api.EndpointUpdate(
+            api.EndpointUpdateKind.FULL, [*entries("a"), api.Endpoint("b", api.EndpointState.READY, "there")]
+        )
+    )
     world.request("r")
-    assert of(world.log, api.Send)[-1].server == "a"
+    assert of(world.log, api.StartAttempt)[-1].server == "a"
     world.loads["a"] = 0.95
     world.request("r2")
-    assert of(world.log, api.Send)[-1].server == "b"
+    assert of(world.log, api.StartAttempt)[-1].server == "b"
 
 
 def test_an_unread_load_is_unknown_and_not_idle() -> None:
     world = World("a", "b", loads={"a": 0.3, "b": 0.3})
     world.tell(api.Request("r", "web", 2 * SECOND))
     world.probes.clear()
-    world.tell(api.Probed("a", "ok", 10, {"load": 0.3}))
-    world.tell(api.Probed("b", "ok", 10, {}))
-    assert of(world.log, api.Send)[-1].server == "a"
+    world.tell(api.HealthCheckResult("a", api.AttemptOutcome.OK, 10, {"load": 0.3}))
+    world.tell(api.HealthCheckResult("b", api.AttemptOutcome.OK, 10, {}))
+    assert of(world.log, api.StartAttempt)[-1].server == "a"
 
 
 def test_a_slow_answer_is_waited_for_no_longer_than_the_hold() -> None:
     world = World("a", "b")
     world.tell(api.Request("r", "web", 2 * SECOND))
     world.probes.clear()
-    world.tell(api.Probed("a", "ok", 10, {"load": 0.3}))
-    assert not of(world.log, api.Send)
+    world.tell(api.HealthCheckResult("a", api.AttemptOutcome.OK, 10, {"load": 0.3}))
+    assert not of(world.log, api.StartAttempt)
     [hold] = [timer for timer in world.timers if timer[2].startswith("hold:")]
     world.now = hold[0]
     world.tell(api.TimerFired(hold[2]))
-    assert of(world.log, api.Send)[-1].server == "a"
+    assert of(world.log, api.StartAttempt)[-1].server == "a"
 
 
 def test_without_probes_requests_are_still_placed() -> None:
-    world = World("a", "b", may_probe=False, report_names=())
+    world = World("a", "b", health_checks_enabled=False, load_metrics=())
     world.request("r")
-    assert of(world.log, api.Send) and not of(world.log, api.Probe)
+    assert of(world.log, api.StartAttempt) and not of(world.log, api.CheckHealth)
 
 
 def test_reports_in_answers_are_read_where_probes_are_not_allowed() -> None:
-    world = World("a", "b", may_probe=False)
+    world = World("a", "b", health_checks_enabled=False)
     for index in range(40):
         world.request(f"r{index}")
-        server = of(world.log, api.Send)[-1].server
+        server = of(world.log, api.StartAttempt)[-1].server
         report = {"load": 0.6 if server == "a" else 0.1}
-        world.tell(api.AttemptEnded(f"r{index}", 0, server, "ok", 1000, True, report))
-    assert {send.server for send in of(world.log, api.Send)[-10:]} == {"b"}
+        world.tell(api.AttemptEnded(f"r{index}", 0, server, api.AttemptOutcome.OK, 1000, True, report))
+    assert {send.server for send in of(world.log, api.StartAttempt)[-10:]} == {"b"}
 
 
 def test_counts_rank_servers_but_do_not_fill_them() -> None:
     """Read as a load, forty requests in hand made every server look full and refused all."""
-    world = World("a", "b", report_names=("inflight",))
+    world = World("a", "b", load_metrics=("inflight",))
     for index in range(30):
         world.tell(api.Request(f"r{index}", "web", 2 * SECOND))
         for server in world.probes:
-            world.tell(api.Probed(server, "ok", 1000, {"inflight": 40.0 if server == "a" else 30.0}))
+            world.tell(
+                api.HealthCheckResult(
+                    server, api.AttemptOutcome.OK, 1000, {"inflight": 40.0 if server == "a" else 30.0}
+                )
+            )
         world.probes.clear()
-    assert [send.server for send in of(world.log, api.Send)] == ["b"] * 30
+    assert [send.server for send in of(world.log, api.StartAttempt)] == ["b"] * 30
 
 
 def test_events_for_what_is_not_held_are_passed_over() -> None:
     world = World("a")
     for event in (
         api.Established("x", 0, "a", 1),
-        api.AttemptEnded("x", 0, "nowhere", "ok"),
-        api.ClientLeft("x"),
-        api.Probed("nowhere", "ok"),
+        api.AttemptEnded("x", 0, "nowhere", api.AttemptOutcome.OK),
+        api.ClientDisconnected("x"),
+        api.HealthCheckResult("nowhere", api.AttemptOutcome.OK),
         api.TimerFired("hold:x"),
         api.TimerFired("unheard-of"),
-        api.DelayNote("x", "a", 99.0),
-        api.OpenConnection("x", "web", "nowhere"),
+        api.MessageLatencyChanged("x", "a", 99.0),
+        api.ExistingConnection("x", "web", "nowhere"),
     ):
         assert world.tell(event) == []
 
 
-@pytest.mark.parametrize("change", [{"fleet_size": 0}, {"classes": {}}, {"cold_from": float("nan")}])
+@pytest.mark.parametrize(
+    "change", [{"fleet_size": 0}, {"classes": {}}, {"slow_start_initial_capacity": float("nan")}]
+)
 def test_impossible_settings_are_named(change: dict[str, object]) -> None:
     with pytest.raises(ValueError, match=next(iter(change))):
         settings(**change)
@@ -692,10 +750,10 @@
     """After a balancer's restart its clients were held at a store's pace until their time was out."""
     world = World("a", "b", "c")
     for index in range(40):
-        world.tell(api.Request(f"r{index}", "web", 2 * SECOND, f"k{index}", returning=True))
+        world.tell(api.Request(f"r{index}", "web", 2 * SECOND, f"k{index}", reconnecting=True))
         world.answer_probes()
     world.run(SECOND)
-    assert len({send.id for send in of(world.log, api.Send)}) == 40
+    assert len({send.id for send in of(world.log, api.StartAttempt)}) == 40
 
 
 def test_clients_of_one_group_draw_one_pair() -> None:
@@ -703,7 +761,9 @@
     pairs = set()
     for index in range(8):
         world = World(*"abcdefgh", seed=index)
-        world.tell(api.Request("r", "web", 2 * SECOND, f"k{index}", returning=index % 2 > 0, group="g"))
+        world.tell(
+            api.Request("r", "web", 2 * SECOND, f"k{index}", reconnecting=index % 2 > 0, affinity_group="g")
+        )
         pairs.add(frozenset(world.probes))
     assert len(pairs) == 1
 
@@ -711,66 +771,74 @@
 def test_a_full_server_is_relieved_where_no_delay_notes_come() -> None:
     """On sockets a crowded server answers lines at once: nothing but its own report tells that it is full."""
     for told, others, moved in [(False, 0.3, True), (True, 0.3, False), (False, 1.0, False)]:
-        world = World("a", "b", "c", loads={"a": 1.4, "b": others, "c": others}, tells_delay=told)
+        world = World("a", "b", "c", loads={"a": 1.4, "b": others, "c": others}, reports_message_latency=told)
         for number in range(8):  # where all are full, none has room for whom another sends away
             world.request(f"r{number}")
         for index in range(40):
             world.connect(f"c{index}", "a")
-            world.tell(api.LoadNote(f"c{index}", "a", 1000.0))
-        assert (len(of(world.run(3 * SECOND), api.Move)) > 5) is moved
+            world.tell(api.ConnectionLoadChanged(f"c{index}", "a", 1000.0))
+        assert (len(of(world.run(3 * SECOND), api.Migrate)) > 5) is moved
 
 
 def test_a_look_that_is_not_answered_is_repeated_before_anybody_is_moved() -> None:
     """A server that stands still for 250 ms answers no probe in time; all that it held was moved away."""
     for still, moved in [(False, 0), (True, 40)]:
-        world = World("a", "b", "c", tells_delay=False)
+        world = World("a", "b", "c", reports_message_latency=False)
         for index in range(40):
             world.connect(f"c{index}", "a")
         while "a" not in world.probes:
             world.run_to_timer()
         world.probes.remove("a")
-        assert not of(world.tell(api.Probed("a", "timeout")), api.Move)
+        assert not of(world.tell(api.HealthCheckResult("a", api.AttemptOutcome.TIMEOUT)), api.Migrate)
         world.silent = {"a"} if still else set()
-        assert len(of(world.run(SECOND), api.Move)) == moved
+        assert len(of(world.run(SECOND), api.Migrate)) == moved
 
 
 def test_any_reading_of_a_full_server_relieves_it_where_no_delay_is_told() -> None:
     """Read for newcomers at 1.2, a server kept all its clients until it was looked at, seconds later."""
     # Relief from 0.7 on at a single noisy reading moved clients for nothing.
-    for load, tells_delay, moved in ((1.4, False, True), (1.4, True, False), (0.78, False, False)):
-        world = World("a", "b", loads={"a": load, "b": 0.2}, tells_delay=tells_delay)
+    for load, reports_message_latency, moved in (
+        (1.4, False, True),
+        (1.4, True, False),
+        (0.78, False, False),
+    ):
+        world = World("a", "b", loads={"a": load, "b": 0.2}, reports_message_latency=reports_message_latency)
         for number in range(40):
             world.connect(f"c{number}", "a")
         world.request("newcomer")
-        assert bool(of(world.log, api.Move)) == moved
+        assert bool(of(world.log, api.Migrate)) == moved
 
 
 def test_a_change_of_the_list_brings_the_next_looks_forward() -> None:
-    world = World("a", "b", "c", tells_delay=False)
+    world = World("a", "b", "c", reports_message_latency=False)
     world.connect("c", "a")
     world.run(60 * SECOND)
     world.log.clear()
     world.run(8 * SECOND)
-    quiet = len(of(world.log, api.Probe))
-    world.tell(api.ServerList("delta", [api.ListEntry("c", "draining", "here")]))
+    quiet = len(of(world.log, api.CheckHealth))
+    world.tell(
+        api.EndpointUpdate(
+            api.EndpointUpdateKind.DELTA, [api.Endpoint("c", api.EndpointState.DRAINING, "here")]
+        )
+    )
     world.log.clear()
     world.run(8 * SECOND)
-    assert len(of(world.log, api.Probe)) > quiet
+    assert len(of(world.log, api.CheckHealth)) > quiet
 
 
 def test_a_probe_that_never_went_out_says_nothing_of_its_server() -> None:
     """Out of descriptors of its own, a balancer took every server that it could not ask for a failed one."""
-    for outcome, suspected in (("moot", False), ("connect_failed", True)):
+    for outcome, suspected in (("not_sent", False), ("connect_failed", True)):
         world = World("a", "b")
         world.tell(api.Request("r", "web", 2 * SECOND))
-        world.tell(api.Probed(world.probes.pop(), outcome))
+        world.tell(api.HealthCheckResult(world.probes.pop(), api.AttemptOutcome(outcome)))
         servers = world.balancer.servers.values()
         assert any(server.suspect_until > world.now for server in servers) == suspected
 
 
 def test_a_server_that_answers_looks_with_errors_keeps_its_clients_and_gets_no_more() -> None:
     """It answered within 3 ms, twice with ERR, and all that it held was moved away."""
-    world = World("a", "b", "c", tells_delay=False)
+    world = World("a", "b", "c", reports_message_latency=False)
     for index in range(40):
         world.connect(f"c{index}", "a")
     for _ in range(3):
@@ -778,48 +846,60 @@
             world.run_to_timer()
             for name in [name for name in world.probes if name != "a"]:
                 world.probes.remove(name)
-                world.tell(api.Probed(name, "ok", 1000, {"load": 0.4}))
+                world.tell(api.HealthCheckResult(name, api.AttemptOutcome.OK, 1000, {"load": 0.4}))
         world.probes.remove("a")
-        assert not of(world.tell(api.Probed("a", "error")), api.Move)
+        assert not of(world.tell(api.HealthCheckResult("a", api.AttemptOutcome.ERROR)), api.Migrate)
         world.request("r")
-        assert of(world.log, api.Send)[-1].server != "a"
-        world.tell(api.ClientLeft("r"))
+        assert of(world.log, api.StartAttempt)[-1].server != "a"
+        world.tell(api.ClientDisconnected("r"))
 
 
 def test_two_full_servers_at_the_own_site_do_not_make_the_fleet_look_full() -> None:
     """Draws prefer the own site; a mean over draws rose above 0.7 there, and most clients were refused."""
     loads = {"a": 1.2, "b": 1.2, "c": 0.4, "d": 0.4, "e": 0.4}
-    world = World(*"abcde", loads=loads, cross_price=0.01)
+    world = World(*"abcde", loads=loads, cross_zone_cost=0.01)
     for name in "cde":
-        world.tell(api.ServerList("delta", [api.ListEntry(name, "ready", "there")]))
+        world.tell(
+            api.EndpointUpdate(
+                api.EndpointUpdateKind.DELTA, [api.Endpoint(name, api.EndpointState.READY, "there")]
+            )
+        )
     for number in range(200):
         world.request(f"r{number}", key=f"k{number}")
         world.run(SECOND // 10)
-    assert not of(world.log, api.Refuse)
+    assert not of(world.log, api.Reject)
     assert world.balancer.mean_x < X_FULL
 
 
 def test_relief_leaves_alone_whoever_has_just_come() -> None:
     """A restarted balancer's clients came within a second; the work of it had 49 of them moved again."""
-    world = World("a", "b", loads={"a": 0.3, "b": 0.3}, tells_delay=False)
+    world = World("a", "b", loads={"a": 0.3, "b": 0.3}, reports_message_latency=False)
     for number in range(60):
         world.request(f"r{number}", key=f"k{number}")
         world.establish(f"r{number}")
     world.loads = {"a": 1.3, "b": 0.3}
     world.request("next")
-    assert not of(world.log, api.Move)
+    assert not of(world.log, api.Migrate)
     world.run(30 * SECOND)
-    assert of(world.log, api.Move)
+    assert of(world.log, api.Migrate)
 
 
 @pytest.mark.parametrize(("repeat", "window"), [("unsafe", 0), ("keyed", 100_000)])
 def test_what_may_have_run_and_cannot_be_repeated_is_answered_at_once(repeat: str, window: int) -> None:
     """It was held until its client's time was out, though nothing could be tried any more."""
-    world = World("a", "b", classes={"web": api.ServiceClass("web", 500_000, repeat, "zone", window)})
+    world = World(
+        "a",
+        "b",
+        classes={
+            "web": api.ServiceClass(
+                "web", 500_000, api.Idempotency(repeat), api.DeduplicationScope.ZONE, window
+            )
+        },
+    )
     world.request("r")
-    sent = [action.server for action in world.log if isinstance(action, api.Send)]
+    sent = [action.server for action in world.log if isinstance(action, api.StartAttempt)]
     world.now += 200_000
-    answers = world.tell(api.AttemptEnded("r", 0, sent[-1], "reset", 200_000))
+    answers = world.tell(api.AttemptEnded("r", 0, sent[-1], api.AttemptOutcome.RESET, 200_000))
     assert answers == [api.Fail("r")]
 
 
@@ -827,53 +907,53 @@
     """Each draw armed a timer that drew again: at forty balancers with full servers 1,200 probes a second."""
     names = [f"s{number}" for number in range(40)]  # too many for one request to find all full
     world = World(*names, loads=dict.fromkeys(names, X_FULL + 0.1))
-    world.request("r:1", expires_in=4 * SECOND)  # with a colon in its id, its timers were lost
+    world.request("r:1", expires_in_us=4 * SECOND)  # with a colon in its id, its timers were lost
     world.run(4 * SECOND)
-    assert 6 <= len(of(world.log, api.Probe)) <= 14
-    assert of(world.log, api.Refuse)
+    assert 6 <= len(of(world.log, api.CheckHealth)) <= 14
+    assert of(world.log, api.Reject)
 
 
 def test_suspects_that_answer_are_sent_to_when_no_other_is_left() -> None:
     """They were drawn, dropped again and drawn again until the client's time was out."""
     world = World("a", "b")
     for id in ("p", "q"):
-        world.request(id, expires_in=10 * SECOND)
-        sent = of(world.log, api.Send)[-1]
-        world.tell(api.AttemptEnded(id, 0, sent.server, "connect_failed"))
-        world.tell(api.ClientLeft(id))
-    assert {send.server for send in of(world.log, api.Send)} == {"a", "b"}
-    world.request("r", expires_in=SECOND // 2)
-    assert [send.id for send in of(world.log, api.Send)][-1] == "r"
+        world.request(id, expires_in_us=10 * SECOND)
+        sent = of(world.log, api.StartAttempt)[-1]
+        world.tell(api.AttemptEnded(id, 0, sent.server, api.AttemptOutcome.CONNECT_FAILED))
+        world.tell(api.ClientDisconnected(id))
+    assert {send.server for send in of(world.log, api.StartAttempt)} == {"a", "b"}
+    world.request("r", expires_in_us=SECOND // 2)
+    assert [send.id for send in of(world.log, api.StartAttempt)][-1] == "r"
 
 
 def test_a_server_read_as_full_is_read_again_until_it_is_not() -> None:
     """A look drawn among many servers met a bad one every 10 s, while its few clients here waited."""
-    world = World("a", "b", loads={"a": 0.85, "b": 0.3}, tells_delay=False)
+    world = World("a", "b", loads={"a": 0.85, "b": 0.3}, reports_message_latency=False)
     for index in range(100):
         world.connect(f"c{index}", "ab"[index >= 8])
-    while not [probe for probe in of(world.log, api.Probe) if probe.server == "a"]:
+    while not [probe for probe in of(world.log, api.CheckHealth) if probe.server == "a"]:
         world.run_to_timer()
     world.answer_probes()
     mark = len(world.log)
     world.run(4 * SECOND + SECOND // 2)
-    assert len([probe for probe in of(world.log[mark:], api.Probe) if probe.server == "a"]) >= 4
+    assert len([probe for probe in of(world.log[mark:], api.CheckHealth) if probe.server == "a"]) >= 4
     world.loads["a"] = X_FULL
     world.run(2 * SECOND)
     mark = len(world.log)
     world.run(8 * SECOND)
-    assert len([probe for probe in of(world.log[mark:], api.Probe) if probe.server == "a"]) <= 3
+    assert len([probe for probe in of(world.log[mark:], api.CheckHealth) if probe.server == "a"]) <= 3
 
 
 def test_a_timer_that_comes_early_is_not_lost() -> None:
     """Its time not yet up by a host's rounding, the only timer of a held request was passed over."""
     world = World()
-    world.request("r", expires_in=SECOND)
+    world.request("r", expires_in_us=SECOND)
     for _ in range(1000):
         timer = min(world.timers)
         world.timers.remove(timer)
         world.now = max(world.now + 1, timer[0] - 300)
         world.tell(api.TimerFired(timer[2]))
-        if of(world.log, api.Refuse):
+        if of(world.log, api.Reject):
             break
-    assert of(world.log, api.Refuse)
+    assert of(world.log, api.Reject)
     assert world.now < 1001 * SECOND  # before its client gives up
--- a/tests/test_weights.py
+++ b/tests/test_weights.py
@@ -7,7 +7,7 @@
 from world import World, entries
 
 from wheatstile import interface as api
-from wheatstile.rules import Connection
+from wheatstile.state import Connection
 
 NAMES = [f"s{number}" for number in range(10)]
 CHI_SQUARE = {1: 10.83, 9: 27.88, 19: 43.82}  # degrees of freedom -> exceeded by chance once in a thousand
@@ -15,7 +15,11 @@
 
 def weighted(weights: dict[str, float]) -> World:
     world = World()
-    world.tell(api.ServerList("full", [entries(name, weight=weight)[0] for name, weight in weights.items()]))
+    world.tell(
+        api.EndpointUpdate(
+            api.EndpointUpdateKind.FULL, [entries(name, weight=weight)[0] for name, weight in weights.items()]
+        )
+    )
     return world
 
 
@@ -39,7 +43,7 @@
     for number in range(draws):
         server = world.balancer.draw(connection(f"group{number}") if keyed else None)
         assert server
-        found[server.entry.server] += 1
+        found[server.endpoint.name] += 1
     total = sum(weights.values())
     wanted = {name: draws * weight / total for name, weight in weights.items()}
     chi_square = sum((found[name] - wanted[name]) ** 2 / wanted[name] for name in weights)
@@ -50,7 +54,7 @@
 def test_equal_weights_draw_as_before(weight: float) -> None:
     world = World(*NAMES) if weight == 1.0 else weighted(dict.fromkeys(NAMES, weight))
     drawn = [world.balancer.draw(None) for _ in range(12)]
-    names = [server.entry.server for server in drawn if server]
+    names = [server.endpoint.name for server in drawn if server]
     if weight == 1.0:  # the draws of the version before weights, from the same seed
         assert names == ["s0", "s3", "s5", "s9", "s6", "s2", "s6", "s9", "s8", "s3", "s4", "s7"]
     pairs = []
@@ -59,17 +63,21 @@
         first = world.balancer.draw(conn)
         second = world.balancer.draw(conn, first)
         assert first and second
-        pairs.append(first.entry.server + second.entry.server)
+        pairs.append(first.endpoint.name + second.endpoint.name)
     assert pairs == ["s9s2", "s4s6", "s3s0", "s2s7", "s4s7", "s2s5", "s1s4", "s4s0"]
 
 
 def test_every_balancer_draws_the_same_pair_for_a_group_whatever_it_heard_before() -> None:
     weights = dict(zip(NAMES, map(float, range(1, 11)), strict=True))
     first, second = weighted(weights), weighted(dict.fromkeys(NAMES, 3.0))
-    second.tell(api.ServerList("delta", [entries(name, weight=weights[name])[0] for name in reversed(NAMES)]))
+    second.tell(
+        api.EndpointUpdate(
+            api.EndpointUpdateKind.DELTA, [entries(name, weight=weights[name])[0] for name in reversed(NAMES)]
+        )
+    )
     for number in range(200):
         a, b = (world.balancer.draw(connection(f"g{number}")) for world in (first, second))
-        assert a and b and a.entry.server == b.entry.server
+        assert a and b and a.endpoint.name == b.endpoint.name
 
 
 def test_the_last_server_left_is_found_by_weight_too() -> None:
@@ -77,5 +85,5 @@
     world = weighted({"heavy": 3.0, "light": 1.0} | {f"off{number}": 100.0 for number in range(60)})
     for name, server in world.balancer.servers.items():
         server.suspect_until = world.now + 1 if name.startswith("off") else 0
-    found = Counter(one.entry.server for _ in range(2000) if (one := world.balancer.draw(None)))
+    found = Counter(one.endpoint.name for _ in range(2000) if (one := world.balancer.draw(None)))
     assert set(found) == {"heavy", "light"} and 2.3 < found["heavy"] / found["light"] < 3.9
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -60,24 +60,24 @@
         ),
         (
             "EXISTING\tbalancer=3\trequestId=d8\tservice=web\tserver=s1\tresource=k",
-            api.OpenConnection("d8", "web", "s1", "k"),
+            api.ExistingConnection("d8", "web", "s1", "k"),
         ),
         ("ACCEPTED\tbalancer=3\trequestId=d8\ttry=1\tserver=s1\trttUs=9", api.Established("d8", 1, "s1", 9)),
         (
             "RESOLVED\tbalancer=3\trequestId=d8\ttry=0\tserver=s1\tverdict=cut\trttUs=9\tlast=1\tstats=x0:0.5",
-            api.AttemptEnded("d8", 0, "s1", "reset", 9, True, {"load": 0.5}),
+            api.AttemptEnded("d8", 0, "s1", api.AttemptOutcome.RESET, 9, True, {"load": 0.5}),
         ),
         (
             "RESOLVED\tbalancer=3\trequestId=d8\ttry=0\tserver=s1\tverdict=eaten",
-            api.AttemptEnded("d8", 0, "s1", "error"),
+            api.AttemptEnded("d8", 0, "s1", api.AttemptOutcome.ERROR),
         ),
-        ("ABORTED\tbalancer=3\trequestId=d8", api.ClientLeft("d8")),
+        ("ABORTED\tbalancer=3\trequestId=d8", api.ClientDisconnected("d8")),
         (
             "CHECKED\tbalancer=3\tserver=s1\tverdict=pass\trttUs=5\tstats=x0:0.5,odd:3",
-            api.Probed("s1", "ok", 5, {"load": 0.5}),
+            api.HealthCheckResult("s1", api.AttemptOutcome.OK, 5, {"load": 0.5}),
         ),
-        (f"{NOTE}\ttopic=1", api.LoadNote("d8", "s1", 12.5)),
-        (f"{NOTE}\ttopic=2", api.DelayNote("d8", "s1", 12.5)),
+        (f"{NOTE}\ttopic=1", api.ConnectionLoadChanged("d8", "s1", 12.5)),
+        (f"{NOTE}\ttopic=2", api.MessageLatencyChanged("d8", "s1", 12.5)),
         (f"{NOTE}\ttopic=9", None),
         ("BELL\tbalancer=3\ttag=slot", api.TimerFired("slot")),
     ],
@@ -90,13 +90,13 @@
 @pytest.mark.parametrize(
     ("action", "line"),
     [
-        (api.Send("d8", "s1", 80), "TRANSMIT\tbalancer=3\trequestId=d8\tserver=s1\tlimitUs=80"),
-        (api.Refuse("d8", 5), "SAY_NO\tbalancer=3\trequestId=d8\tcoolDownUs=5"),
+        (api.StartAttempt("d8", "s1", 80), "TRANSMIT\tbalancer=3\trequestId=d8\tserver=s1\tlimitUs=80"),
+        (api.Reject("d8", 5), "SAY_NO\tbalancer=3\trequestId=d8\tcoolDownUs=5"),
         (api.Fail("d8"), "ABORT\tbalancer=3\trequestId=d8"),
-        (api.Move("d8"), "MIGRATE\tbalancer=3\trequestId=d8"),
-        (api.Probe("s1"), "PROBE\tbalancer=3\tserver=s1"),
+        (api.Migrate("d8"), "MIGRATE\tbalancer=3\trequestId=d8"),
+        (api.CheckHealth("s1"), "PROBE\tbalancer=3\tserver=s1"),
         (api.SetTimer(7, "slot"), "ARM\tbalancer=3\twaitUs=7\ttag=slot"),
-        (api.WatchList(), "STREAM_CHANGES\tbalancer=3\ton=1"),
+        (api.WatchEndpoints(), "STREAM_CHANGES\tbalancer=3\ton=1"),
     ],
 )
 def test_actions_are_rendered(action: api.Action, line: str) -> None:
--- a/tests/world.py
+++ b/tests/world.py
@@ -15,20 +15,20 @@
     values: dict[str, object] = {
         "fleet_size": 4,
         "zone": "here",
-        "classes": {"web": api.ServiceClass("web", 500_000, message_aim=50_000)},
+        "classes": {"web": api.ServiceClass("web", 500_000, message_latency_objective_us=50_000)},
         "max_attempts": 3,
-        "cold_from": 0.2,
-        "warm_after": 20 * SECOND,
-        "cold_multiple": 3.0,
-        "report_names": ("load",),
-        "retry_advice": True,
-        "max_retry_advice": 1_500_000,
+        "slow_start_initial_capacity": 0.2,
+        "slow_start_duration_us": 20 * SECOND,
+        "slow_start_overload_factor": 3.0,
+        "load_metrics": ("load",),
+        "retry_after_enabled": True,
+        "max_retry_after_us": 1_500_000,
     }
     return api.Settings(**(values | changes))  # type: ignore[arg-type]
 
 
-def entries(*names: str, **changes: object) -> list[api.ListEntry]:
-    return [api.ListEntry(name, "ready", "here", **changes) for name in names]  # type: ignore[arg-type]
+def entries(*names: str, **changes: object) -> list[api.Endpoint]:
+    return [api.Endpoint(name, api.EndpointState.READY, "here", **changes) for name in names]  # type: ignore[arg-type]
 
 
 def of(actions: Iterable[api.Action], kind: type[A]) -> list[A]:
@@ -47,15 +47,15 @@
         self.timers: list[tuple[int, int, str]] = []
         self.balancer = Balancer(settings(**changes), seed)
         self.take(self.balancer.start(self.now))
-        self.tell(api.ServerList("cached", entries(*names)))
+        self.tell(api.EndpointUpdate(api.EndpointUpdateKind.CACHED, entries(*names)))
 
     def take(self, actions: list[api.Action]) -> list[api.Action]:
         for action in actions:
-            if isinstance(action, api.Probe):
+            if isinstance(action, api.CheckHealth):
                 self.probes.append(action.server)
             elif isinstance(action, api.SetTimer):
-                assert action.delay > 0
-                self.timers.append((self.now + action.delay, len(self.timers), action.token))
+                assert action.delay_us > 0
+                self.timers.append((self.now + action.delay_us, len(self.timers), action.token))
         self.log += actions
         return actions
 
@@ -69,9 +69,11 @@
         while self.probes:
             name = self.probes.pop(0)
             if name in self.silent:
-                answers += self.tell(api.Probed(name, "timeout"))
+                answers += self.tell(api.HealthCheckResult(name, api.AttemptOutcome.TIMEOUT))
             else:
-                answers += self.tell(api.Probed(name, "ok", 1000, {"load": self.loads[name]}))
+                answers += self.tell(
+                    api.HealthCheckResult(name, api.AttemptOutcome.OK, 1000, {"load": self.loads[name]})
+                )
         return answers
 
     def run(self, length: int) -> list[api.Action]:
@@ -96,17 +98,17 @@
         self.now = max(self.now, timer[0])
         return self.tell(api.TimerFired(timer[2]))
 
-    def request(self, id: str, expires_in: int = 2 * SECOND, **changes: object) -> list[api.Action]:
+    def request(self, id: str, expires_in_us: int = 2 * SECOND, **changes: object) -> list[api.Action]:
         """A client's request, with its candidates' probes answered at once."""
-        event = api.Request(id, "web", expires_in, **changes)  # type: ignore[arg-type]
+        event = api.Request(id, "web", expires_in_us, **changes)  # type: ignore[arg-type]
         return self.tell(event) + self.answer_probes()
 
     def connect(self, id: str, server: str, key: str = "") -> None:
         """A connection that stands at this server, as one open from before."""
-        self.tell(api.OpenConnection(id, "web", server, key))
+        self.tell(api.ExistingConnection(id, "web", server, key))
 
     def establish(self, id: str, attempt: int = 0) -> str:
         """Accept the request's last attempt; the server that it went to."""
-        server = [send.server for send in of(self.log, api.Send) if send.id == id][-1]
+        server = [send.server for send in of(self.log, api.StartAttempt) if send.id == id][-1]
         self.tell(api.Established(id, attempt, server, 1000))
         return server
--- a/wheatstile/cli/check.py
+++ b/wheatstile/cli/check.py
@@ -5,11 +5,12 @@
 
 import click
 
+from wheatstile import interface as api
 from wheatstile.cli.common import refuse
 from wheatstile.config import operator
-from wheatstile.config.faults import Fault, Refused, load, locate
 from wheatstile.config.operator import OperatorFile
 from wheatstile.config.platform import Config, ConfigError
+from wheatstile.config.violations import ConfigurationError, Violation, load, locate
 from wheatstile.resolvers import document, intake
 from wheatstile.resolvers.document import Rules
 from wheatstile.resolvers.files import read_all
@@ -26,7 +27,7 @@
     """
     try:
         found = operator.read(file)
-    except Refused as refused:
+    except ConfigurationError as refused:
         return refuse(refused.lines())
     reasons, notes, platform = [], [], None
     config = config or os.environ.get("RELAY_CONFIG")
@@ -61,18 +62,18 @@
         return [*reasons, _at(found, "/servers/file", f"there is no {path}")]
     try:
         whole = document.read(str(path), read_all(path, rules.most_bytes), rules)
-    except Refused as refused:
+    except ConfigurationError as refused:
         return reasons + refused.lines()
     if platform is None:
         return reasons
-    known = [entry for entry in platform.known.entries if entry.state == "ready"]
+    known = [entry for entry in platform.known.endpoints if entry.state == api.EndpointState.READY]
     sites = tuple(sorted({entry.zone for entry in known} - {""}))
-    ready = frozenset(entry.server for entry in known) if servers.mode == "override" else frozenset()
+    ready = frozenset(entry.name for entry in known) if servers.mode == "override" else frozenset()
     admission = intake.admit(whole, InForce(None, sites, ready), None, frozenset(), rules)
     if admission.outcome in ("refused", "held"):
         reasons += [f"{path}:1: /: {reason}" for reason in admission.reasons]
     own = platform.settings.zone
-    if not any(named.entry.zone == own for named in whole.servers.values()):
+    if not any(named.endpoint.zone == own for named in whole.servers.values()):
         notes.append(
             f'whether anybody else serves this balancer\'s own site "{own}": the file names no server there'
         )
@@ -100,4 +101,4 @@
     """A fault of the operator's file that only its surroundings show, with its line."""
     data = Path(found.path).read_bytes()
     text, _ = load(str(found.path), data, len(data))
-    return Refused(str(found.path), locate(text, [Fault(pointer, reason)])).lines()[0]
+    return ConfigurationError(str(found.path), locate(text, [Violation(pointer, reason)])).lines()[0]
--- a/wheatstile/cli/common.py
+++ b/wheatstile/cli/common.py
@@ -22,5 +22,5 @@
 
 
 def servers_section(path: str | None) -> Servers:
-    """The section of the operator's file, or its defaults without one. Raises Refused."""
+    """The section of the operator's file, or its defaults without one. Raises ConfigurationError."""
     return operator.read(path).settings.servers if path else Servers()
--- a/wheatstile/cli/descriptions.py
+++ b/wheatstile/cli/descriptions.py
@@ -10,8 +10,8 @@
 
 from wheatstile.cli.common import refuse
 from wheatstile.config import operator
-from wheatstile.config.faults import Refused
 from wheatstile.config.platform import Config, ConfigError
+from wheatstile.config.violations import ConfigurationError
 from wheatstile.descriptions import reader
 from wheatstile.descriptions.compile import Compiled, Route
 from wheatstile.descriptions.model import NARROWER, TIGHTER, DescriptionError
@@ -33,7 +33,7 @@
             return super().invoke(context)
         except DescriptionError as error:
             return refuse(error.lines())
-        except Refused as refused:
+        except ConfigurationError as refused:
             return refuse(refused.lines())
         except ConfigError as error:
             return refuse([str(error)])
--- a/wheatstile/cli/servers.py
+++ b/wheatstile/cli/servers.py
@@ -8,9 +8,10 @@
 import click
 from tabulate import tabulate
 
+from wheatstile import interface as api
 from wheatstile.cli.common import operator_option, refuse, servers_section
-from wheatstile.config.faults import Fault, Refused, load
-from wheatstile.config.members import Named, ResolverResult
+from wheatstile.config.endpoints import EndpointSnapshot, ResolvedEndpoint
+from wheatstile.config.violations import ConfigurationError, Violation, load
 from wheatstile.resolvers import document, intake, merge
 from wheatstile.resolvers.document import Document, Rules, digest_of
 from wheatstile.resolvers.files import read_all, write_atomic
@@ -20,12 +21,12 @@
 
 
 class _Commands(click.Group):
-    """Refused is the same everywhere: the reasons on standard error, exit status 1."""
+    """ConfigurationError is the same everywhere: the reasons on standard error, exit status 1."""
 
     def invoke(self, context: click.Context) -> Any:
         try:
             return super().invoke(context)
-        except Refused as refused:
+        except ConfigurationError as refused:
             return refuse(refused.lines())
 
 
@@ -39,7 +40,7 @@
 
 
 def _value(path: str, rules: Rules) -> dict[str, Any]:
-    """The file's JSON as it stands, once it has been found to hold. Raises Refused."""
+    """The file's JSON as it stands, once it has been found to hold. Raises ConfigurationError."""
     data = read_all(Path(path), rules.most_bytes)
     document.read(path, data, rules, check_seal=False)
     _, value = load(path, data, rules.most_bytes)
@@ -65,10 +66,10 @@
     return ("{" + ",\n ".join(parts) + "}\n").encode()
 
 
-def _row(named: Named) -> dict[str, Any]:
+def _row(named: ResolvedEndpoint) -> dict[str, Any]:
     entry, address = named
     found: dict[str, Any] = {"address": "%s:%d" % address if address else "", "site": entry.zone}  # noqa: UP031
-    return found | {"weight": entry.weight, "state": entry.state, "started": entry.started // 1000}
+    return found | {"weight": entry.weight, "state": entry.state, "started": entry.started_at_us // 1000}
 
 
 def _table(rows: list[list[Any]], headers: list[str]) -> None:
@@ -191,7 +192,7 @@
     try:
         write_atomic(path, data)
     except OSError as error:
-        raise Refused(str(path), [Fault("", error.strerror or str(error))]) from None
+        raise ConfigurationError(str(path), [Violation("", error.strerror or str(error))]) from None
 
 
 @command.command()
@@ -207,12 +208,16 @@
     data = read_all(Path(discovery), rules.most_bytes)
     _, value = load(discovery, data, rules.most_bytes)
     try:
-        result = ResolverResult.read(value)
+        result = EndpointSnapshot.read(value)
     except (ValueError, KeyError, TypeError, OSError) as error:
-        raise Refused(discovery, [Fault("", f"is not in discovery's form: {error!r}")]) from None
+        raise ConfigurationError(
+            discovery, [Violation("", f"is not in discovery's form: {error!r}")]
+        ) from None
     told = Discovery.at(0)
     told.take(
-        0, {entry.server: Named(entry, result.addresses[entry.server]) for entry in result.entries}, "full"
+        0,
+        {entry.name: ResolvedEndpoint(entry, result.addresses[entry.name]) for entry in result.endpoints},
+        api.EndpointUpdateKind.FULL,
     )
     now = int(silent_s * SECOND)
     choice: Choice = merge.choose(now, policy_of(servers), told, True, None)
--- a/wheatstile/config/members.py
+++ b/wheatstile/config/endpoints.py
@@ -7,7 +7,11 @@
 
 from wheatstile import interface as api
 
-PHASES = {"ready": "ready", "draining": "draining", "gone": "gone"}
+PHASES = {
+    "ready": api.EndpointState.READY,
+    "draining": api.EndpointState.DRAINING,
+    "gone": api.EndpointState.GONE,
+}
 
 
 def address_of(text: str) -> tuple[str, int]:
@@ -25,35 +29,37 @@
     return weight if 0 < weight < inf else 1.0
 
 
-class Named(NamedTuple):
+class ResolvedEndpoint(NamedTuple):
     """One server, and where it is reached (None: gone)."""
 
-    entry: api.ListEntry
+    endpoint: api.Endpoint
     address: tuple[str, int] | None
 
 
 @dataclass(frozen=True, slots=True)
-class ResolverResult:
+class EndpointSnapshot:
     """One list of servers, or the changes to one, with the addresses to reach them at."""
 
     revision: int
     complete: bool
-    entries: list[api.ListEntry]
+    endpoints: list[api.Endpoint]
     addresses: dict[str, tuple[str, int] | None]  # None: gone
 
     @property
-    def members(self) -> list[Named]:
-        return [Named(entry, self.addresses[entry.server]) for entry in self.entries]
+    def members(self) -> list[ResolvedEndpoint]:
+        return [ResolvedEndpoint(endpoint, self.addresses[endpoint.name]) for endpoint in self.endpoints]
 
     @classmethod
-    def read(cls, data: Any) -> "ResolverResult":
+    def read(cls, data: Any) -> "EndpointSnapshot":
         """From discovery's JSON. Raises ValueError, KeyError or TypeError on what has another form."""
-        entries, addresses = [], {}
+        endpoints, addresses = [], {}
         for member in data["members"]:
-            phase = PHASES.get(member["phase"], "draining")  # unknown: nothing new, as if it drained
+            phase = PHASES.get(
+                member["phase"], api.EndpointState.DRAINING
+            )  # unknown: nothing new, as if it drained
             name, started = str(member["id"]), int(member.get("up_since_ms", 0))
-            entries.append(
-                api.ListEntry(
+            endpoints.append(
+                api.Endpoint(
                     name,
                     phase,
                     str(member.get("locality", "")),
@@ -62,5 +68,5 @@
                     started * 1000,
                 )
             )
-            addresses[name] = None if phase == "gone" else address_of(member["host_port"])
-        return cls(int(data["revision"]), bool(data["complete"]), entries, addresses)
+            addresses[name] = None if phase is api.EndpointState.GONE else address_of(member["host_port"])
+        return cls(int(data["revision"]), bool(data["complete"]), endpoints, addresses)
--- a/wheatstile/config/operator.py
+++ b/wheatstile/config/operator.py
@@ -11,7 +11,7 @@
 from msgspec import Meta
 
 from wheatstile.config import shape
-from wheatstile.config.faults import Fault, Refused, load, locate
+from wheatstile.config.violations import ConfigurationError, Violation, load, locate
 
 MOST_BYTES = 1 << 20  # of the operator's file itself
 
@@ -116,26 +116,26 @@
 
 
 def parse(file: str, data: bytes) -> Operator:
-    """The settings in these bytes. Raises Refused with every fault and its place."""
+    """The settings in these bytes. Raises ConfigurationError with every fault and its place."""
     text, value = load(file, data, MOST_BYTES)
     if not isinstance(value, dict):
-        raise Refused(file, [Fault("", "is no object", 1)])
+        raise ConfigurationError(file, [Violation("", "is no object", 1)])
     found = list(shape.faults(value, Operator))
     servers = value.get("servers")
     if isinstance(servers, dict) and isinstance(servers.get("networks"), list):
         found += _network_faults(servers["networks"])
     if found:
-        raise Refused(file, locate(text, found))
+        raise ConfigurationError(file, locate(text, found))
     return msgspec.convert(value, Operator)
 
 
 def read(path: str) -> OperatorFile:
-    """The operator's file at this path. Raises Refused."""
+    """The operator's file at this path. Raises ConfigurationError."""
     try:
         with open(path, "rb") as file:
             data = file.read(MOST_BYTES + 1)
     except OSError as error:
-        raise Refused(path, [Fault("", error.strerror or str(error))]) from None
+        raise ConfigurationError(path, [Violation("", error.strerror or str(error))]) from None
     return OperatorFile(Path(path), parse(path, data))
 
 
@@ -145,7 +145,7 @@
     return {"$schema": "https://json-schema.org/draft/2020-12/schema", "title": "wheatstile"} | made
 
 
-def _network_faults(networks: list[Any]) -> list[Fault]:
+def _network_faults(networks: list[Any]) -> list[Violation]:
     from wheatstile.config.networks import NetworkError, Networks
 
     found = []
@@ -154,5 +154,5 @@
             if isinstance(network, str):
                 Networks([network])
         except NetworkError as error:
-            found.append(Fault(f"/servers/networks/{index}", str(error)))
+            found.append(Violation(f"/servers/networks/{index}", str(error)))
     return found
--- a/wheatstile/config/platform.py
+++ b/wheatstile/config/platform.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from wheatstile import interface as api
-from wheatstile.config.members import ResolverResult, address_of
+from wheatstile.config.endpoints import EndpointSnapshot, address_of
 from wheatstile.config.settings import number
 from wheatstile.config.settings import settings as read_settings
 
@@ -18,7 +18,7 @@
 
     connect_timeout: float  # seconds
     idle: float  # seconds after which an unused connection is closed
-    tells_delay: bool
+    reports_message_latency: bool
     shortest_aim: float  # of a message, in milliseconds
     descriptors: int
 
@@ -51,7 +51,7 @@
     listen: tuple[str, int]
     discovery: tuple[str, int]
     seed: int
-    known: ResolverResult
+    known: EndpointSnapshot
     settings: api.Settings
     servers: ServerLimits
     channels: ChannelLimits
@@ -91,11 +91,11 @@
             address_of(environ.get("RELAY_LISTEN") or data["listen"]),
             address_of(environ.get("RELAY_DISCOVERY") or data["discovery"]),
             int(data["seed"], 16),
-            ResolverResult.read(data["known"]),
+            EndpointSnapshot.read(data["known"]),
             # The protocol on sockets has no line for a delay: what the settings promise are the simulator's
             # notes. Slow messages are noted here too, but as clients speak every 2 s and a server may answer
             # lines at once though it is full, the module cannot count on notes and has to read loads.
-            replace(decisions, tells_delay=False),
+            replace(decisions, reports_message_latency=False),
             ServerLimits(
                 number(limits, "dialTimeoutUs", "limits.", 1) / 1e6,
                 number(limits, "keepaliveUs", "limits.", 1) / 1e6,
@@ -104,7 +104,9 @@
                 descriptors,
             ),
             ChannelLimits(
-                descriptors, deadlines, decisions.max_retry_advice // 1000 if decisions.retry_advice else 0
+                descriptors,
+                deadlines,
+                decisions.max_retry_after_us // 1000 if decisions.retry_after_enabled else 0,
             ),
             max(deadlines.values()) / 1000,
         )
--- a/wheatstile/config/reports.py
+++ b/wheatstile/config/reports.py
@@ -5,7 +5,7 @@
 from wheatstile import interface as api
 
 
-def report_in(text: str, mark: str, names: dict[str, str]) -> api.Report:
+def report_in(text: str, mark: str, names: dict[str, str]) -> api.LoadReport:
     """The named values of a load report; those that are no finite number of 0 or more count as absent."""
     values = {}
     for pair in text.split(","):
--- a/wheatstile/config/settings.py
+++ b/wheatstile/config/settings.py
@@ -10,7 +10,11 @@
 from wheatstile import interface as api
 
 # The settings' word -> the interface's word.
-REPEATS = {"retryable": "safe", "dedup": "keyed", "fragile": "unsafe"}
+REPEATS = {
+    "retryable": api.Idempotency.IDEMPOTENT,
+    "dedup": api.Idempotency.IDEMPOTENCY_KEY,
+    "fragile": api.Idempotency.NON_IDEMPOTENT,
+}
 REPORT_NAMES = {
     "outstanding": "inflight",
     "backlog": "queue",
@@ -54,6 +58,13 @@
         raise SettingsError(str(error)) from None
 
 
+def _deduplication_scope(word: str) -> api.DeduplicationScope:
+    try:
+        return api.DeduplicationScope(word)
+    except ValueError:
+        return api.DeduplicationScope.UNKNOWN
+
+
 def _settings(data: dict[str, Any]) -> api.Settings:
     limits, rules, family = data["limits"], data["rules"], data.get("familyInfo", {})
     prices, aims = data.get("deductions", {}), family.get("messageAimUs") or []
@@ -64,8 +75,8 @@
         classes[row["name"]] = api.ServiceClass(
             row["name"],
             int(number(row, "aimUs", where, 1)),
-            REPEATS.get(row["repeat"], "unsafe"),
-            row.get("dedupScope", "all"),
+            REPEATS.get(row["repeat"], api.Idempotency.NON_IDEMPOTENT),
+            _deduplication_scope(row.get("dedupScope", "all")),
             int(number(row, "dedupWindowUs", where, 0, 0)),
             number(row, "worth", where, 0, 1.0),
             int(number(named_aims, str(index), "familyInfo.messageAimUs.", 0, 0)),
@@ -82,16 +93,16 @@
         zone=str(data.get("zone", "")),
         classes=classes,
         max_attempts=int(number(limits, "maxAttempts", "limits.", 1)),
-        cold_from=number(rules, "coldFrom", "rules.", 0),
-        warm_after=int(number(rules, "warmAfterUs", "rules.", 0)),
-        cold_multiple=number(rules, "tipMultiple", "rules.", 0),
-        cold_window=int(number(rules, "fallUs", "rules.", 1, 1_500_000)),
-        ask_every=int(number(rules, "askEveryUs", "rules.", 1, 10_000_000)),
-        list_on_request=data["discovery"] == "on_request",
-        may_probe=bool(limits.get("mayProbe", False)),
-        report_names=tuple(REPORT_NAMES[n] for n in names if n in REPORT_NAMES),
-        retry_advice=bool(limits.get("retryAfter", False)),
-        max_retry_advice=int(number(limits, "maxRetryAfterUs", "limits.", 0, 0)),
-        tells_delay=bool(family.get("tellsDelay", False)),
-        cross_price=number(prices, "crossZone", "deductions.", 0, 0.0),
+        slow_start_initial_capacity=number(rules, "coldFrom", "rules.", 0),
+        slow_start_duration_us=int(number(rules, "warmAfterUs", "rules.", 0)),
+        slow_start_overload_factor=number(rules, "tipMultiple", "rules.", 0),
+        slow_start_overload_window_us=int(number(rules, "fallUs", "rules.", 1, 1_500_000)),
+        poll_interval_us=int(number(rules, "askEveryUs", "rules.", 1, 10_000_000)),
+        poll_endpoints=data["discovery"] == "on_request",
+        health_checks_enabled=bool(limits.get("mayProbe", False)),
+        load_metrics=tuple(REPORT_NAMES[n] for n in names if n in REPORT_NAMES),
+        retry_after_enabled=bool(limits.get("retryAfter", False)),
+        max_retry_after_us=int(number(limits, "maxRetryAfterUs", "limits.", 0, 0)),
+        reports_message_latency=bool(family.get("tellsDelay", False)),
+        cross_zone_cost=number(prices, "crossZone", "deductions.", 0, 0.0),
     )
--- a/wheatstile/config/faults.py
+++ b/wheatstile/config/violations.py
@@ -17,7 +17,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Fault:
+class Violation:
     """One reason why a file cannot be used. Line 0: not known."""
 
     pointer: str  # RFC 6901; empty: the whole document
@@ -25,20 +25,21 @@
     line: int = 0
 
 
-class Refused(ValueError):
+class ConfigurationError(ValueError):
     """A file that cannot be used, with all its faults. Nothing of it has been taken."""
 
-    def __init__(self, file: str, faults: Iterable[Fault]) -> None:
-        self.file, self.faults = file, list(faults)
+    def __init__(self, file: str, violations: Iterable[Violation]) -> None:
+        self.file = file
+        self.violations = list(violations)
         super().__init__("; ".join(self.lines()))
 
     def lines(self) -> list[str]:
         """`FILE:LINE: /json/pointer: reason` for each fault, in the order of the file."""
         shown = [
             f"{self.file}:{fault.line or 1}: {fault.pointer or '/'}: {fault.reason}"
-            for fault in self.faults[:MOST_SHOWN]
+            for fault in self.violations[:MOST_SHOWN]
         ]
-        more = len(self.faults) - MOST_SHOWN
+        more = len(self.violations) - MOST_SHOWN
         return shown + ([f"{self.file}:1: /: and {more} more faults"] if more > 0 else [])
 
 
@@ -59,36 +60,40 @@
 
 
 def load(file: str, data: bytes, most_bytes: int) -> tuple[str, Any]:
-    """The text and what it says, as JSON whose objects name no key twice. Raises Refused."""
+    """The text and what it says, as JSON whose objects name no key twice. Raises ConfigurationError."""
     if len(data) > most_bytes:
-        raise Refused(file, [Fault("", f"{len(data)} bytes; {most_bytes} at most")])
+        raise ConfigurationError(file, [Violation("", f"{len(data)} bytes; {most_bytes} at most")])
     if data.startswith(b"\xef\xbb\xbf"):
-        raise Refused(file, [Fault("", "begins with a byte order mark; JSON has none", 1)])
+        raise ConfigurationError(file, [Violation("", "begins with a byte order mark; JSON has none", 1)])
     try:
         text = data.decode()
     except UnicodeDecodeError as error:
         line = data.count(b"\n", 0, error.start) + 1
-        raise Refused(file, [Fault("", f"no UTF-8: {error.reason} at byte {error.start}", line)]) from None
+        raise ConfigurationError(
+            file, [Violation("", f"no UTF-8: {error.reason} at byte {error.start}", line)]
+        ) from None
     try:
         value = json.loads(text, object_pairs_hook=_once)
         if _SURROGATE.search(text):
             json.dumps(value, ensure_ascii=False).encode()
         return text, value
     except _Twice:
-        raise Refused(file, _repeats(text)) from None
+        raise ConfigurationError(file, _repeats(text)) from None
     except json.JSONDecodeError as error:
-        raise Refused(
-            file, [Fault("", f"no JSON: {error.msg}, column {error.colno}", error.lineno)]
+        raise ConfigurationError(
+            file, [Violation("", f"no JSON: {error.msg}, column {error.colno}", error.lineno)]
         ) from None
     except UnicodeEncodeError:
-        raise Refused(file, [Fault("", "half of a surrogate pair, which is no text", 1)]) from None
+        raise ConfigurationError(
+            file, [Violation("", "half of a surrogate pair, which is no text", 1)]
+        ) from None
     except RecursionError:
-        raise Refused(file, [Fault("", "nested too deeply", 1)]) from None
+        raise ConfigurationError(file, [Violation("", "nested too deeply", 1)]) from None
     except ValueError as error:  # a whole number with too many digits
-        raise Refused(file, [Fault("", f"no JSON: {error}", 1)]) from None
+        raise ConfigurationError(file, [Violation("", f"no JSON: {error}", 1)]) from None
 
 
-def locate(text: str, faults: Iterable[Fault]) -> list[Fault]:
+def locate(text: str, faults: Iterable[Violation]) -> list[Violation]:
     """The same faults with their lines, in the order of the text. What is missing stands at its parent."""
     wanted = list(faults)
     lines = {fault.pointer: fault.line for fault in wanted}
@@ -117,16 +122,16 @@
     return f', did you mean "{close[0]}"?' if close else f"; known are {', '.join(names)}"
 
 
-def _repeats(text: str) -> list[Fault]:
+def _repeats(text: str) -> list[Violation]:
     """The keys that stand twice in one object; for text that is JSON but for them."""
     try:
         return [
-            Fault(place, f"the key stands twice, first on line {first}", line)
+            Violation(place, f"the key stands twice, first on line {first}", line)
             for place, line, first in walk(text)
             if first
         ]
     except (IndexError, TypeError, ValueError):  # the key was found before a place that is no JSON at all
-        return [Fault("", "a key stands twice in one object", 1)]
+        return [Violation("", "a key stands twice in one object", 1)]
 
 
 class _Open:
--- a/wheatstile/descriptions/common.py
+++ b/wheatstile/descriptions/common.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Any, get_args
 
-from wheatstile.config.faults import pointer
+from wheatstile.config.violations import pointer
 from wheatstile.descriptions.model import Description, DescriptionError, Finding, Operation, Place, Repeat
 from wheatstile.descriptions.refs import Located
 
--- a/wheatstile/descriptions/compile.py
+++ b/wheatstile/descriptions/compile.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from urllib.parse import urlsplit
 
-from wheatstile.config.faults import nearest
+from wheatstile.config.violations import nearest
 from wheatstile.descriptions.language import Condition
 from wheatstile.descriptions.model import (
     NARROWER,
--- a/wheatstile/descriptions/language.py
+++ b/wheatstile/descriptions/language.py
@@ -14,7 +14,7 @@
 from lark import Lark, Token, Transformer, UnexpectedInput, UnexpectedToken
 from lark.exceptions import VisitError
 
-from wheatstile.config.faults import nearest
+from wheatstile.config.violations import nearest
 from wheatstile.descriptions.model import Operation
 
 MOST_CHARACTERS = 2000
--- a/wheatstile/descriptions/reader.py
+++ b/wheatstile/descriptions/reader.py
@@ -7,10 +7,10 @@
 from typing import Any
 from urllib.parse import unquote, urlsplit
 
-from wheatstile.config.faults import Fault, Refused, load, locate, nearest, pointer
 from wheatstile.config.operator import MOST_BYTES as MOST_OPERATOR_BYTES
 from wheatstile.config.operator import Descriptions, OperatorFile
 from wheatstile.config.platform import Config
+from wheatstile.config.violations import ConfigurationError, Violation, load, locate, nearest, pointer
 from wheatstile.descriptions import asyncapi, openapi, text
 from wheatstile.descriptions.compile import ClassFacts, Compiled, Options, Rule, compiled
 from wheatstile.descriptions.language import RuleError, condition
@@ -152,9 +152,9 @@
     try:
         with open(file, "rb") as source:
             found, _ = load(file, source.read(MOST_OPERATOR_BYTES + 1), MOST_OPERATOR_BYTES)
-    except (OSError, Refused):  # it has just been read; it changes while it is read
+    except (OSError, ConfigurationError):  # it has just been read; it changes while it is read
         return {one: Place(file, 1, one) for one in pointers}
-    located = locate(found, [Fault(one, "") for one in pointers])
+    located = locate(found, [Violation(one, "") for one in pointers])
     return {fault.pointer: Place(file, fault.line, fault.pointer) for fault in located}
 
 
@@ -162,7 +162,13 @@
     """What the platform says of each class."""
     patience = config.channels.deadlines
     return {
-        name: ClassFacts(name, one.repeat, one.scope, one.window, patience.get(name, 0) * 1000)  # type: ignore[arg-type]
+        name: ClassFacts(
+            name,
+            one.idempotency.value,
+            one.deduplication_scope.value,
+            one.deduplication_window_us,
+            patience.get(name, 0) * 1000,
+        )
         for name, one in config.settings.classes.items()
     }
 
--- a/wheatstile/descriptions/section.py
+++ b/wheatstile/descriptions/section.py
@@ -18,7 +18,7 @@
 from wheatstile.config.operator import Descriptions, OperatorFile
 from wheatstile.config.platform import Config
 from wheatstile.descriptions.model import NARROWER, TIGHTER
-from wheatstile.net.core import Core
+from wheatstile.net.decision_loop import DecisionLoop
 from wheatstile.resolvers.notices import Notices
 
 log = structlog.get_logger()
@@ -37,12 +37,15 @@
         if name not in classes:
             continue
         one = classes[name]
-        both = [one.window] * (one.repeat == "keyed") + [window] * (repeat == "keyed")
+        both = [one.deduplication_window_us] * (one.idempotency is api.Idempotency.IDEMPOTENCY_KEY)
+        both += [window] * (repeat == api.Idempotency.IDEMPOTENCY_KEY)
         classes[name] = replace(
             one,
-            repeat=max(one.repeat, repeat, key=lambda word: TIGHTER.get(word, 2)),
-            scope=max(one.scope, scope, key=lambda word: NARROWER.get(word, 2)),
-            window=min(both, default=one.window),
+            idempotency=api.Idempotency(max(one.idempotency, repeat, key=lambda word: TIGHTER.get(word, 2))),
+            deduplication_scope=api.DeduplicationScope(
+                max(one.deduplication_scope, scope, key=lambda word: NARROWER.get(word, 2))
+            ),
+            deduplication_window_us=min(both, default=one.deduplication_window_us),
         )
     return replace(settings, classes=classes)
 
@@ -51,7 +54,12 @@
     """What the worker is asked: the operator's word and the platform's classes as they stand."""
     deadlines = config.channels.deadlines
     classes = {
-        name: [one.repeat, one.scope, one.window, deadlines.get(name, 0) * 1000]
+        name: [
+            one.idempotency,
+            one.deduplication_scope,
+            one.deduplication_window_us,
+            deadlines.get(name, 0) * 1000,
+        ]
         for name, one in config.settings.classes.items()
     }
     asked: dict[str, Any] = {"operator": str(operator.path.absolute()), "classes": classes}
@@ -97,8 +105,8 @@
 class DescriptionsSection:
     """Owns the task that watches the descriptions, and what was learnt from them last."""
 
-    def __init__(self, core: Core, first: dict[str, Any] | None) -> None:
-        self.core = core
+    def __init__(self, decisions: DecisionLoop, first: dict[str, Any] | None) -> None:
+        self.decisions = decisions
         self.learnt: Learnt = learnt_of(first) if first else {}
         self._operator: OperatorFile
         self._config: Config
@@ -129,7 +137,7 @@
             self._task = asyncio.create_task(self._run(section))
         elif self.learnt:
             self.learnt = {}
-            self.core.configure(config.settings)
+            self.decisions.configure(config.settings)
             log.info("descriptions switched off")
 
     def close(self) -> None:
@@ -196,14 +204,14 @@
 
     def _take(self, answer: dict[str, Any]) -> None:
         if "refused" in answer:
-            self.core.counters["descriptions refused"] += 1
+            self.decisions.counters["descriptions refused"] += 1
             reasons = answer["refused"]
             log.warning(
                 "descriptions refused", reasons=reasons[:MOST_TOLD], faults=answer.get("faults", len(reasons))
             )
             return
         self.learnt = learnt_of(answer)
-        self.core.configure(tightened(self._config.settings, self.learnt))
+        self.decisions.configure(tightened(self._config.settings, self.learnt))
         told(answer)
 
 
--- a/wheatstile/descriptions/text.py
+++ b/wheatstile/descriptions/text.py
@@ -1,6 +1,6 @@
 """JSON and YAML text to values, with the line of every place. Pure, and bounded in time and memory.
 
-YAML is taken event by event from libyaml and built here without recursion: by its 1.2 core schema (`yes`
+YAML is taken event by event from libyaml and built here without recursion: by its 1.2 decisions schema (`yes`
 is a text, as in JSON), keys that are texts, no key twice, no tags of other languages; aliases count in
 full each time they are used, so that a few lines cannot stand for gigabytes.
 """
@@ -13,7 +13,7 @@
 
 import yaml
 
-from wheatstile.config import faults
+from wheatstile.config import violations
 from wheatstile.descriptions.model import DescriptionError, Finding, Place
 
 MOST_BYTES = 16 << 20  # of one file
@@ -72,11 +72,13 @@
 
 def _json(file: str, text: str) -> Text:
     try:
-        _, value = faults.load(file, text.encode(), 2 * MOST_BYTES)
-    except faults.Refused as refused:
-        findings = [Finding(Place(file, one.line or 1, one.pointer), one.reason) for one in refused.faults]
+        _, value = violations.load(file, text.encode(), 2 * MOST_BYTES)
+    except violations.ConfigurationError as refused:
+        findings = [
+            Finding(Place(file, one.line or 1, one.pointer), one.reason) for one in refused.violations
+        ]
         raise DescriptionError(findings) from None
-    lines = {pointer: line for pointer, line, _ in faults.walk(text)}
+    lines = {pointer: line for pointer, line, _ in violations.walk(text)}
     if len(lines) > MOST_VALUES:
         raise _error(file, 1, f"more than {MOST_VALUES} values")
     for pointer, line in lines.items():
@@ -140,13 +142,13 @@
             return pointer
         if top.key is None:
             raise self.fail(line, "a key that is no text", top.pointer)
-        return top.pointer + faults.pointer(top.key)
+        return top.pointer + violations.pointer(top.key)
 
     def scalar(self, event: Any, line: int) -> None:
         top = self.stack[-1] if self.stack else None
         if top and isinstance(top.value, dict) and top.key is None:
             key = event.value
-            pointer = top.pointer + faults.pointer(key)
+            pointer = top.pointer + violations.pointer(key)
             if key == "<<" and event.implicit[0]:
                 raise self.fail(line, "a merge key (<<), which YAML 1.2 does not have: write it out", pointer)
             if key in top.value:
@@ -214,7 +216,7 @@
 
 
 def _plain(text: str) -> Any:
-    """An unquoted scalar by the core schema of YAML 1.2."""
+    """An unquoted scalar by the decisions schema of YAML 1.2."""
     if text in _NULLS:
         return None
     if text in _BOOLEANS:
--- a/wheatstile/interface.py
+++ b/wheatstile/interface.py
@@ -1,58 +1,124 @@
-"""The interface of the decision module: its settings, the events it is told, the actions it answers.
+"""The interface of the decision module: its settings, its events and its actions.
 
-Everything here speaks of balancing (servers, connections, drains, probes) and nothing of any wire.
-All times are integers in microseconds on one clock that the host chooses and that never goes back.
+Everything here speaks of load balancing (servers, connections, drains, health checks) and nothing of any wire
+protocol. All times are integers on one clock that the host chooses and that never goes back; the unit stands
+in the name (`_us`: microseconds).
 """
 
 from dataclasses import dataclass, field
+from enum import StrEnum
 from math import isfinite
 from typing import TypeAlias
 
-Report: TypeAlias = dict[str, float]
+LoadReport: TypeAlias = dict[str, float]
+"""The figures of a server's load report by their names in `LoadMetric`; each is finite and 0 or more."""
+
+
+class LoadMetric(StrEnum):
+    """A figure of a load report."""
+
+    LOAD = "load"  # work over capacity; 1.0 is full
+    BUSY_SHARE = "busy"  # share of the cores in use
+    BACKLOG_S = "backlog_s"  # seconds of work piled up
+    IN_FLIGHT = "inflight"  # requests in work
+    QUEUE_LENGTH = "queue"  # requests that wait
+    LATENCY_MS = "latency_ms"
+    SERVED_PER_S = "served_per_s"
+    ERRORS_PER_S = "errors_per_s"
+
+
+class Idempotency(StrEnum):
+    """What a second attempt of a request may do."""
+
+    IDEMPOTENT = "safe"  # a repeat does no harm
+    IDEMPOTENCY_KEY = "keyed"  # servers of one deduplication scope discard a repeat, within a window
+    NON_IDEMPOTENT = "unsafe"  # a repeat may take effect twice
+
+
+class DeduplicationScope(StrEnum):
+    """Which servers discard a repeat of a request that carries an idempotency key."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+    UNKNOWN = "unknown"  # a word that this version does not know: nobody is relied on to discard a repeat
+
+
+class EndpointState(StrEnum):
+    """The state of a server in the list of servers."""
+
+    READY = "ready"
+    DRAINING = "draining"  # completes what it holds and wants nothing new
+    GONE = "gone"
+
+
+class EndpointUpdateKind(StrEnum):
+    """What an update of the list of servers holds."""
+
+    DELTA = "delta"  # the endpoints that changed
+    FULL = "full"  # the whole list
+    CACHED = "cached"  # the whole list, maybe out of date
+    FAILED = "failed"  # nothing: a call to discovery failed
+    MOVED = "moved"  # nothing: discovery is at another address from now on
+
+
+class AttemptOutcome(StrEnum):
+    """How an attempt, an established connection or a health check ended."""
+
+    OK = "ok"
+    ERROR = "error"
+    OVERLOADED = "overloaded"  # the server turned it away, and it has not run
+    TIMEOUT = "timeout"
+    CONNECT_FAILED = "connect_failed"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    NOT_SENT = "not_sent"  # given up before anything was sent; the server has not failed
 
 
 @dataclass(frozen=True, slots=True)
 class ServiceClass:
-    """What one class of connection asks for, and what a repeat of its set-up would do."""
+    """What one class of connection asks for, and what a repeat of its setup would do."""
 
     name: str
-    aim: int  # a set-up within this time counts in full
-    repeat: str = "safe"  # "safe", "keyed" (repeats are discarded within a group) or "unsafe"
-    scope: str = "all"  # for "keyed": the group that discards repeats, "all", "zone" or "cell"
-    window: int = 0  # for "keyed": how long the group remembers
-    worth: float = 1.0  # of a well-served second (or request)
-    message_aim: int = 0  # a message on an open connection is wanted within this time; 0: not told
+    latency_objective_us: int  # a setup within this time counts in full
+    idempotency: Idempotency = Idempotency.IDEMPOTENT
+    deduplication_scope: DeduplicationScope = DeduplicationScope.ALL  # for IDEMPOTENCY_KEY
+    deduplication_window_us: int = 0  # for IDEMPOTENCY_KEY: for how long a repeat is discarded
+    priority_weight: float = 1.0  # value of a well-served second (or request)
+    message_latency_objective_us: int = 0  # of a message on an open connection; 0: not known
 
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """What a balancer is told when it starts. Raises ValueError for figures nobody could balance by."""
+    """The settings of one balancer. Raises ValueError for figures that nobody could balance by."""
 
     fleet_size: int  # balancers that share the servers
     zone: str
     classes: dict[str, ServiceClass]
     max_attempts: int
-    cold_from: float  # share of its capacity that a server starts at, or better
-    warm_after: int  # a server that started so long ago is warm
-    cold_multiple: float  # a cold server falls over when sent this many times its present capacity
-    cold_window: int = 1_500_000  # for so long
-    list_on_request: bool = False  # the server list must be asked for
-    ask_every: int = 10_000_000  # whoever has not asked for so long counts as told of what was listed then
-    may_probe: bool = True
-    report_names: tuple[str, ...] = ()  # values that a report may hold
-    retry_advice: bool = False  # a refusal may tell the client when to come again
-    max_retry_advice: int = 0
-    tells_delay: bool = True  # DelayNotes come for servers whose messages take long
-    cross_price: float = 0.0  # points of the result for each request that crosses zones
+    slow_start_initial_capacity: float  # share of its capacity that a server starts with, at least
+    slow_start_duration_us: int  # a server that started longer ago has its full capacity
+    slow_start_overload_factor: (
+        float  # sent this multiple of its present capacity, a server in slow start fails
+    )
+    slow_start_overload_window_us: int = 1_500_000  # if that goes on for so long
+    poll_endpoints: bool = False  # the list of servers has to be asked for
+    poll_interval_us: int = 10_000_000  # who has not asked for so long is held to know what was listed then
+    health_checks_enabled: bool = True
+    load_metrics: tuple[str, ...] = ()  # the figures that a load report may hold
+    retry_after_enabled: bool = False  # a rejection may tell the client when to come again
+    max_retry_after_us: int = 0
+    reports_message_latency: bool = True  # MessageLatencyChanged comes for servers whose messages take long
+    cross_zone_cost: float = 0.0  # points of the result for each request that crosses zones
 
     def __post_init__(self) -> None:
-        for name in ("fleet_size", "max_attempts", "cold_window"):
+        for name in ("fleet_size", "max_attempts", "slow_start_overload_window_us"):
             if getattr(self, name) < 1:
                 raise ValueError(f"settings: {name} must be 1 or more")
-        for name in ("warm_after", "max_retry_advice"):
+        for name in ("slow_start_duration_us", "max_retry_after_us"):
             if getattr(self, name) < 0:
                 raise ValueError(f"settings: {name} must not be negative")
-        for name in ("cold_from", "cold_multiple"):
+        for name in ("slow_start_initial_capacity", "slow_start_overload_factor"):
             if not isfinite(getattr(self, name)) or getattr(self, name) < 0:
                 raise ValueError(f"settings: {name} must be a number of 0 or more")
         if not self.classes:
@@ -60,53 +126,50 @@
 
 
 @dataclass(slots=True)
-class ListEntry:
-    """One server as the list has it. State is "ready", "draining" or "gone"."""
+class Endpoint:
+    """One server in the list of servers."""
 
-    server: str
-    state: str
+    name: str
+    state: EndpointState
     zone: str = ""
     cell: int = 0
     weight: float = 1.0
-    started: int = 0  # when its process last started; 0: long ago
+    started_at_us: int = 0  # when its process last started; 0: long ago
 
 
-# Events: what a balancer is told.
+# Events
 
 
 @dataclass(slots=True)
-class ServerList:
-    """The server list. Kind is "delta", "full" or "cached" (full, maybe old).
-
-    Without entries: "failed" (a call) or "moved" (whoever tells the list is elsewhere from now on).
-    """
+class EndpointUpdate:
+    """The list of servers, or its changes; without endpoints if the kind is FAILED or MOVED."""
 
-    kind: str
-    entries: list[ListEntry] = field(default_factory=list)
+    kind: EndpointUpdateKind
+    endpoints: list[Endpoint] = field(default_factory=list)
 
 
 @dataclass(slots=True)
 class Request:
-    """A client wants a connection; it is owed exactly one final answer."""
+    """A client wants a connection. It has to get exactly one final answer."""
 
     id: str
-    service: str
-    expires_in: int
-    key: str = ""
+    service_class: str
+    expires_in_us: int
+    key: str = ""  # of the client
     tenant: str = ""
     midflow: bool = False  # packets of a connection that some server may still hold
-    returning: bool = False  # the client comes again after a break or a move
-    retry: bool = False
+    reconnecting: bool = False  # the client comes again after a break or a migration
+    client_retry: bool = False
     load_hint: float = 0.0
-    group: str = ""  # connections of one group share work at a server
+    affinity_group: str = ""  # connections of one group share work at a server
 
 
 @dataclass(slots=True)
-class OpenConnection:
-    """A connection that stood before this balancer started."""
+class ExistingConnection:
+    """A connection that was open before this balancer started."""
 
     id: str
-    service: str
+    service_class: str
     server: str
     key: str = ""
     tenant: str = ""
@@ -114,50 +177,47 @@
 
 @dataclass(slots=True)
 class Established:
-    """The connection stands."""
+    """An attempt has succeeded: the connection is open."""
 
     id: str
     attempt: int
     server: str
-    elapsed: int
+    elapsed_us: int
 
 
 @dataclass(slots=True)
 class AttemptEnded:
-    """How an attempt, or the connection that it set up, ended.
-
-    Outcome is "ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled" or "moot".
-    """
+    """An attempt, or the connection that it set up, has ended."""
 
     id: str
     attempt: int
     server: str
-    outcome: str
-    elapsed: int = 0
-    closed: bool = False  # nothing more is owed
-    report: Report | None = None
+    outcome: AttemptOutcome
+    elapsed_us: int = 0
+    closed: bool = False  # the client has its final answer, or has left
+    report: LoadReport | None = None
 
 
 @dataclass(slots=True)
-class ClientLeft:
-    """The client gave up; nothing more is owed."""
+class ClientDisconnected:
+    """The client has left and needs no answer."""
 
     id: str
 
 
 @dataclass(slots=True)
-class Probed:
-    """What a probe found. Outcome is "ok" or why it failed."""
+class HealthCheckResult:
+    """A health check has ended."""
 
     server: str
-    outcome: str
-    elapsed: int = 0
-    report: Report | None = None
+    outcome: AttemptOutcome
+    elapsed_us: int = 0
+    report: LoadReport | None = None
 
 
 @dataclass(slots=True)
-class LoadNote:
-    """A connection's load has changed: work a second, in microseconds."""
+class ConnectionLoadChanged:
+    """The load of a connection has changed, in microseconds of work a second."""
 
     id: str
     server: str
@@ -165,58 +225,58 @@
 
 
 @dataclass(slots=True)
-class DelayNote:
-    """Messages at this connection's server now take this many milliseconds."""
+class MessageLatencyChanged:
+    """Messages at this connection's server now take so long."""
 
     id: str
     server: str
-    delay_ms: float
+    latency_ms: float
 
 
 @dataclass(slots=True)
 class TimerFired:
-    """A timer that the module set has come due."""
+    """A timer that the module has set is due."""
 
     token: str
 
 
 @dataclass(slots=True)
-class Closing:
-    """This balancer ends within seconds: whoever is still owed an answer has to get it now."""
+class ShutdownStarted:
+    """This balancer ends within seconds: whoever waits for an answer has to get it now."""
 
 
 Event: TypeAlias = (
-    ServerList
+    EndpointUpdate
     | Request
-    | OpenConnection
+    | ExistingConnection
     | Established
     | AttemptEnded
-    | ClientLeft
-    | Probed
-    | LoadNote
-    | DelayNote
+    | ClientDisconnected
+    | HealthCheckResult
+    | ConnectionLoadChanged
+    | MessageLatencyChanged
     | TimerFired
-    | Closing
+    | ShutdownStarted
 )
 
-# Actions: what a balancer answers.
+# Actions
 
 
 @dataclass(slots=True)
-class Send:
-    """Try to set the connection up at this server; 0 as time-out: until the client gives up."""
+class StartAttempt:
+    """Try to set the connection up at this server. A time-out of 0: until the client's time is out."""
 
     id: str
     server: str
-    timeout: int = 0
+    timeout_us: int = 0
 
 
 @dataclass(slots=True)
-class Refuse:
-    """Final answer: turned away, coming again is harmless (and advised after this time, if not 0)."""
+class Reject:
+    """Final answer: turned away, and a retry is harmless (after this time, unless it is 0)."""
 
     id: str
-    retry_after: int = 0
+    retry_after_us: int = 0
 
 
 @dataclass(slots=True)
@@ -227,14 +287,14 @@
 
 
 @dataclass(slots=True)
-class Move:
-    """Close an open connection politely; its client will come again, here or elsewhere."""
+class Migrate:
+    """Close an open connection politely; its client comes again, to this balancer or another."""
 
     id: str
 
 
 @dataclass(slots=True)
-class Probe:
+class CheckHealth:
     """Ask a server for its load."""
 
     server: str
@@ -242,15 +302,15 @@
 
 @dataclass(slots=True)
 class SetTimer:
-    """Tell the module when this much time has passed."""
+    """Fire a timer after this time."""
 
-    delay: int
+    delay_us: int
     token: str
 
 
 @dataclass(slots=True)
-class WatchList:
-    """Ask for the server list's changes from now on."""
+class WatchEndpoints:
+    """Ask for the changes of the list of servers from now on."""
 
 
-Action: TypeAlias = Send | Refuse | Fail | Move | Probe | SetTimer | WatchList
+Action: TypeAlias = StartAttempt | Reject | Fail | Migrate | CheckHealth | SetTimer | WatchEndpoints
--- a/wheatstile/net/__init__.py
+++ b/wheatstile/net/__init__.py
@@ -1,1 +1,1 @@
-"""The real balancer's sockets: a core that knows no protocol text, and a module for each kind of peer."""
+"""The real balancer's sockets: a decision loop that knows no protocol, and modules for each peer."""
--- a/wheatstile/net/channel.py
+++ b/wheatstile/net/client_connection.py
@@ -9,10 +9,10 @@
 
 from wheatstile import interface as api
 from wheatstile.config.platform import ChannelLimits
-from wheatstile.net.core import Core
-from wheatstile.net.first_line import FirstLine, Malformed
-from wheatstile.net.lines import LINGER, LineSocket, LineTooLong
-from wheatstile.net.servers import Attempt, Subchannels, verdict_of
+from wheatstile.net.decision_loop import DecisionLoop
+from wheatstile.net.line_stream import LINGER, LineStream, LineTooLongError
+from wheatstile.net.open_request import OpenRequest, ProtocolError
+from wheatstile.net.upstream_pool import Attempt, UpstreamPool, verdict_of
 
 T = TypeVar("T")
 
@@ -26,48 +26,48 @@
 class Front(Protocol):
     """What a channel needs of the front that accepted it."""
 
-    core: Core
-    subchannels: Subchannels
+    decisions: DecisionLoop
+    upstreams: UpstreamPool
     limits: ChannelLimits
 
     def seen(self, id: str) -> bool:
         """Whether this id has come before."""
 
-    def longest(self, first: FirstLine) -> int:
+    def longest(self, first: OpenRequest) -> int:
         """The milliseconds that this client waits at most."""
 
     def full(self) -> bool:
         """Whether there is no room for another RPC."""
 
-    def admit(self, channel: "Channel") -> None:
+    def admit(self, channel: "ClientConnection") -> None:
         """The channel has asked for an RPC."""
 
-    def release(self, channel: "Channel") -> None:
+    def release(self, channel: "ClientConnection") -> None:
         """Its RPC is over."""
 
     def unavailable(self, milliseconds: int) -> bytes:
         """The unavailable status as a line."""
 
 
-class ChannelEnded(Exception):
+class ClientDisconnectedError(Exception):
     """The client's side of the connection has ended."""
 
     def __init__(self, reset: bool = False) -> None:
         self.reset = reset
 
 
-class Channel:
+class ClientConnection:
     """One client's connection and the RPC that it asks for. Owns both sides' sockets from accept to close."""
 
     def __init__(self, front: Front, sock: socket.socket) -> None:
-        self.front, self.core = front, front.core
-        self.lines = LineSocket(sock)
+        self.front, self.decisions = front, front.decisions
+        self.lines = LineStream(sock)
         self.task: asyncio.Task[None]  # its whole life
         self.id = ""
         self.number = 0  # of the attempt
         self.attempt: Attempt | None = None
         self.up = False
-        self._decisions: asyncio.Queue[api.Send | api.Refuse | api.Fail] = asyncio.Queue()
+        self._decisions: asyncio.Queue[api.StartAttempt | api.Reject | api.Fail] = asyncio.Queue()
         self._answered = asyncio.Event()  # the module has said its last, maybe while an attempt is out
         self._ending: asyncio.Future[str] = asyncio.get_running_loop().create_future()
         self._reader: asyncio.Task[None] | None = None
@@ -77,12 +77,12 @@
         self._first_line_by: asyncio.Timeout | None = None
         self._turned_away = False
 
-    def decide(self, action: api.Send | api.Refuse | api.Fail | api.Move) -> None:
-        if isinstance(action, api.Move):
+    def decide(self, action: api.StartAttempt | api.Reject | api.Fail | api.Migrate) -> None:
+        if isinstance(action, api.Migrate):
             self.end("by decision")
         else:
             self._decisions.put_nowait(action)
-            if not isinstance(action, api.Send):
+            if not isinstance(action, api.StartAttempt):
                 self._answered.set()
 
     @property
@@ -103,7 +103,7 @@
 
     def unanswered(self, now: int) -> int:
         """For how long a line of the client's has waited for the server."""
-        asked_at = self.attempt.subchannel.open.get(self.id, 0) if self.up and self.attempt else 0
+        asked_at = self.attempt.upstream.open.get(self.id, 0) if self.up and self.attempt else 0
         return now - asked_at if asked_at else 0
 
     async def run(self) -> None:
@@ -113,10 +113,10 @@
             last = await self._serve()
             await self._stop_reading()
             await self.lines.finish(last)
-        except ChannelEnded as ended:
+        except ClientDisconnectedError as ended:
             reset = ended.reset
-        except Malformed:
-            self.core.counters["malformed"] += 1
+        except ProtocolError:
+            self.decisions.counters["malformed"] += 1
             await self._stop_reading()
             await self.lines.finish(b"ERR\r\n")
         finally:
@@ -131,7 +131,7 @@
 
     def _drop_attempt(self, reset: bool = False) -> None:
         if self.attempt:
-            self.attempt.subchannel.open.pop(self.id, None)
+            self.attempt.upstream.open.pop(self.id, None)
             self.attempt.close(reset)
             self.attempt = None
 
@@ -155,21 +155,21 @@
         try:
             unread = self.lines.peek()
         except OSError:
-            raise ChannelEnded(reset=True) from None
+            raise ClientDisconnectedError(reset=True) from None
         if unread is not None:  # a client waits after its first line
-            raise Malformed if unread else ChannelEnded
+            raise ProtocolError if unread else ClientDisconnectedError
 
     async def _serve(self) -> bytes:
         """Read the first line and serve what it asks; the last line that the client is owed, if any."""
         line = await self._first_line()
         if not line:
-            self.core.counters["turned away"] += 1
+            self.decisions.counters["turned away"] += 1
             return self.front.unavailable(STAY_AWAY)
-        first = FirstLine.read(line)
+        first = OpenRequest.read(line)
         if first.fields["c"] not in self.front.limits.deadlines or self.front.seen(first.id):
-            raise Malformed
+            raise ProtocolError
         if self.front.full():
-            self.core.counters["unavailable, no descriptors"] += 1
+            self.decisions.counters["unavailable, no descriptors"] += 1
             return self.front.unavailable(STAY_AWAY)
         self.id = first.id
         self.front.admit(self)
@@ -192,23 +192,23 @@
                     self._first_line_by = None
                 if line != b"PING\r\n" or self.lines.pending:
                     break
-                self.core.counters["pings"] += 1
+                self.decisions.counters["pings"] += 1
                 await self.lines.send(b"PONG\r\n")
                 line = b""
                 await self._rest()
         except TimeoutError:
             if not self._turned_away:
-                raise Malformed from None
-        except LineTooLong:
-            raise Malformed from None
+                raise ProtocolError from None
+        except LineTooLongError:
+            raise ProtocolError from None
         except OSError:
-            raise ChannelEnded(reset=True) from None
+            raise ClientDisconnectedError(reset=True) from None
         if self._turned_away and not line:
             return b""
         if not line:
-            raise ChannelEnded
+            raise ClientDisconnectedError
         if self.lines.pending:  # a client waits after its first line
-            raise Malformed
+            raise ProtocolError
         self._check_waiting()
         return line
 
@@ -222,64 +222,68 @@
                 await self.lines.readable()
         except TimeoutError:
             if self.lines.peek() is None:
-                raise ChannelEnded from None
+                raise ClientDisconnectedError from None
         finally:
             self._first_line_by = None
 
-    async def _set_up_in_time(self, first: FirstLine) -> bytes:
+    async def _set_up_in_time(self, first: OpenRequest) -> bytes:
         """Empty once the RPC is up, else its final answer."""
-        self.core.counters["RPCs"] += 1
+        self.decisions.counters["RPCs"] += 1
         try:
             longest = REOPEN_WITHIN * 1000 if "at" in first.fields else self.front.longest(first)
             async with asyncio.timeout(min(first.wait, longest) / 1000 + LATE):
                 return await (self._reopen(first) if "at" in first.fields else self._set_up(first))
         except TimeoutError:
             # The module answers before a client's time is up; should it not, nobody is left without answer.
-            self.core.counters["overdue"] += 1
-            self.core.tell(api.ClientLeft(self.id))
+            self.decisions.counters["overdue"] += 1
+            self.decisions.dispatch(api.ClientDisconnected(self.id))
             return b"ERR\r\n"
-        except (ChannelEnded, Malformed):
-            self.core.counters["clients left early"] += 1
-            self.core.tell(api.ClientLeft(self.id))
+        except (ClientDisconnectedError, ProtocolError):
+            self.decisions.counters["clients left early"] += 1
+            self.decisions.dispatch(api.ClientDisconnected(self.id))
             raise
 
-    async def _set_up(self, first: FirstLine) -> bytes:
+    async def _set_up(self, first: OpenRequest) -> bytes:
         """Do as the module decides until the RPC is up or has its final answer."""
         longest = self.front.longest(first)  # taken once: a reload may take the class away meanwhile
-        self.core.tell(first.request(longest))
+        self.decisions.dispatch(first.request(longest))
         while True:
             action = await self._unless_left(self._decisions.get())
-            if isinstance(action, api.Refuse):
-                self.core.counters["unavailable"] += 1
-                return self.front.unavailable(-(-action.retry_after // 1000))
+            if isinstance(action, api.Reject):
+                self.decisions.counters["unavailable"] += 1
+                return self.front.unavailable(-(-action.retry_after_us // 1000))
             if isinstance(action, api.Fail):
-                self.core.counters["failed"] += 1
+                self.decisions.counters["failed"] += 1
                 return b"ERR\r\n"
             if self._answered.is_set():
                 continue  # given up on before it was sent: the answer is the next
-            start = self.core.now()
-            timeout = (action.timeout or longest * 1000) / 1e6
+            start = self.decisions.now()
+            timeout = (action.timeout_us or longest * 1000) / 1e6
             outcome, line = await self._try(first.with_wait, action.server, timeout)
-            elapsed = self.core.now() - start
+            elapsed = self.decisions.now() - start
             if outcome == "up":
                 self._send_up(line)
                 if self._answered.is_set():  # the module gave up in the same turn, and has forgotten it
                     self.number = 0
-                    self.core.tell(api.OpenConnection(self.id, first.fields["c"], action.server, first.key))
+                    self.decisions.dispatch(
+                        api.ExistingConnection(self.id, first.fields["c"], action.server, first.key)
+                    )
                 else:
-                    self.core.tell(api.Established(self.id, self.number, action.server, elapsed))
+                    self.decisions.dispatch(api.Established(self.id, self.number, action.server, elapsed))
                 return b""
             report = self.attempt.report if self.attempt else None
             self._drop_attempt()  # before the module can ask for the next
             closed = outcome == "ok"
-            self.core.tell(
-                api.AttemptEnded(self.id, self.number, action.server, outcome, elapsed, closed, report)
+            self.decisions.dispatch(
+                api.AttemptEnded(
+                    self.id, self.number, action.server, api.AttemptOutcome(outcome), elapsed, closed, report
+                )
             )
             if closed:
                 return line
             self.number += 1
 
-    async def _reopen(self, first: FirstLine) -> bytes:
+    async def _reopen(self, first: OpenRequest) -> bytes:
         """A connection that was open at a server before the run: the module hears of it once it is up."""
         server, within = first.fields["at"], min(first.wait / 1000, REOPEN_WITHIN)
         # All balancers reopen all their connections at once, and a packet lost then comes again after 1 s.
@@ -287,9 +291,11 @@
         outcome, line = await self._try(lambda _: as_is, server, within, patient=True)
         if outcome == "up":
             self._send_up(line)
-            self.core.tell(api.OpenConnection(self.id, first.fields["c"], server, first.key))
+            self.decisions.dispatch(api.ExistingConnection(self.id, first.fields["c"], server, first.key))
             return b""
-        self.core.counters[f"not reopened, {outcome}"] += 1  # no log line for each: any client can write at=
+        self.decisions.counters[f"not reopened, {outcome}"] += (
+            1  # no log line for each: any client can write at=
+        )
         return b"ERR\r\n"
 
     async def _try(
@@ -297,7 +303,7 @@
     ) -> tuple[str, bytes]:
         """One attempt. The one before it was closed when it ended, so that there are never two."""
         self._check_waiting()
-        self.attempt = self.front.subchannels.attempt(server)
+        self.attempt = self.front.upstreams.attempt(server)
         if self.attempt is None:
             return "connect_failed", b""
 
@@ -316,35 +322,35 @@
             await asyncio.wait([run, answered])
             if not run.cancelled():
                 run.exception()  # that the client has left may be known from the reader already
-        self.core.counters[f"attempt {outcome}"] += 1
+        self.decisions.counters[f"attempt {outcome}"] += 1
         return outcome, line
 
     def _send_up(self, line: bytes) -> None:
         """In one turn: were its time out in between, the client would get a second final answer."""
         assert self.attempt
-        self.attempt.subchannel.open[self.id] = 0
+        self.attempt.upstream.open[self.id] = 0
         self.up = True  # from here on the reader passes the client's lines on
         try:
             self._unsent = self.lines.send_now(line)
         except OSError:
-            raise ChannelEnded(reset=True) from None
+            raise ClientDisconnectedError(reset=True) from None
 
     async def _relay(self) -> bytes:
         """Pass lines on until either side ends or the connection is to be moved; the client's last line."""
         assert self.attempt
-        server, start = self.attempt.subchannel.name, self.core.now()
+        server, start = self.attempt.upstream.name, self.decisions.now()
         outcome, report, reset = "cancelled", None, False
         pump = asyncio.create_task(self._pump())
         try:
             try:
                 await self._unless_left(_first_of(pump, self._ending))
-            except Malformed:
+            except ProtocolError:
                 last = b"ERR\r\n"
             else:
                 if pump.done():
                     outcome, report, reset = pump.result()
                     if reset:
-                        raise ChannelEnded(reset=True)
+                        raise ClientDisconnectedError(reset=True)
                     return b""
                 last = b"MOVE\r\n"
                 outcome = "reset" if self._ending.result() == SILENT else "cancelled"
@@ -354,12 +360,12 @@
                 outcome, report = verdict_of(self._farewell)
                 return b""
             if last == b"MOVE\r\n":
-                self.core.counters[f"MOVE, {self._ending.result()}"] += 1
+                self.decisions.counters[f"MOVE, {self._ending.result()}"] += 1
             return last
         except TimeoutError:  # a client that takes nothing stands in the middle of a line
             reset = True
-            raise ChannelEnded(reset=True) from None
-        except ChannelEnded as ended:
+            raise ClientDisconnectedError(reset=True) from None
+        except ClientDisconnectedError as ended:
             reset = ended.reset
             raise
         finally:
@@ -367,14 +373,18 @@
             await asyncio.wait([pump])
             self._drop_attempt(reset)
             self.front.release(self)
-            self.core.counters[f"connection {outcome}"] += 1
-            elapsed = self.core.now() - start
-            self.core.tell(api.AttemptEnded(self.id, self.number, server, outcome, elapsed, True, report))
+            self.decisions.counters[f"connection {outcome}"] += 1
+            elapsed = self.decisions.now() - start
+            self.decisions.dispatch(
+                api.AttemptEnded(
+                    self.id, self.number, server, api.AttemptOutcome(outcome), elapsed, True, report
+                )
+            )
 
-    async def _pump(self) -> tuple[str, api.Report | None, bool]:
+    async def _pump(self) -> tuple[str, api.LoadReport | None, bool]:
         """The server's lines to the client, whole ones only; how the server ended it, and if by a reset."""
         assert self.attempt and self.attempt.lines
-        subchannel, last = self.attempt.subchannel, b""
+        upstream, last = self.attempt.upstream, b""
         reset = False
         while True:
             lines, self._unsent = self._unsent, b""
@@ -382,7 +392,7 @@
                 lines = lines or await self.attempt.lines.read_lines()
             except OSError:
                 lines, reset = b"", True
-            except LineTooLong:
+            except LineTooLongError:
                 return "error", None, False
             if not lines:
                 break
@@ -391,14 +401,14 @@
                 if word == b"LOAD":
                     self._note_load(rest)
                 elif word not in (b"BYE", b"MOVE"):
-                    subchannel.answered(self.id, self.core.now())
+                    upstream.answered(self.id, self.decisions.now())
                 last = line
             try:
                 async with self._to_client:
                     await self.lines.send(lines)
                     self._farewell = last if last.startswith((b"BYE", b"MOVE")) else b""
             except OSError:
-                raise ChannelEnded(reset=True) from None
+                raise ClientDisconnectedError(reset=True) from None
         outcome, report = verdict_of(self._farewell) if self._farewell else ("reset", None)
         return outcome, report, reset and outcome == "reset"
 
@@ -409,23 +419,23 @@
         except ValueError:
             return
         if load >= 0 and isfinite(load):
-            self.core.tell(api.LoadNote(self.id, self.attempt.subchannel.name, load))
+            self.decisions.dispatch(api.ConnectionLoadChanged(self.id, self.attempt.upstream.name, load))
 
     async def _read_channel(self) -> None:
         """The client's lines to the server, once it is up. Ends only with the client's side."""
         try:
             while lines := await self.lines.read_lines():
                 if not self.up:
-                    raise Malformed
+                    raise ProtocolError
                 if self.attempt and self.attempt.lines:
-                    self.attempt.subchannel.asked(self.id, self.core.now())
+                    self.attempt.upstream.asked(self.id, self.decisions.now())
                     with suppress(OSError):  # the server's end is for the pump to see
                         await self.attempt.lines.send(lines)
-        except LineTooLong:
-            raise Malformed from None
+        except LineTooLongError:
+            raise ProtocolError from None
         except OSError:
-            raise ChannelEnded(reset=True) from None
-        raise ChannelEnded
+            raise ClientDisconnectedError(reset=True) from None
+        raise ClientDisconnectedError
 
 
 async def _first_of(*futures: "asyncio.Future[Any]") -> None:
--- a/wheatstile/net/clients.py
+++ b/wheatstile/net/client_listener.py
@@ -11,10 +11,10 @@
 
 from wheatstile import interface as api
 from wheatstile.config.platform import ChannelLimits
-from wheatstile.net.channel import DRAIN, SILENT, STAY_AWAY, Channel
-from wheatstile.net.core import Core
-from wheatstile.net.first_line import FirstLine
-from wheatstile.net.servers import Subchannels
+from wheatstile.net.client_connection import DRAIN, SILENT, STAY_AWAY, ClientConnection
+from wheatstile.net.decision_loop import DecisionLoop
+from wheatstile.net.open_request import OpenRequest
+from wheatstile.net.upstream_pool import UpstreamPool
 
 log = structlog.get_logger()
 
@@ -26,13 +26,15 @@
 UNSERVED = 1 / 8  # of the descriptors are for channels that have no RPC, be they silent, refused or ending
 
 
-class Channels:
+class ClientListener:
     """The front: owns the channels, each for its whole life."""
 
-    def __init__(self, core: Core, subchannels: Subchannels, limits: ChannelLimits) -> None:
-        self.core, self.subchannels, self.limits = core, subchannels, limits
-        self.channels: dict[asyncio.Task[None], Channel] = {}
-        self._unserved: dict[Channel, asyncio.Task[None]] = {}  # those without an RPC, the oldest first
+    def __init__(self, decisions: DecisionLoop, upstreams: UpstreamPool, limits: ChannelLimits) -> None:
+        self.decisions, self.upstreams, self.limits = decisions, upstreams, limits
+        self.channels: dict[asyncio.Task[None], ClientConnection] = {}
+        self._unserved: dict[
+            ClientConnection, asyncio.Task[None]
+        ] = {}  # those without an RPC, the oldest first
         self._ids: OrderedDict[str, None] = OrderedDict()
         self._spare = os.open(os.devnull, os.O_RDONLY)
 
@@ -41,30 +43,30 @@
 
         An RPC may be older than all ids that are kept; its owner must not lose it to whoever repeats its id.
         """
-        if id in self._ids or id in self.core.rpcs:
+        if id in self._ids or id in self.decisions.sessions:
             return True
         self._ids[id] = None
         if len(self._ids) > IDS_KEPT:
             self._ids.popitem(last=False)
         return False
 
-    def longest(self, first: FirstLine) -> int:
+    def longest(self, first: OpenRequest) -> int:
         """The milliseconds that this client waits at most."""
         return min(first.wait, self.limits.deadlines[first.fields["c"]])
 
-    def admit(self, channel: Channel) -> None:
+    def admit(self, channel: ClientConnection) -> None:
         """A channel has asked for an RPC: from here on it is served, and safe from the crowd."""
         self._unserved.pop(channel, None)
-        self.core.rpcs[channel.id] = channel
+        self.decisions.sessions[channel.id] = channel
 
-    def release(self, channel: Channel) -> None:
+    def release(self, channel: ClientConnection) -> None:
         """Its RPC is over; what is left is to take the last line."""
-        if self.core.rpcs.pop(channel.id, None):
+        if self.decisions.sessions.pop(channel.id, None):
             self._unserved[channel] = channel.task
 
     def _left(self) -> int:
         """Descriptors that RPCs leave for others, at a channel and a server for each."""
-        return self.limits.descriptors - OWN - self.subchannels.most_probes() - 2 * len(self.core.rpcs)
+        return self.limits.descriptors - OWN - self.upstreams.most_probes() - 2 * len(self.decisions.sessions)
 
     def full(self) -> bool:
         """Whether another RPC would take descriptors that the unserved need, to be answered at all."""
@@ -79,7 +81,7 @@
         if self._unserved and len(self._unserved) >= most:
             channel = next(iter(self._unserved))
             self._unserved.pop(channel).cancel()
-            self.core.counters["crowded out"] += 1
+            self.decisions.counters["crowded out"] += 1
 
     def unavailable(self, milliseconds: int) -> bytes:
         """The unavailable status, with the time after which to come again, if the settings allow it."""
@@ -105,21 +107,21 @@
         except BlockingIOError:
             return False
         except OSError as error:
-            self.core.counters[f"accept failed: {errno.errorcode.get(error.errno or 0, '?')}"] += 1
+            self.decisions.counters[f"accept failed: {errno.errorcode.get(error.errno or 0, '?')}"] += 1
             if error.errno in (errno.EMFILE, errno.ENFILE):
                 self._refuse_one(listener)
             if failed and not failed.done():
                 failed.set_result(None)
             return False
         self._make_room()
-        channel = Channel(self, sock)
+        channel = ClientConnection(self, sock)
         channel.task = asyncio.create_task(channel.run())
         self.channels[channel.task], self._unserved[channel] = channel, channel.task
         channel.task.add_done_callback(self._over)
         return True
 
     def _refuse(self, sock: socket.socket) -> None:
-        self.core.counters["unavailable, no descriptors"] += 1
+        self.decisions.counters["unavailable, no descriptors"] += 1
         with sock, suppress(OSError):
             sock.setblocking(False)
             sock.send(self.unavailable(STAY_AWAY))
@@ -140,14 +142,14 @@
         channel = self.channels.pop(task)
         self._unserved.pop(channel, None)
         if not task.cancelled() and (error := task.exception()):
-            self.core.counters["channel failures"] += 1
+            self.decisions.counters["channel failures"] += 1
             log.error("a channel failed", rpc=channel.id, exc_info=error)
 
     async def sweep(self) -> None:
         """Move clients whose server has been silent for too long: TCP tells nothing of a cut-off one."""
         while True:
             await asyncio.sleep(SWEEP)
-            now = self.core.now()
+            now = self.decisions.now()
             for channel in list(self.channels.values()):
                 if channel.unanswered(now) > SILENT_AFTER:
                     channel.end(SILENT)
@@ -155,7 +157,7 @@
     async def drain(self, seconds: float) -> None:
         """Move every client, spread over this time; whoever comes meanwhile is still served."""
         end = asyncio.get_running_loop().time() + seconds
-        while self.core.rpcs and (left := end - asyncio.get_running_loop().time()) > 0:
+        while self.decisions.sessions and (left := end - asyncio.get_running_loop().time()) > 0:
             standing = [channel for channel in self.channels.values() if channel.standing]
             if standing:
                 standing[0].end(DRAIN)
@@ -167,7 +169,7 @@
         The listener is closed in the turn in which the backlog was found empty: whoever comes later is
         refused by the kernel, and knows that nobody has taken its request.
         """
-        self.core.tell(api.Closing())
+        self.decisions.dispatch(api.ShutdownStarted())
         while self._accept(listener):
             pass
         listener.close()
--- a/wheatstile/net/core.py
+++ b/wheatstile/net/decision_loop.py
@@ -1,4 +1,4 @@
-"""The core: one instance of the decision module, its clock, its timers, and whoever carries out its actions.
+"""The decision loop: one instance of the decision module, its clock, and whoever carries out its actions.
 
 Nothing here knows a protocol's text. A front registers its RPCs, tells the module's events, and is handed
 the module's actions as they are.
@@ -21,7 +21,7 @@
 class Rpc(Protocol):
     """A request that is owed an answer, or the open connection that it became."""
 
-    def decide(self, action: api.Send | api.Refuse | api.Fail | api.Move) -> None:
+    def decide(self, action: api.StartAttempt | api.Reject | api.Fail | api.Migrate) -> None:
         """Take what the module decided; the work itself is done elsewhere, later."""
 
 
@@ -30,20 +30,20 @@
         """Ask this server for its load; exactly one Probed event follows."""
 
 
-class Resolver(Protocol):
+class DiscoveryWatcher(Protocol):
     def watch(self) -> None:
         """Ask for the list's changes from now on."""
 
 
-class Core:
+class DecisionLoop:
     """Owns the module's instance. Events go in by tell; actions go straight to whoever carries them out."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.balancer = Balancer(settings, seed)
         self.counters: Counter[str] = Counter()
-        self.rpcs: dict[str, Rpc] = {}
+        self.sessions: dict[str, Rpc] = {}
         self.prober: Prober
-        self.resolver: Resolver
+        self.discovery_watcher: DiscoveryWatcher
         self.loop = asyncio.get_running_loop()
         # The module takes a start of 0 or less for "long ago", and the list tells starts in Unix time: so its
         # clock is Unix time, taken once, and moved by the monotonic clock so that it never goes back.
@@ -55,9 +55,9 @@
         """The module's clock, in microseconds."""
         return (self._epoch + time.monotonic_ns()) // 1000
 
-    def start(self, prober: Prober, resolver: Resolver) -> None:
+    def start(self, prober: Prober, discovery_watcher: DiscoveryWatcher) -> None:
         """Start the module; everything it may ask for has to be in place."""
-        self.prober, self.resolver = prober, resolver
+        self.prober, self.discovery_watcher = prober, discovery_watcher
         for action in self.balancer.start(self.now()):
             self._carry_out(action)
 
@@ -65,7 +65,7 @@
         """Have the module decide by these settings from its next event on."""
         self.balancer.configure(settings)
 
-    def tell(self, event: api.Event) -> None:
+    def dispatch(self, event: api.Event) -> None:
         """Hand the module an event and carry out what it answers.
 
         An event that comes up while actions are being carried out waits for its turn: the module is never
@@ -89,7 +89,7 @@
             # A fault in the decisions may cost the one RPC it is about, not all the connections held here.
             log.exception("the module failed", event_type=type(event).__name__)
             self.counters["module failures"] += 1
-            rpc = self.rpcs.get(getattr(event, "id", ""))
+            rpc = self.sessions.get(getattr(event, "id", ""))
             if rpc:
                 rpc.decide(api.Fail(getattr(event, "id", "")))
             return
@@ -100,10 +100,12 @@
         self.counters[f"action {type(action).__name__}"] += 1
         if isinstance(action, api.SetTimer):
             # Rounded up to the loop's milliseconds: a timer that comes early finds its time not yet up.
-            self.loop.call_later(ceil(action.delay / 1000) / 1000, self.tell, api.TimerFired(action.token))
-        elif isinstance(action, api.Probe):
+            self.loop.call_later(
+                ceil(action.delay_us / 1000) / 1000, self.dispatch, api.TimerFired(action.token)
+            )
+        elif isinstance(action, api.CheckHealth):
             self.prober.probe(action.server)
-        elif isinstance(action, api.WatchList):
-            self.resolver.watch()
-        elif action.id in self.rpcs:  # else the client has left in the same instant
-            self.rpcs[action.id].decide(action)
+        elif isinstance(action, api.WatchEndpoints):
+            self.discovery_watcher.watch()
+        elif action.id in self.sessions:  # else the client has left in the same instant
+            self.sessions[action.id].decide(action)
--- a/wheatstile/net/discovery.py
+++ b/wheatstile/net/discovery_watcher.py
@@ -11,9 +11,9 @@
 import structlog
 
 from wheatstile import interface as api
-from wheatstile.config.members import ResolverResult
-from wheatstile.net.core import Core
-from wheatstile.net.servers import Subchannels
+from wheatstile.config.endpoints import EndpointSnapshot
+from wheatstile.net.decision_loop import DecisionLoop
+from wheatstile.net.upstream_pool import UpstreamPool
 
 log = structlog.get_logger()
 
@@ -30,51 +30,51 @@
     """A call to discovery failed, or what it said cannot be used."""
 
 
-class Sink(Protocol):
+class EndpointObserver(Protocol):
     """Whom discovery tells: it alone, or together with others, makes the list that the module is told."""
 
-    def take(self, result: ResolverResult, kind: str) -> None:
+    def on_update(self, result: EndpointSnapshot, kind: api.EndpointUpdateKind) -> None:
         """A list, or changes to one."""
 
-    def heard(self) -> None:
+    def on_keepalive(self) -> None:
         """Nothing has changed."""
 
-    def failed(self) -> None:
+    def on_failure(self) -> None:
         """A call has ended; the module is told so apart from this."""
 
 
-class Direct:
+class DiscoveryOnlyObserver:
     """Discovery alone: what it tells is the list."""
 
-    def __init__(self, core: Core, subchannels: Subchannels) -> None:
-        self.core, self.subchannels = core, subchannels
+    def __init__(self, decisions: DecisionLoop, upstreams: UpstreamPool) -> None:
+        self.decisions, self.upstreams = decisions, upstreams
 
-    def take(self, result: ResolverResult, kind: str) -> None:
-        self.subchannels.update(result.members, kind != "delta")
-        self.core.tell(api.ServerList(kind, result.entries))
+    def on_update(self, result: EndpointSnapshot, kind: api.EndpointUpdateKind) -> None:
+        self.upstreams.update(result.members, kind is not api.EndpointUpdateKind.DELTA)
+        self.decisions.dispatch(api.EndpointUpdate(kind, result.endpoints))
 
-    def heard(self) -> None:
+    def on_keepalive(self) -> None:
         pass
 
-    def failed(self) -> None:
+    def on_failure(self) -> None:
         pass
 
 
-class Resolver:
-    """Owns the watch. Each result goes to the sink, a failure to the module as one event."""
+class DiscoveryWatcher:
+    """Owns the watch. Each result goes to the observer, a failure to the module as one event."""
 
-    def __init__(self, core: Core, sink: Sink, address: tuple[str, int]) -> None:
-        self.core, self.sink, self.address = core, sink, address
+    def __init__(self, decisions: DecisionLoop, observer: EndpointObserver, address: tuple[str, int]) -> None:
+        self.decisions, self.observer, self.address = decisions, observer, address
         self.revision = 0
         self._strange = False  # the revision is another discovery's
         self._silent = False  # calls fail, and it has been logged
         self._first = True  # nothing has come on this watch yet
         self._watch: asyncio.Task[None] | None = None
 
-    def take(self, result: ResolverResult, kind: str) -> None:
+    def on_update(self, result: EndpointSnapshot, kind: api.EndpointUpdateKind) -> None:
         # A full list replaces all that stood, and so does its revision: a discovery may count anew.
         self.revision = result.revision if result.complete else max(self.revision, result.revision)
-        self.sink.take(result, kind)
+        self.observer.on_update(result, kind)
 
     def watch(self) -> None:
         """Ask for changes from now on. A watch that stands does so already, and is not asked for twice."""
@@ -90,7 +90,7 @@
         if address != self.address:
             self.close()
             self.address, self._strange, self._watch = address, True, None
-            self.core.tell(api.ServerList("moved"))
+            self.decisions.dispatch(api.EndpointUpdate(api.EndpointUpdateKind.MOVED))
 
     def close(self) -> None:
         if self._watch:
@@ -106,9 +106,9 @@
             self._silent = True
         except Exception:
             log.exception("the watch failed")
-        self.core.counters["watch failures"] += 1
-        self.sink.failed()
-        self.core.tell(api.ServerList("failed"))
+        self.decisions.counters["watch failures"] += 1
+        self.observer.on_failure()
+        self.decisions.dispatch(api.EndpointUpdate(api.EndpointUpdateKind.FAILED))
 
     async def _follow(self) -> None:
         if self._strange:
@@ -145,7 +145,7 @@
         result = None
         if text.strip():
             try:
-                result = ResolverResult.read(json.loads(text))
+                result = EndpointSnapshot.read(json.loads(text))
             except (ValueError, KeyError, TypeError, AttributeError, OSError, RecursionError) as error:
                 raise DiscoveryError(f"discovery sent no list: {error!r}") from error
         # A change from before the list that stands would undo what is known by now.
@@ -154,11 +154,11 @@
         if self._first:  # the watch stands, also where it has nothing to tell: its back-off starts anew
             self._first = False
             if new is None:
-                self.core.tell(api.ServerList("delta"))
+                self.decisions.dispatch(api.EndpointUpdate(api.EndpointUpdateKind.DELTA))
         if new:
-            self.take(new, "full" if new.complete else "delta")
+            self.on_update(new, api.EndpointUpdateKind.FULL if new.complete else api.EndpointUpdateKind.DELTA)
         else:
-            self.sink.heard()
+            self.observer.on_keepalive()
 
 
 class _Answer:
--- a/wheatstile/net/lines.py
+++ b/wheatstile/net/line_stream.py
@@ -9,11 +9,11 @@
 LINGER_BYTES = 1 << 16  # that are read and dropped meanwhile: more than any line that was under way
 
 
-class LineTooLong(Exception):
+class LineTooLongError(Exception):
     """The peer's line passes the limit."""
 
 
-class LineSocket:
+class LineStream:
     """One TCP connection and the lines that have come on it. Whoever makes it closes it.
 
     The buffer holds one line of full length, so that a peer that sends faster than its lines are passed on is
@@ -32,7 +32,7 @@
 
     async def _fill(self) -> bool:
         if self._filled == LINE_LIMIT:
-            raise LineTooLong
+            raise LineTooLongError
         count = await self._loop.sock_recv_into(self.sock, self._buffer[self._filled :])
         self._filled += count
         return count > 0
--- a/wheatstile/net/first_line.py
+++ b/wheatstile/net/open_request.py
@@ -10,12 +10,12 @@
 HINT = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?")  # more digits say nothing of a load, and may be no number
 
 
-class Malformed(Exception):
+class ProtocolError(Exception):
     """A channel's first line, or what came with it, has a form that no client sends."""
 
 
 @dataclass(frozen=True, slots=True)
-class FirstLine:
+class OpenRequest:
     """The line that a channel opens with. It goes on byte for byte but for the figure of d."""
 
     id: str
@@ -26,23 +26,23 @@
     wait: int  # milliseconds, of d
 
     @classmethod
-    def read(cls, line: bytes) -> "FirstLine":
-        """Raises Malformed: a server takes a form that no client sent as a fault of the balancer's."""
+    def read(cls, line: bytes) -> "OpenRequest":
+        """Raises ProtocolError: a server takes a form that no client sent as a fault of the balancer's."""
         found = OPEN_LINE.fullmatch(line)
         if not found:
-            raise Malformed
+            raise ProtocolError
         fields: dict[str, str] = {}
         for field in found[3].split(b","):
             if not FIELD.fullmatch(field):
-                raise Malformed
+                raise ProtocolError
             name, _, value = field.decode().partition("=")
             if name in fields or (name == "h" and not HINT.fullmatch(value)):
-                raise Malformed
+                raise ProtocolError
             fields[name] = value
         if not {"c", "d", "g"} <= fields.keys() or not re.fullmatch("[0-9]{1,9}", fields["d"]):
-            raise Malformed
+            raise ProtocolError
         if any(fields.get(flag, "1") != "1" for flag in ("r", "again")):
-            raise Malformed
+            raise ProtocolError
         start = found.start(3) + (0 if found[3].startswith(b"d=") else found[3].index(b",d=") + 1) + 2
         end = start + len(fields["d"])
         return cls(found[1].decode(), found[2].decode(), fields, line[:start], line[end:], int(fields["d"]))
@@ -57,8 +57,8 @@
             f["c"],
             min(self.wait, longest) * 1000,  # no client waits longer, whatever it writes
             self.key,
-            returning=f.get("again") == "1",
-            retry=f.get("r") == "1",
+            reconnecting=f.get("again") == "1",
+            client_retry=f.get("r") == "1",
             load_hint=float(f.get("h", 0.0)),
-            group=f["g"],
+            affinity_group=f["g"],
         )
--- a/wheatstile/net/servers.py
+++ b/wheatstile/net/upstream_pool.py
@@ -1,4 +1,4 @@
-"""Servers: the subchannels that the resolver result names, attempts to set an RPC up, and probes."""
+"""Servers: the upstreams that the resolver result names, attempts to set an RPC up, and probes."""
 
 import asyncio
 import errno
@@ -11,10 +11,10 @@
 
 from wheatstile import interface as api
 from wheatstile.config import reports
-from wheatstile.config.members import Named
+from wheatstile.config.endpoints import ResolvedEndpoint
 from wheatstile.config.platform import ServerLimits
-from wheatstile.net.core import Core
-from wheatstile.net.lines import LineSocket, LineTooLong
+from wheatstile.net.decision_loop import DecisionLoop
+from wheatstile.net.line_stream import LineStream, LineTooLongError
 
 log = structlog.get_logger()
 
@@ -29,25 +29,25 @@
     "x0": "load",
     "x1": "backlog_s",
 }
-OUTCOMES = {b"BYE": "ok", b"MOVE": "cancelled", b"ERR": "error", b"BUSY": "full"}
+OUTCOMES = {b"BYE": "ok", b"MOVE": "cancelled", b"ERR": "error", b"BUSY": "overloaded"}
 PROBES = 1 / 10  # of the descriptors, and no more, are for connections that probes go out on
 NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE)
-SWEEP = 1.0  # seconds between two looks at the delays of the subchannels' messages
+SWEEP = 1.0  # seconds between two looks at the delays of the upstreams' messages
 
 
-def report_in(text: bytes) -> api.Report | None:
+def report_in(text: bytes) -> api.LoadReport | None:
     """A load report as it closes a line."""
     return reports.report_in(text.decode("latin-1"), "=", REPORT_NAMES) or None
 
 
-def verdict_of(line: bytes) -> tuple[str, api.Report | None]:
+def verdict_of(line: bytes) -> tuple[str, api.LoadReport | None]:
     """How a line of a server's ends what it was asked for, and the report on it. Unknown words are errors."""
     word, _, rest = line.strip().partition(b" ")
     return OUTCOMES.get(word, "error"), report_in(rest)
 
 
 @dataclass(eq=False, slots=True)
-class Subchannel:
+class Upstream:
     """One server: its latest address, the RPCs that are up on it, and the task that probes it."""
 
     name: str
@@ -75,12 +75,12 @@
 class Attempt:
     """One attempt to set an RPC up, and the connection that it becomes. Its RPC closes it."""
 
-    __slots__ = ("_limits", "lines", "report", "subchannel")
+    __slots__ = ("_limits", "lines", "report", "upstream")
 
-    def __init__(self, subchannel: Subchannel, limits: ServerLimits) -> None:
-        self.subchannel, self._limits = subchannel, limits
-        self.lines: LineSocket | None = None
-        self.report: api.Report | None = None
+    def __init__(self, upstream: Upstream, limits: ServerLimits) -> None:
+        self.upstream, self._limits = upstream, limits
+        self.lines: LineStream | None = None
+        self.report: api.LoadReport | None = None
 
     async def run(
         self, first_line: Callable[[int], bytes | None], timeout: float, patient: bool = False
@@ -95,18 +95,18 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout
         try:
-            self.lines = LineSocket(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+            self.lines = LineStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
             async with asyncio.timeout(timeout if patient else min(self._limits.connect_timeout, timeout)):
-                await loop.sock_connect(self.lines.sock, self.subchannel.address)
+                await loop.sock_connect(self.lines.sock, self.upstream.address)
         except (OSError, TimeoutError) as error:
             # Without a descriptor of our own nothing was sent, and the server has not failed.
-            return "moot" if getattr(error, "errno", 0) in NO_DESCRIPTORS else "connect_failed", b""
+            return "not_sent" if getattr(error, "errno", 0) in NO_DESCRIPTORS else "connect_failed", b""
         left = deadline - loop.time()
-        if left <= 0 or (self.subchannel.leaving and not patient):
-            return "moot", b""  # what stands at a server that drains may be set up again, nothing new
+        if left <= 0 or (self.upstream.leaving and not patient):
+            return "not_sent", b""  # what stands at a server that drains may be set up again, nothing new
         first = first_line(max(1, int(left * 1000)))
         if first is None:
-            return "moot", b""
+            return "not_sent", b""
         try:
             if rest := self.lines.send_now(first):  # a new connection takes 4 KiB; should it not, wait for it
                 async with asyncio.timeout_at(deadline):
@@ -122,7 +122,7 @@
             return "timeout", b""
         except OSError:
             return "reset", b""
-        except LineTooLong:
+        except LineTooLongError:
             return "error", b""
         if not line:
             return "reset", b""
@@ -137,64 +137,64 @@
             self.lines = None
 
 
-class Subchannels:
+class UpstreamPool:
     """All servers that the resolver result has named."""
 
-    def __init__(self, core: Core, limits: ServerLimits) -> None:
-        self.core, self.limits = core, limits
-        self.by_name: dict[str, Subchannel] = {}
+    def __init__(self, decisions: DecisionLoop, limits: ServerLimits) -> None:
+        self.decisions, self.limits = decisions, limits
+        self.by_name: dict[str, Upstream] = {}
         self._probes = 0  # connections open for probes
-        self._idle: dict[Subchannel, None] = {}  # those of them that are idle, the longest first
+        self._idle: dict[Upstream, None] = {}  # those of them that are idle, the longest first
 
-    def update(self, members: Collection[Named], complete: bool) -> None:
+    def update(self, members: Collection[ResolvedEndpoint], complete: bool) -> None:
         """Follow the list: a changed address holds for what is opened next; None: the server is gone."""
-        latest = {member.entry.server: member.address for member in members}
+        latest = {member.endpoint.name: member.address for member in members}
         for entry, address in members:
             if address is not None:
-                if entry.server not in self.by_name:
-                    self.by_name[entry.server] = Subchannel(entry.server, address)
-                subchannel = self.by_name[entry.server]
-                subchannel.address, subchannel.leaving = address, entry.state != "ready"
+                if entry.name not in self.by_name:
+                    self.by_name[entry.name] = Upstream(entry.name, address)
+                upstream = self.by_name[entry.name]
+                upstream.address, upstream.leaving = address, entry.state != api.EndpointState.READY
         for name in list(self.by_name) if complete else latest:
             if latest.get(name) is None and name in self.by_name:
-                subchannel = self.by_name.pop(name)
-                subchannel.leaving = True
-                if subchannel.prober:
-                    subchannel.prober.cancel()
+                upstream = self.by_name.pop(name)
+                upstream.leaving = True
+                if upstream.prober:
+                    upstream.prober.cancel()
 
     def most_probes(self) -> int:
         return max(4, int(self.limits.descriptors * PROBES))
 
     def attempt(self, server: str) -> Attempt | None:
-        subchannel = self.by_name.get(server)
-        return Attempt(subchannel, self.limits) if subchannel else None
+        upstream = self.by_name.get(server)
+        return Attempt(upstream, self.limits) if upstream else None
 
     def probe(self, server: str) -> None:
-        subchannel = self.by_name.get(server)
-        if subchannel is None:
-            return self.core.tell(api.Probed(server, "connect_failed"))
-        subchannel.owed += 1
-        subchannel.wanted.set()
-        if subchannel.prober is None:
-            subchannel.prober = asyncio.create_task(self._probe_on(subchannel))
-            subchannel.prober.add_done_callback(lambda task: self._settle(subchannel, task))
-
-    def _settle(self, subchannel: Subchannel, task: asyncio.Task[None]) -> None:
+        upstream = self.by_name.get(server)
+        if upstream is None:
+            return self.decisions.dispatch(api.HealthCheckResult(server, api.AttemptOutcome.CONNECT_FAILED))
+        upstream.owed += 1
+        upstream.wanted.set()
+        if upstream.prober is None:
+            upstream.prober = asyncio.create_task(self._probe_on(upstream))
+            upstream.prober.add_done_callback(lambda task: self._settle(upstream, task))
+
+    def _settle(self, upstream: Upstream, task: asyncio.Task[None]) -> None:
         """A prober has ended, be it that its server left the list: what was asked of it is answered here.
 
         The module keeps a server's place in a held request until its probe is over; one that never ends
         would stop all later probes of that server.
         """
-        subchannel.prober = None
+        upstream.prober = None
         if not task.cancelled() and (error := task.exception()):
-            log.error("a prober failed", server=subchannel.name, exc_info=error)
-        while subchannel.owed:
-            subchannel.owed -= 1
-            self.core.tell(api.Probed(subchannel.name, "connect_failed"))
+            log.error("a prober failed", server=upstream.name, exc_info=error)
+        while upstream.owed:
+            upstream.owed -= 1
+            self.decisions.dispatch(api.HealthCheckResult(upstream.name, api.AttemptOutcome.CONNECT_FAILED))
 
-    async def _probe_on(self, subchannel: Subchannel) -> None:
+    async def _probe_on(self, upstream: Upstream) -> None:
         """Probe one server as often as asked, on one connection that is closed when it falls idle."""
-        lines: LineSocket | None = None
+        lines: LineStream | None = None
 
         def close() -> None:
             nonlocal lines
@@ -204,46 +204,50 @@
 
         try:
             while True:
-                if not subchannel.owed:
-                    subchannel.wanted.clear()
+                if not upstream.owed:
+                    upstream.wanted.clear()
                     if lines:
-                        self._idle[subchannel] = None
+                        self._idle[upstream] = None
                     try:
                         async with asyncio.timeout(self.limits.idle if lines else None):
-                            await subchannel.wanted.wait()
+                            await upstream.wanted.wait()
                     except TimeoutError:
                         close()
                     finally:
-                        self._idle.pop(subchannel, None)
-                    if not subchannel.owed:  # it was idle too long, or another needs its connection
+                        self._idle.pop(upstream, None)
+                    if not upstream.owed:  # it was idle too long, or another needs its connection
                         close()
                         continue
                 if lines and lines.ended():  # a server may close what is idle; that is no failed probe
                     close()
                 reused = lines is not None
-                start = self.core.now()
+                start = self.decisions.now()
                 outcome, report = "connect_failed", None
                 try:
                     if lines is None:
                         self._spare_one()
-                        lines = LineSocket(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+                        lines = LineStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
                         self._probes += 1
                         async with asyncio.timeout(self.limits.connect_timeout):
-                            await asyncio.get_running_loop().sock_connect(lines.sock, subchannel.address)
+                            await asyncio.get_running_loop().sock_connect(lines.sock, upstream.address)
                     outcome, report = await self._ask(lines)
                 except TimeoutError:
                     pass
                 except OSError as error:
                     if error.errno in NO_DESCRIPTORS:
-                        outcome = "moot"
+                        outcome = "not_sent"
                 if outcome != "ok":  # what it still owes would be taken for the next answer
                     close()
                 if reused and outcome == "reset":  # it was closed as idle while the probe went out
-                    self.core.counters["probe repeated"] += 1
+                    self.decisions.counters["probe repeated"] += 1
                     continue
-                self.core.counters[f"probe {outcome}"] += 1
-                subchannel.owed -= 1
-                self.core.tell(api.Probed(subchannel.name, outcome, self.core.now() - start, report))
+                self.decisions.counters[f"probe {outcome}"] += 1
+                upstream.owed -= 1
+                self.decisions.dispatch(
+                    api.HealthCheckResult(
+                        upstream.name, api.AttemptOutcome(outcome), self.decisions.now() - start, report
+                    )
+                )
         finally:
             close()
 
@@ -254,14 +258,14 @@
             del self._idle[longest]
             longest.wanted.set()
 
-    async def _ask(self, lines: LineSocket) -> tuple[str, api.Report | None]:
+    async def _ask(self, lines: LineStream) -> tuple[str, api.LoadReport | None]:
         try:
             async with asyncio.timeout(self.limits.probe_timeout):
                 await lines.send(b"STATS\r\n")
                 line = await lines.read_line()
         except TimeoutError:
             return "timeout", None
-        except (OSError, LineTooLong):
+        except (OSError, LineTooLongError):
             return "reset", None
         word, _, rest = line.strip().partition(b" ")
         if word == b"PONG":
@@ -272,20 +276,22 @@
         """Once a second, the simulator's pace: tell the module at which servers messages take long."""
         while True:
             await asyncio.sleep(SWEEP)
-            now = self.core.now()
-            for subchannel in list(self.by_name.values()):
-                if self.limits.tells_delay:
-                    self._note_delay(subchannel, now)
+            now = self.decisions.now()
+            for upstream in list(self.by_name.values()):
+                if self.limits.reports_message_latency:
+                    self._note_delay(upstream, now)
 
-    def _note_delay(self, subchannel: Subchannel, now: int) -> None:
+    def _note_delay(self, upstream: Upstream, now: int) -> None:
         """A note on one connection of a server whose messages take long, and one more after."""
-        waiting = [(now - asked_at) / 1000 for asked_at in subchannel.open.values() if asked_at]
+        waiting = [(now - asked_at) / 1000 for asked_at in upstream.open.values() if asked_at]
         threshold = self.limits.shortest_aim / 3
-        delays = subchannel.delays + [age for age in waiting if age > threshold]
-        subchannel.delays = []
-        if not subchannel.open or not delays:
+        delays = upstream.delays + [age for age in waiting if age > threshold]
+        upstream.delays = []
+        if not upstream.open or not delays:
             return
         delay = median(delays)
-        if delay > threshold or subchannel.slow:
-            subchannel.slow = delay > threshold
-            self.core.tell(api.DelayNote(next(iter(subchannel.open)), subchannel.name, delay))
+        if delay > threshold or upstream.slow:
+            upstream.slow = delay > threshold
+            self.decisions.dispatch(
+                api.MessageLatencyChanged(next(iter(upstream.open)), upstream.name, delay)
+            )
