--- a/wheatstile/node.py
+++ b/wheatstile/node.py
@@ -15,13 +15,14 @@
 import structlog
 import uvloop
 
+from wheatstile import interface as api
 from wheatstile import logs
 from wheatstile.config.platform import Config, ConfigError
-from wheatstile.net.clients import Channels
-from wheatstile.net.core import Core
-from wheatstile.net.discovery import Direct, Resolver
-from wheatstile.net.lines import LINGER
-from wheatstile.net.servers import Subchannels
+from wheatstile.net.client_listener import ClientListener
+from wheatstile.net.decision_loop import DecisionLoop
+from wheatstile.net.discovery_watcher import DiscoveryOnlyObserver, DiscoveryWatcher
+from wheatstile.net.line_stream import LINGER
+from wheatstile.net.upstream_pool import UpstreamPool
 
 if TYPE_CHECKING:  # what is switched off is not imported
     from wheatstile.config.operator import OperatorFile
@@ -87,16 +88,18 @@
     ) -> None:
         self.config, self.operator, self.learnt = config, operator, learnt
         self.terminated = asyncio.Event()
-        self.core = Core(config.settings, config.seed)
-        self.subchannels = Subchannels(self.core, config.servers)
-        self.resolver = Resolver(self.core, Direct(self.core, self.subchannels), config.discovery)
-        self.channels = Channels(self.core, self.subchannels, config.channels)
+        self.decisions = DecisionLoop(config.settings, config.seed)
+        self.upstreams = UpstreamPool(self.decisions, config.servers)
+        self.discovery_watcher = DiscoveryWatcher(
+            self.decisions, DiscoveryOnlyObserver(self.decisions, self.upstreams), config.discovery
+        )
+        self.channels = ClientListener(self.decisions, self.upstreams, config.channels)
         self.servers_section: ServersSection | None = None
         self.descriptions_section: DescriptionsSection | None = None
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.terminated.set)
         loop.add_signal_handler(signal.SIGINT, self.terminated.set)
-        loop.add_signal_handler(signal.SIGUSR1, lambda: log.info("counters", **self.core.counters))
+        loop.add_signal_handler(signal.SIGUSR1, lambda: log.info("counters", **self.decisions.counters))
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # main held it back until now
 
@@ -105,32 +108,32 @@
 
         Discovery is the file's from here on: RELAY_DISCOVERY tells where it was when the process started.
         """
-        self.core.counters["reloads"] += 1
+        self.decisions.counters["reloads"] += 1
         self._reload_operator()
         environ = {name: value for name, value in os.environ.items() if name != "RELAY_DISCOVERY"}
         try:
             new = Config.read(environ)
         except ConfigError as error:
-            self.core.counters["reloads failed"] += 1
+            self.decisions.counters["reloads failed"] += 1
             log.error("the old configuration goes on", reason=str(error))
             return
         kept = [key for key in FIXED if getattr(new, key) != getattr(self.config, key)]
         self.config = replace(new, **{key: getattr(self.config, key) for key in FIXED})
         self.configure()
-        self.subchannels.limits, self.channels.limits = new.servers, new.channels
-        self.resolver.follow(new.discovery)
+        self.upstreams.limits, self.channels.limits = new.servers, new.channels
+        self.discovery_watcher.follow(new.discovery)
         log.info("reloaded", discovery=new.discovery, only_at_the_next_start=kept)
 
     def _reload_operator(self) -> None:
         """The operator's file, whole or not at all, whatever becomes of the platform's."""
         if self.operator is None:
             return
-        from wheatstile.config import faults, operator
+        from wheatstile.config import operator, violations
 
         try:
             self.operator = operator.read(str(self.operator.path))
-        except faults.Refused as refused:
-            self.core.counters["reloads failed"] += 1
+        except violations.ConfigurationError as refused:
+            self.decisions.counters["reloads failed"] += 1
             log.error("the old operator's file goes on", reasons=refused.lines())
             return
         self.follow_operator()
@@ -141,7 +144,7 @@
         settings = self.config.settings
         if self.descriptions_section:
             settings = self.descriptions_section.applied(settings)
-        self.core.configure(settings)
+        self.decisions.configure(settings)
         if self.operator and self.descriptions_section:
             self.descriptions_section.follow(self.operator, self.config)
 
@@ -152,13 +155,13 @@
         if self.servers_section is None and self.operator.settings.servers.file:
             from wheatstile.resolvers.section import ServersSection
 
-            self.servers_section = ServersSection(self.core, self.subchannels, self.resolver)
+            self.servers_section = ServersSection(self.decisions, self.upstreams, self.discovery_watcher)
         if self.servers_section:
             self.servers_section.follow(self.operator)
         if self.descriptions_section is None and self.operator.settings.descriptions.paths:
             from wheatstile.descriptions.section import DescriptionsSection
 
-            self.descriptions_section = DescriptionsSection(self.core, self.learnt)
+            self.descriptions_section = DescriptionsSection(self.decisions, self.learnt)
             self.configure()
         elif self.descriptions_section:
             self.descriptions_section.follow(self.operator, self.config)
@@ -166,10 +169,10 @@
     async def run(self) -> None:
         """Serve from start to SIGTERM, then send every client away while there is time."""
         # Before the address is had: a signal may be acted on as soon as there is somebody to tell of it.
-        self.core.start(self.subchannels, self.resolver)
-        self.resolver.take(self.config.known, "cached")
-        if not self.config.settings.list_on_request:
-            self.resolver.watch()  # what is pushed counts as told from the first moment
+        self.decisions.start(self.upstreams, self.discovery_watcher)
+        self.discovery_watcher.on_update(self.config.known, api.EndpointUpdateKind.CACHED)
+        if not self.config.settings.poll_endpoints:
+            self.discovery_watcher.watch()  # what is pushed counts as told from the first moment
         self.follow_operator()
         listener = await listening(self.config.listen, self.terminated)
         if listener is None:
@@ -179,11 +182,11 @@
             accepting = asyncio.create_task(supervised("accept", lambda: self.channels.serve(listener)))
             parts = [
                 asyncio.create_task(supervised("silence", self.channels.sweep)),
-                asyncio.create_task(supervised("delays", self.subchannels.sweep)),
+                asyncio.create_task(supervised("delays", self.upstreams.sweep)),
             ]
-            log.info("serving", name=self.config.name, servers=len(self.subchannels.by_name))
+            log.info("serving", name=self.config.name, servers=len(self.upstreams.by_name))
             await self.terminated.wait()
-            log.info("draining", connections=len(self.core.rpcs))
+            log.info("draining", connections=len(self.decisions.sessions))
             time = min(self.config.longest_deadline, COUNTED_DEADLINE) + KILLED_AFTER
             begin = max(STILL_COMING, time - SPARE - SPREAD)
             await asyncio.sleep(begin)
@@ -193,14 +196,14 @@
             with suppress(TimeoutError):  # a time of its own: however late it is, all get an answer
                 async with asyncio.timeout(LINGER):
                     await self.channels.close(listener)
-            self.resolver.close()
+            self.discovery_watcher.close()
             for section in (self.servers_section, self.descriptions_section):
                 if section:
                     section.close()
             for part in parts:
                 part.cancel()
             await asyncio.wait(parts)
-        log.info("counters", **self.core.counters)
+        log.info("counters", **self.decisions.counters)
 
 
 async def balance(
@@ -219,12 +222,12 @@
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     operator: OperatorFile | None = None
     if file := file or os.environ.get(OPERATOR_FILE):
-        from wheatstile.config import faults
         from wheatstile.config import operator as operator_file
+        from wheatstile.config import violations
 
         try:
             operator = operator_file.read(file)
-        except faults.Refused as refused:
+        except violations.ConfigurationError as refused:
             print("\n".join(refused.lines()), file=sys.stderr)
             return 1
     told = operator.settings.log if operator else None
--- a/wheatstile/resolvers/combined.py
+++ b/wheatstile/resolvers/combined.py
@@ -6,9 +6,9 @@
 import structlog
 
 from wheatstile import interface as api
-from wheatstile.config.members import Named, ResolverResult
-from wheatstile.net.core import Core
-from wheatstile.net.servers import Subchannels
+from wheatstile.config.endpoints import EndpointSnapshot, ResolvedEndpoint
+from wheatstile.net.decision_loop import DecisionLoop
+from wheatstile.net.upstream_pool import UpstreamPool
 from wheatstile.resolvers import merge
 from wheatstile.resolvers.document import Document
 from wheatstile.resolvers.garbage import uncollected
@@ -18,16 +18,16 @@
 
 AT_ONCE = 2000  # servers that are merged on the loop, within a few milliseconds; more are in a thread
 RACES = 3  # merges in a thread that discovery may overtake before one is made on the loop
-PORTION = 1000  # addresses that the subchannels take between two turns of the loop
+PORTION = 1000  # addresses that the upstreams take between two turns of the loop
 
 
 class Combined:
-    """Discovery's sink where a file of servers is on. Owns the list that holds."""
+    """Discovery's observer where a file of servers is on. Owns the list that holds."""
 
-    def __init__(self, core: Core, subchannels: Subchannels, policy: Policy) -> None:
-        self.core, self.subchannels, self.policy = core, subchannels, policy
-        self.discovery = Discovery.at(core.now())
-        self.file: Mapping[str, Named] = {}
+    def __init__(self, decisions: DecisionLoop, upstreams: UpstreamPool, policy: Policy) -> None:
+        self.decisions, self.upstreams, self.policy = decisions, upstreams, policy
+        self.discovery = Discovery.at(decisions.now())
+        self.file: Mapping[str, ResolvedEndpoint] = {}
         self.lines: dict[str, Line] = {}
         self.choice: Choice | None = None
         self._version = 0  # of what the list is made of
@@ -36,10 +36,10 @@
 
     def adopt(self) -> None:
         """Begin with what discovery alone has told so far."""
-        known = self.core.balancer.servers
-        for name, subchannel in self.subchannels.by_name.items():
+        known = self.decisions.balancer.servers
+        for name, upstream in self.upstreams.by_name.items():
             if name in known:
-                self.discovery.entries[name] = Named(known[name].entry, subchannel.address)
+                self.discovery.entries[name] = ResolvedEndpoint(known[name].endpoint, upstream.address)
                 self.lines[name] = Line(self.discovery.entries[name], "discovery")
 
     def configure(self, policy: Policy) -> None:
@@ -48,14 +48,16 @@
             self.policy, self.choice = policy, None
             self._changed()
 
-    def take(self, result: ResolverResult, kind: str) -> None:
-        named = {entry.server: Named(entry, result.addresses[entry.server]) for entry in result.entries}
-        told = self.discovery.take(self.core.now(), named, kind)
+    def on_update(self, result: EndpointSnapshot, kind: api.EndpointUpdateKind) -> None:
+        named = {
+            entry.name: ResolvedEndpoint(entry, result.addresses[entry.name]) for entry in result.endpoints
+        }
+        told = self.discovery.take(self.decisions.now(), named, kind)
         # Whatever else has to be worked out: nothing new goes where discovery says so, from this instant on.
         stopped = merge.stopped(self.lines, told)
         if stopped:
             for one in stopped:
-                name = one.entry.server
+                name = one.endpoint.name
                 if one.address is None:
                     del self.lines[name]
                 else:
@@ -63,12 +65,12 @@
             self._tell(stopped)
         self._changed()
 
-    def heard(self) -> None:
-        self.discovery.heard(self.core.now())
+    def on_keepalive(self) -> None:
+        self.discovery.heard(self.decisions.now())
         if self.choice and self.choice.source == "file":
             self._look()
 
-    def failed(self) -> None:
+    def on_failure(self) -> None:
         self.discovery.failed()
 
     def take_file(self, document: Document | None) -> None:
@@ -87,10 +89,10 @@
         self.file = {}
         self.close()
         choice = Choice("discovery", "the file is switched off")
-        self._apply(choice, merge.merge(self.core.now(), choice, self.discovery, {}, self.lines))
+        self._apply(choice, merge.merge(self.decisions.now(), choice, self.discovery, {}, self.lines))
 
     def _choose(self) -> Choice:
-        return merge.choose(self.core.now(), self.policy, self.discovery, bool(self.file), self.choice)
+        return merge.choose(self.decisions.now(), self.policy, self.discovery, bool(self.file), self.choice)
 
     def _look(self) -> None:
         """Whether another source holds by now, though none has changed."""
@@ -106,15 +108,15 @@
             self._timer.cancel()
             self._timer = None
         if choice.look_at is not None:
-            delay = max(0.001, (choice.look_at - self.core.now()) / 1e6 + 0.001)
-            self._timer = self.core.loop.call_later(delay, self._look)
+            delay = max(0.001, (choice.look_at - self.decisions.now()) / 1e6 + 0.001)
+            self._timer = self.decisions.loop.call_later(delay, self._look)
 
     def _changed(self) -> None:
         """Work the list out anew."""
         self._version += 1
         if len(self.discovery.entries) + len(self.file) <= AT_ONCE and not self._large:
             choice = self._choose()
-            lines = merge.merge(self.core.now(), choice, self.discovery, self.file, self.lines)
+            lines = merge.merge(self.decisions.now(), choice, self.discovery, self.file, self.lines)
             self._apply(choice, lines)
         elif not self._large:
             self._large = asyncio.create_task(self._merge_large())
@@ -130,7 +132,7 @@
         applied = -1
         while applied != self._version:
             for race in range(RACES + 1):
-                version, choice, now = self._version, self._choose(), self.core.now()
+                version, choice, now = self._version, self._choose(), self.decisions.now()
                 told = Discovery(
                     self.discovery.started, dict(self.discovery.entries), dict(self.discovery.gone)
                 )
@@ -141,7 +143,7 @@
                     # Addresses alone send nothing, so they may come in portions.
                     for start in range(0, len(delta), PORTION):
                         part = delta[start : start + PORTION]
-                        self.subchannels.update([one for one in part if one.address], False)
+                        self.upstreams.update([one for one in part if one.address], False)
                         await asyncio.sleep(0)
                     if version != self._version:
                         continue
@@ -151,11 +153,13 @@
             applied = version
             self._apply(choice, lines, delta)
 
-    def _apply(self, choice: Choice, lines: dict[str, Line], delta: list[Named] | None = None) -> None:
+    def _apply(
+        self, choice: Choice, lines: dict[str, Line], delta: list[ResolvedEndpoint] | None = None
+    ) -> None:
         changes = merge.changes(self.lines, lines) if delta is None else delta
         before, self.choice, self.lines = self.choice, choice, lines
         if before is None or before.source != choice.source:
-            self.core.counters[f"source {choice.source}"] += 1
+            self.decisions.counters[f"source {choice.source}"] += 1
             log.info(
                 "the list's source",
                 source=choice.source,
@@ -167,13 +171,15 @@
             self._tell(changes, delta is None)
         self._look_again(choice)
 
-    def _tell(self, changes: list[Named], addresses: bool = True) -> None:
+    def _tell(self, changes: list[ResolvedEndpoint], addresses: bool = True) -> None:
         """One event for all that has changed: the module never sees a part of a list."""
         if addresses:
-            self.subchannels.update([one for one in changes if one.address], False)
+            self.upstreams.update([one for one in changes if one.address], False)
         with uncollected():
-            self.core.tell(api.ServerList("delta", [one.entry for one in changes]))
+            self.decisions.dispatch(
+                api.EndpointUpdate(api.EndpointUpdateKind.DELTA, [one.endpoint for one in changes])
+            )
         gone = [one for one in changes if one.address is None]
         if gone:
-            self.subchannels.update(gone, False)
+            self.upstreams.update(gone, False)
         log.debug("the module was told", changed=len(changes), gone=len(gone))
--- a/wheatstile/resolvers/document.py
+++ b/wheatstile/resolvers/document.py
@@ -13,10 +13,10 @@
 
 from wheatstile import interface as api
 from wheatstile.config import shape
-from wheatstile.config.faults import Fault, Refused, load, locate, pointer
-from wheatstile.config.members import Named
+from wheatstile.config.endpoints import ResolvedEndpoint
 from wheatstile.config.networks import Networks
 from wheatstile.config.operator import Servers
+from wheatstile.config.violations import ConfigurationError, Violation, load, locate, pointer
 
 SEAL = "xxh3-128:"
 _PLAIN = re.compile(r"[ !#-\[\]-~]*").fullmatch  # texts that every encoder writes alike
@@ -75,14 +75,16 @@
 class Document:
     """A whole file of servers that keeps to the rules."""
 
-    servers: Mapping[str, Named]
+    servers: Mapping[str, ResolvedEndpoint]
     sites: tuple[str, ...] | None
     generation: int | None
     digest: str  # of the canonical form without the seal, as a seal writes it
     sealed: bool
 
     def ready(self) -> set[str]:
-        return {name for name, named in self.servers.items() if named.entry.state == "ready"}
+        return {
+            name for name, named in self.servers.items() if named.endpoint.state == api.EndpointState.READY
+        }
 
 
 def canonical(value: Any) -> bytes:
@@ -135,19 +137,19 @@
 
 
 def read(file: str, data: bytes, rules: Rules, check_seal: bool = True) -> Document:
-    """The document in these bytes. Raises Refused with every fault and its place; file is for the places.
+    """The document in these bytes. Raises ConfigurationError with every violation; file is for their places.
 
     check_seal: not where the document is about to be sealed anew, or stands inside a sealed one.
     """
     text, value = load(file, data, rules.most_bytes)
     if not isinstance(value, dict):
-        raise Refused(file, [Fault("", "is no object", 1)])
+        raise ConfigurationError(file, [Violation("", "is no object", 1)])
     found = list(shape.faults(value, Head))
     rows = value.get("servers")
     if isinstance(rows, list) and len(rows) > rules.most:
-        found.append(Fault("/servers", f"{len(rows)} servers; {rules.most} at most (servers.most)"))
+        found.append(Violation("/servers", f"{len(rows)} servers; {rules.most} at most (servers.most)"))
     elif isinstance(rows, list) and not rows:
-        found.append(Fault("/servers", "an empty list would leave nobody to serve"))
+        found.append(Violation("/servers", "an empty list would leave nobody to serve"))
     elif isinstance(rows, list):
         named, row_faults = _rows(rows, rules)
         found += row_faults
@@ -168,19 +170,19 @@
         if not found:
             return document
     placed = locate(text, found[:MOST_PLACED])
-    raise Refused(file, placed + found[MOST_PLACED:])
+    raise ConfigurationError(file, placed + found[MOST_PLACED:])
 
 
 def site_faults(
     document: Document, sites: tuple[str, ...], rules: Rules, placed: bool = False
-) -> list[Fault]:
+) -> list[Violation]:
     """The sites that this document would leave with too few ready servers."""
     counts = dict.fromkeys(sites, 0)
     for named in document.servers.values():
-        if named.entry.state == "ready" and named.entry.zone in counts:
-            counts[named.entry.zone] += 1
+        if named.endpoint.state == api.EndpointState.READY and named.endpoint.zone in counts:
+            counts[named.endpoint.zone] += 1
     return [
-        Fault(
+        Violation(
             f"/sites/{sites.index(site)}" if placed else "/servers",
             f'site "{site}" would keep {count} ready servers; {rules.least_per_site} at least '
             "(servers.least_per_site; servers.may_be_empty names exceptions)",
@@ -190,10 +192,10 @@
     ]
 
 
-def _rows(rows: list[Any], rules: Rules) -> tuple[dict[str, Named], list[Fault]]:
+def _rows(rows: list[Any], rules: Rules) -> tuple[dict[str, ResolvedEndpoint], list[Violation]]:
     """Each row on its own and against the others. Raises nothing: every fault is returned."""
-    named: dict[str, Named] = {}
-    found: list[Fault] = []
+    named: dict[str, ResolvedEndpoint] = {}
+    found: list[Violation] = []
     ids: dict[str, int] = {}
     places: dict[tuple[str, int], int] = {}
     weights: list[tuple[float, int]] = []
@@ -212,9 +214,11 @@
         address = None
         if isinstance(name, str) and ids.setdefault(name, index) != index:
             reason = f'"{name}" is the id of /servers/{ids[name]} too'
-            found.append(Fault(pointer("servers", index, "id"), reason))
+            found.append(Violation(pointer("servers", index, "id"), reason))
         if isinstance(weight, float | int) and not 0 < weight < inf:
-            found.append(Fault(pointer("servers", index, "weight"), f"{weight} is no finite number over 0"))
+            found.append(
+                Violation(pointer("servers", index, "weight"), f"{weight} is no finite number over 0")
+            )
         elif isinstance(weight, float | int) and weight < 1e300:
             weights.append((weight, index))
         if isinstance(text, str):
@@ -223,13 +227,15 @@
                 if places.setdefault(address, index) != index:
                     raise ValueError(f"{text} is the address of /servers/{places[address]} too")
             except ValueError as error:
-                found.append(Fault(pointer("servers", index, "address"), str(error)))
+                found.append(Violation(pointer("servers", index, "address"), str(error)))
         if row and address:
-            entry = api.ListEntry(row.id, row.state, row.site, 0, row.weight, (row.started or 0) * 1000)
-            named[row.id] = Named(entry, address)
+            entry = api.Endpoint(
+                row.id, api.EndpointState(row.state), row.site, 0, row.weight, (row.started or 0) * 1000
+            )
+            named[row.id] = ResolvedEndpoint(entry, address)
     least = min((weight for weight, _ in weights), default=1.0)
     found += [
-        Fault(
+        Violation(
             pointer("servers", index, "weight"), f"{weight:g} is over {HEAVIEST:g} times the least, {least:g}"
         )
         for weight, index in weights
@@ -253,14 +259,14 @@
     return host, int(port)
 
 
-def _seal_faults(value: dict[str, Any], digest: str, rules: Rules) -> Iterator[Fault]:
+def _seal_faults(value: dict[str, Any], digest: str, rules: Rules) -> Iterator[Violation]:
     seal = value.get("seal")
     if seal is None:
         if rules.require_seal:
-            yield Fault(
+            yield Violation(
                 "/seal", "is missing, and servers.require_seal asks for one (wheatstile servers seal)"
             )
     elif not seal.startswith(SEAL):
-        yield Fault("/seal", f'"{seal[:40]}" is no seal of the form {SEAL}...')
+        yield Violation("/seal", f'"{seal[:40]}" is no seal of the form {SEAL}...')
     elif seal != digest:
-        yield Fault("/seal", f"does not fit what the file says, which would be {digest}")
+        yield Violation("/seal", f"does not fit what the file says, which would be {digest}")
--- a/wheatstile/resolvers/files.py
+++ b/wheatstile/resolvers/files.py
@@ -20,7 +20,7 @@
 
 import xxhash
 
-from wheatstile.config.faults import Fault, Refused
+from wheatstile.config.violations import ConfigurationError, Violation
 from wheatstile.resolvers import document
 from wheatstile.resolvers.document import Document, Rules
 
@@ -91,7 +91,7 @@
     descriptor: int
     snapshot: Snapshot
     since: float
-    verdict: Document | Refused
+    verdict: Document | ConfigurationError
 
 
 class FileReader:
@@ -154,17 +154,17 @@
             if descriptor >= 0:
                 os.close(descriptor)
 
-    def _read(self, data: bytes) -> Document | Refused:
+    def _read(self, data: bytes) -> Document | ConfigurationError:
         try:
             return document.read(str(self.path), data, self.rules)
-        except Refused as refused:
+        except ConfigurationError as refused:
             return refused
 
     def _tell(self, candidate: _Candidate, keep: bool = False) -> Reading:
         if not keep:
             self.close()
         self._done = candidate.snapshot.signature, candidate.snapshot.fingerprint
-        if isinstance(candidate.verdict, Refused):
+        if isinstance(candidate.verdict, ConfigurationError):
             return Reading("refused", tuple(candidate.verdict.lines()))
         return Reading("whole", document=candidate.verdict)
 
@@ -213,7 +213,7 @@
 
 
 def read_all(path: Path, most_bytes: int) -> bytes:
-    """A regular file's bytes, one more than most_bytes at most. Raises Refused."""
+    """A regular file's bytes, one more than most_bytes at most. Raises ConfigurationError."""
     try:
         descriptor = open_regular(path)
         try:
@@ -221,4 +221,4 @@
         finally:
             os.close(descriptor)
     except OSError as error:
-        raise Refused(str(path), [Fault("", error.strerror or str(error))]) from None
+        raise ConfigurationError(str(path), [Violation("", error.strerror or str(error))]) from None
--- a/wheatstile/resolvers/intake.py
+++ b/wheatstile/resolvers/intake.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Literal
 
+from wheatstile import interface as api
 from wheatstile.resolvers.document import Document, Rules, site_faults
 
 
@@ -20,7 +21,11 @@
     @classmethod
     def of(cls, document: Document) -> "InForce":
         """A document in force: its sites are those it names, else those it serves."""
-        zones = {named.entry.zone for named in document.servers.values() if named.entry.state == "ready"}
+        zones = {
+            named.endpoint.zone
+            for named in document.servers.values()
+            if named.endpoint.state == api.EndpointState.READY
+        }
         return cls(document, document.sites or tuple(sorted(zones - {""})), frozenset(document.ready()))
 
 
--- a/wheatstile/resolvers/last_good.py
+++ b/wheatstile/resolvers/last_good.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from wheatstile.config.faults import Fault, Refused, load
-from wheatstile.config.members import Named
+from wheatstile.config.endpoints import ResolvedEndpoint
+from wheatstile.config.violations import ConfigurationError, Violation, load
 from wheatstile.resolvers import document
 from wheatstile.resolvers.document import Document, Rules, digest_of
 from wheatstile.resolvers.files import read_all, write_atomic
@@ -25,7 +25,7 @@
     taken_at_ms: int  # Unix time
 
 
-def rows(servers: dict[str, Named]) -> list[dict[str, Any]]:
+def rows(servers: dict[str, ResolvedEndpoint]) -> list[dict[str, Any]]:
     """The servers as a document has them."""
     found = []
     for name, (entry, address) in servers.items():
@@ -36,7 +36,7 @@
             "site": entry.zone,
             "weight": entry.weight,
         }
-        found.append(row | {"state": entry.state, "started": entry.started // 1000})
+        found.append(row | {"state": entry.state, "started": entry.started_at_us // 1000})
     return found
 
 
@@ -53,7 +53,7 @@
 
 
 def restore(folder: Path, rules: Rules) -> LastGood | None:
-    """What was saved, held against the rules of today; None if nothing was. Raises Refused."""
+    """What was saved, held against the rules of today; None if nothing was. Raises ConfigurationError."""
     path = folder / NAME
     if not path.exists():
         return None
@@ -62,7 +62,7 @@
     )  # rows with all their fields are longer than they may have been written
     _, value = load(str(path), read_all(path, most), most)
     if not isinstance(value, dict) or value.get("form") != FORM or value.get("seal") != digest_of(value):
-        raise Refused(str(path), [Fault("/seal", "is not what this program wrote")])
+        raise ConfigurationError(str(path), [Violation("/seal", "is not what this program wrote")])
     inner = msgspec.json.encode(value["document"])
     roomy = replace(rules, most_bytes=most)
     found = document.read(str(path), inner, roomy, check_seal=False)
--- a/wheatstile/resolvers/merge.py
+++ b/wheatstile/resolvers/merge.py
@@ -9,7 +9,8 @@
 from dataclasses import dataclass, replace
 from typing import Literal
 
-from wheatstile.config.members import Named
+from wheatstile import interface as api
+from wheatstile.config.endpoints import ResolvedEndpoint
 
 Source = Literal["discovery", "file", "both"]
 SECOND = 1_000_000
@@ -33,7 +34,7 @@
     """What discovery has told so far."""
 
     started: int  # when this balancer began to listen
-    entries: dict[str, Named]  # ready or draining
+    entries: dict[str, ResolvedEndpoint]  # ready or draining
     gone: dict[str, None]  # told gone or left out of a whole list, the oldest first
     told_at: int | None = None  # when it last told anything, were it that nothing has changed
     steady_since: int | None = None  # it has answered without a break since
@@ -42,30 +43,32 @@
     def at(cls, now: int) -> "Discovery":
         return cls(now, {}, {})
 
-    def take(self, now: int, entries: Mapping[str, Named], kind: str) -> list[Named]:
+    def take(
+        self, now: int, entries: Mapping[str, ResolvedEndpoint], kind: api.EndpointUpdateKind
+    ) -> list[ResolvedEndpoint]:
         """A list ("cached", "full" or "delta"). Returns the servers that it tells to get nothing new."""
         stopped = []
         for name, named in entries.items():
-            if named.entry.state == "gone":
+            if named.endpoint.state == api.EndpointState.GONE:
                 stopped.append(self._lose(name, named))
                 continue
-            if named.entry.state != "ready":
+            if named.endpoint.state != api.EndpointState.READY:
                 stopped.append(named)
             self.entries[name] = named
             self.gone.pop(name, None)
-        if kind != "delta":
+        if kind is not api.EndpointUpdateKind.DELTA:
             missing = [name for name in self.entries if name not in entries]
             stopped += [self._lose(name, self.entries[name]) for name in missing]
-        if kind != "cached":
+        if kind is not api.EndpointUpdateKind.CACHED:
             self.heard(now)
         return stopped
 
-    def _lose(self, name: str, named: Named) -> Named:
+    def _lose(self, name: str, named: ResolvedEndpoint) -> ResolvedEndpoint:
         self.entries.pop(name, None)
         self.gone[name] = None
         while len(self.gone) > MOST_GONE:
             del self.gone[next(iter(self.gone))]
-        return Named(replace(named.entry, state="gone"), None)
+        return ResolvedEndpoint(replace(named.endpoint, state=api.EndpointState.GONE), None)
 
     def heard(self, now: int) -> None:
         self.told_at = now
@@ -132,7 +135,7 @@
 class Line:
     """One server of the list that holds, and why it stands there as it does."""
 
-    named: Named
+    named: ResolvedEndpoint
     reason: str
     retired_until: int = 0  # 0: the source that holds names it
 
@@ -141,7 +144,7 @@
     now: int,
     choice: Choice,
     discovery: Discovery,
-    file: Mapping[str, Named],
+    file: Mapping[str, ResolvedEndpoint],
     last: Mapping[str, Line],
 ) -> dict[str, Line]:
     """The list that holds, by server. last: what this returned before, for whom it no longer names."""
@@ -162,55 +165,69 @@
     return lines
 
 
-def _from_file(named: Named, told: Named | None) -> Line:
+def _from_file(named: ResolvedEndpoint, told: ResolvedEndpoint | None) -> Line:
     """The file's word on weight and address; discovery's on a drain, and the later word on the start.
 
     A server that started within the warm-up is protected as cold whoever tells of it.
     """
     if told is None:
         return Line(named, "file")
-    entry, other = named.entry, told.entry
-    draining = other.state != "ready" and entry.state == "ready"
+    entry, other = named.endpoint, told.endpoint
+    draining = other.state != api.EndpointState.READY and entry.state == api.EndpointState.READY
     entry = replace(
         entry,
         state=other.state if draining else entry.state,
-        started=max(entry.started, other.started),
+        started_at_us=max(entry.started_at_us, other.started_at_us),
         zone=entry.zone or other.zone,
         cell=other.cell,
     )
-    return Line(Named(entry, named.address), "file; discovery tells it to drain" if draining else "file")
+    return Line(
+        ResolvedEndpoint(entry, named.address), "file; discovery tells it to drain" if draining else "file"
+    )
 
 
 def _retired(line: Line, choice: Choice, until: int) -> Line:
-    entry = replace(line.named.entry, state="draining")
-    return Line(Named(entry, line.named.address), f"no longer named; {choice.source} holds", until)
+    entry = replace(line.named.endpoint, state=api.EndpointState.DRAINING)
+    return Line(ResolvedEndpoint(entry, line.named.address), f"no longer named; {choice.source} holds", until)
 
 
-def changes(last: Mapping[str, Line], lines: Mapping[str, Line]) -> list[Named]:
+def changes(last: Mapping[str, Line], lines: Mapping[str, Line]) -> list[ResolvedEndpoint]:
     """What has changed between two lists, as a delta tells it."""
     found = [line.named for name, line in lines.items() if name not in last or last[name].named != line.named]
     for name in last.keys() - lines.keys():
-        found.append(Named(replace(last[name].named.entry, state="gone"), None))
+        found.append(ResolvedEndpoint(replace(last[name].named.endpoint, state=api.EndpointState.GONE), None))
     return found
 
 
-def stopped(lines: Mapping[str, Line], told: Iterable[Named]) -> list[Named]:
+def stopped(lines: Mapping[str, Line], told: Iterable[ResolvedEndpoint]) -> list[ResolvedEndpoint]:
     """Of the servers that discovery told to get nothing new, those that still would; in any mode."""
     found = []
     for named in told:
-        line = lines.get(named.entry.server)
-        if line and (line.named.entry.state == "ready" or named.entry.state == "gone"):
-            address = None if named.entry.state == "gone" else line.named.address
-            found.append(Named(replace(line.named.entry, state=named.entry.state), address))
+        line = lines.get(named.endpoint.name)
+        if line and (
+            line.named.endpoint.state == api.EndpointState.READY
+            or named.endpoint.state == api.EndpointState.GONE
+        ):
+            address = None if named.endpoint.state == api.EndpointState.GONE else line.named.address
+            found.append(ResolvedEndpoint(replace(line.named.endpoint, state=named.endpoint.state), address))
     return found
 
 
 def ready_of(lines: Mapping[str, Line]) -> frozenset[str]:
-    return frozenset(name for name, line in lines.items() if line.named.entry.state == "ready")
+    return frozenset(
+        name for name, line in lines.items() if line.named.endpoint.state == api.EndpointState.READY
+    )
 
 
 def sites_of(lines: Mapping[str, Line]) -> tuple[str, ...]:
     """The sites with a ready server, those without a name left out, in order of name."""
     return tuple(
-        sorted({line.named.entry.zone for line in lines.values() if line.named.entry.state == "ready"} - {""})
+        sorted(
+            {
+                line.named.endpoint.zone
+                for line in lines.values()
+                if line.named.endpoint.state == api.EndpointState.READY
+            }
+            - {""}
+        )
     )
--- a/wheatstile/resolvers/section.py
+++ b/wheatstile/resolvers/section.py
@@ -6,9 +6,9 @@
 import structlog
 
 from wheatstile.config.operator import OperatorFile, Servers
-from wheatstile.net.core import Core
-from wheatstile.net.discovery import Direct, Resolver
-from wheatstile.net.servers import Subchannels
+from wheatstile.net.decision_loop import DecisionLoop
+from wheatstile.net.discovery_watcher import DiscoveryOnlyObserver, DiscoveryWatcher
+from wheatstile.net.upstream_pool import UpstreamPool
 from wheatstile.resolvers.combined import Combined
 from wheatstile.resolvers.source import ServersFile, policy_of
 
@@ -23,8 +23,10 @@
 class ServersSection:
     """Puts the merge between discovery and the module while a file is on. Owns the merge and the task."""
 
-    def __init__(self, core: Core, subchannels: Subchannels, resolver: Resolver) -> None:
-        self.core, self.subchannels, self.resolver = core, subchannels, resolver
+    def __init__(
+        self, decisions: DecisionLoop, upstreams: UpstreamPool, discovery_watcher: DiscoveryWatcher
+    ) -> None:
+        self.decisions, self.upstreams, self.discovery_watcher = decisions, upstreams, discovery_watcher
         self._combined: Combined | None = None
         self._file: ServersFile | None = None
         self._task: asyncio.Task[None] | None = None
@@ -40,9 +42,9 @@
             return self._switch_off()
         if self._combined is None:
             sys.setswitchinterval(GIVE_WAY)
-            self._combined = Combined(self.core, self.subchannels, policy_of(servers))
+            self._combined = Combined(self.decisions, self.upstreams, policy_of(servers))
             self._combined.adopt()
-            self.resolver.sink = self._combined
+            self.discovery_watcher.observer = self._combined
         self._combined.configure(policy_of(servers))
         old = self._stop()
         self._file = ServersFile(operator, self._combined)
@@ -68,7 +70,7 @@
         self._stop()
         self._file = None
         if self._combined:
-            self.resolver.sink = Direct(self.core, self.subchannels)
+            self.discovery_watcher.observer = DiscoveryOnlyObserver(self.decisions, self.upstreams)
             self._combined.leave()
             self._combined = None
 
--- a/wheatstile/resolvers/source.py
+++ b/wheatstile/resolvers/source.py
@@ -10,8 +10,8 @@
 
 import structlog
 
-from wheatstile.config.faults import Refused, load
 from wheatstile.config.operator import OperatorFile, Servers
+from wheatstile.config.violations import ConfigurationError, load
 from wheatstile.resolvers import intake, last_good, merge
 from wheatstile.resolvers.combined import Combined
 from wheatstile.resolvers.document import Document, Rules
@@ -96,7 +96,7 @@
             return
         try:
             kept = await self._off_loop(last_good.restore, self.folder, self.rules)
-        except Refused as refused:
+        except ConfigurationError as refused:
             log.warning("last good list passed over", reasons=refused.lines()[:MOST_TOLD])
             return
         except Exception as error:  # it is a file of our own: whatever it holds must not stop the balancer
@@ -160,13 +160,13 @@
             return frozenset()
         try:
             _, value = load(str(path), read_all(path, 4096), 4096)
-        except Refused:
+        except ConfigurationError:
             return frozenset()
         return frozenset([value["digest"]]) if isinstance(value, dict) and "digest" in value else frozenset()
 
     def _hold(self, document: Document, origin: str, **more: Any) -> None:
         self.document, self._told = document, ((), 0.0)
-        self.combined.core.counters[f"servers file taken, {origin}"] += 1
+        self.combined.decisions.counters[f"servers file taken, {origin}"] += 1
         log.info(
             "servers file taken",
             origin=origin,
@@ -184,14 +184,14 @@
         try:
             await self._off_loop(last_good.save, self.folder, document, int(time.time() * 1000))
         except OSError as error:
-            self.combined.core.counters["last good not written"] += 1
+            self.combined.decisions.counters["last good not written"] += 1
             log.error(
                 "last good list not written", folder=str(self.folder), reason=error.strerror or str(error)
             )
 
     def _trouble(self, event: str, reasons: tuple[str, ...], **more: Any) -> None:
         """Log what is wrong with the file, once for as long as it stays the same."""
-        self.combined.core.counters[event] += 1
+        self.combined.decisions.counters[event] += 1
         now = time.monotonic()
         if self._told[0] != (event, *reasons) or now - self._told[1] > SAME_AGAIN:
             self._told = ((event, *reasons), now)
--- a/wheatstile/rules.py
+++ b/wheatstile/rules.py
@@ -6,12 +6,13 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from math import ceil, inf, log
 from random import Random
 from zlib import crc32
 
 from wheatstile import interface as api
+from wheatstile.state import Connection, Move, Server
 
 MS, SECOND = 1000, 1_000_000
 SLOT = 4 * SECOND  # long enough for a move to show in reports that are seconds late
@@ -43,7 +44,7 @@
 RETRY_ADVICE = SECOND  # a refused client stays away about this long
 
 
-def load_in(report: api.Report) -> float | None:
+def load_in(report: api.LoadReport) -> float | None:
     """X: load over capacity, or the nearest that the report holds. A count ranks servers but fills none."""
     name = next((name for name in X_NAMES if name in report), "")
     return X_FULL * report[name] / (report[name] + 100) if name in COUNTS else report.get(name)
@@ -63,60 +64,6 @@
     return 1 - (n - 1) / (n * gamma) * (1 - x_j / x_i)
 
 
-@dataclass(slots=True, eq=False)
-class Server:
-    """What this balancer knows of one server."""
-
-    entry: api.ListEntry
-    spot: int  # hashed from its name
-    share: float = 1.0  # of the draws that meet one of its places, those that it takes
-    tokens: float = 0.0  # this balancer's part of a cold server's budget
-    tokens_at: int = 0  # when it last grew
-    x: float | None = None  # the last probed load over capacity; None: unknown, not idle
-    x_at: int = 0  # when it was read
-    probing: bool = False
-    waiting: list[tuple[Callable[["Connection"], None], "Connection"]] = field(default_factory=list)
-    relief_at: int = 0
-    delay: float = 0.0  # of messages here, in ms
-    least_x: float = 0.0  # proved by a delay that grows, whatever late reports say
-    suspect_until: int = 0
-    failures: int = 0
-
-
-@dataclass(slots=True, eq=False)
-class Connection:
-    """A request that is owed an answer, or the open connection that it became."""
-
-    id: str
-    key: str
-    kind: api.ServiceClass
-    deadline: int
-    again: bool  # a set-up that was tried before, here or elsewhere
-    spot: int = 0  # hashed from the client's group or key; 0: random draws
-    attempts: int = 0
-    server: Server | None = None  # of the attempt that is out, or that stands
-    out: bool = False
-    pair: list[Server] = field(default_factory=list)  # the candidates whose answers it waits for
-    pairs: int = 0  # that were drawn for it
-    due: int = 0  # when it is looked at again
-    left: "Move | None" = None  # the exploration that brought it here
-    since: int = 0  # when it stood
-    load: float = 1.0  # what it asks of its server, as last told
-    ran: tuple[int, Server] | None = None  # when and where the first attempt went that may have run
-
-
-@dataclass(slots=True, eq=False)
-class Move:
-    """One exploration: from a server whose load was read before, to a drawn one, or back."""
-
-    origin: Server
-    target: Server
-    x_i: float
-    gamma: float
-    until: int = 0
-    back: bool = False
-
-
 class Balancer:
     """The decisions of one balancer, on what it alone is told."""
 
@@ -136,25 +83,32 @@
         self.closing = False
         self.clock, self.now, self.watch_delay, self.look_delay = 0, 0, SECOND, LOOK  # a clock of slots
         self.handlers: dict[type, Callable[..., None]] = {
-            api.ServerList: self.on_list, api.Request: self.on_request, api.OpenConnection: self.on_open,
-            api.Established: self.on_established, api.AttemptEnded: self.on_ended, api.ClientLeft: self.drop,
-            api.Probed: self.on_probed, api.TimerFired: self.on_timer, api.DelayNote: self.on_delay,
-            api.LoadNote: self.on_load, api.Closing: self.on_closing,
-        }  # fmt: skip
+            api.EndpointUpdate: self.on_list,
+            api.Request: self.on_request,
+            api.ExistingConnection: self.on_open,
+            api.Established: self.on_established,
+            api.AttemptEnded: self.on_ended,
+            api.ClientDisconnected: self.drop,
+            api.HealthCheckResult: self.on_probed,
+            api.TimerFired: self.on_timer,
+            api.MessageLatencyChanged: self.on_delay,
+            api.ConnectionLoadChanged: self.on_load,
+            api.ShutdownStarted: self.on_closing,
+        }
 
     def configure(self, settings: api.Settings) -> None:
         """These settings count from the next event on; what start has set going keeps its ways."""
         self.settings = settings
-        self.may_probe = settings.may_probe and bool(settings.report_names)
+        self.health_checks_enabled = settings.health_checks_enabled and bool(settings.load_metrics)
 
     def start(self, now: int) -> list[api.Action]:
         """Call once, before any event: sets the slots' phase and asks for the list where need be."""
         self.now = self.credit_at = now
         self.actions = [api.SetTimer(1 + int(self.random.random() * SLOT), "slot")]
-        if self.may_probe and not self.settings.tells_delay:
+        if self.health_checks_enabled and not self.settings.reports_message_latency:
             self.actions.append(api.SetTimer(1 + int(self.random.random() * LOOK), "look"))
-        if self.settings.list_on_request:
-            spread = min(WATCH_SPREAD, self.settings.ask_every * 3 // 4)
+        if self.settings.poll_endpoints:
+            spread = min(WATCH_SPREAD, self.settings.poll_interval_us * 3 // 4)
             self.actions.append(api.SetTimer(1 + int(self.random.random() * spread), "list"))
         return self.actions
 
@@ -165,27 +119,33 @@
             self.handlers[type(event)](event)
         return self.actions
 
-    def on_list(self, event: api.ServerList) -> None:
+    def on_list(self, event: api.EndpointUpdate) -> None:
         """Follow the list. A failed call is repeated with a jittered back-off; the old list stands."""
         if event.kind == "failed":
             delay = int(self.watch_delay * (0.5 + self.random.random()))
-            self.watch_delay = min(2 * self.watch_delay, WATCH_MAX, 2 * self.settings.ask_every)
+            self.watch_delay = min(2 * self.watch_delay, WATCH_MAX, 2 * self.settings.poll_interval_us)
             return self.actions.append(api.SetTimer(delay, "list"))
         self.watch_delay, self.look_delay = SECOND, LOOK  # the clients of a server that leaves come elsewhere
         if event.kind == "moved":  # what failed elsewhere says nothing of this place: it is asked at once
-            return self.actions.append(api.WatchList())
-        for entry in event.entries:
-            server = self.servers.get(entry.server)
+            return self.actions.append(api.WatchEndpoints())
+        for entry in event.endpoints:
+            server = self.servers.get(entry.name)
             if server is None:
-                server = self.servers[entry.server] = Server(entry, crc32(entry.server.encode()))
-            if server.tokens_at == 0 or server.entry.started != entry.started:
+                server = self.servers[entry.name] = Server(entry, crc32(entry.name.encode()))
+            if server.tokens_at == 0 or server.endpoint.started_at_us != entry.started_at_us:
                 # What it was sent before says nothing of a new process: neither credit nor debt is kept.
                 server.tokens, server.tokens_at, server.x = self.random.random(), self.now, None
-            server.entry = entry
+            server.endpoint = entry
         if event.kind != "delta":
-            for name in self.servers.keys() - {entry.server for entry in event.entries}:
-                self.servers[name].entry = replace(self.servers[name].entry, state="gone")
-        self.ready = [server for _, server in sorted(self.servers.items()) if server.entry.state == "ready"]
+            for name in self.servers.keys() - {entry.name for entry in event.endpoints}:
+                self.servers[name].endpoint = replace(
+                    self.servers[name].endpoint, state=api.EndpointState.GONE
+                )
+        self.ready = [
+            server
+            for _, server in sorted(self.servers.items())
+            if server.endpoint.state == api.EndpointState.READY
+        ]
         self.fill_table()
 
     def fill_table(self) -> None:
@@ -194,7 +154,7 @@
         Places are whole: one for equal weights, else the weight over the mean rounded up, and draws that meet
         more than its weight pass on. All places together are fewer than two for each server.
         """
-        weights = [server.entry.weight for server in self.ready]
+        weights = [server.endpoint.weight for server in self.ready]
         self.even, mean = len(set(weights)) < 2, sum(weights) / max(len(weights), 1)
         counts = [1 if self.even else ceil(weight / mean) for weight in weights]
         self.table = [None] * (4 << sum(counts).bit_length())
@@ -213,26 +173,40 @@
         Clients here, spread over the others, make the mean load: all parts, in waves too, are what one server
         holds. A repeat needs twice its part. Less than one is a chance: saved up, all would go in one wave.
         """
-        age = self.now - server.entry.started
-        if server.entry.started <= 0 or age >= self.settings.warm_after:
+        age = self.now - server.endpoint.started_at_us
+        if server.endpoint.started_at_us <= 0 or age >= self.settings.slow_start_duration_us:
             return True
-        warmth = max(self.settings.cold_from, age / self.settings.warm_after)
+        warmth = max(self.settings.slow_start_initial_capacity, age / self.settings.slow_start_duration_us)
         holds = (len(self.connections) + 1) / len(self.ready) / max(self.mean_x, 0.2) * warmth
-        rate = holds * self.settings.cold_multiple / max(SECOND, self.settings.cold_window)
-        gain, most = (self.now - server.tokens_at) * rate, self.settings.cold_window * rate
+        rate = (
+            holds
+            * self.settings.slow_start_overload_factor
+            / max(SECOND, self.settings.slow_start_overload_window_us)
+        )
+        gain, most = (self.now - server.tokens_at) * rate, self.settings.slow_start_overload_window_us * rate
         server.tokens, server.tokens_at = min(most, server.tokens + gain), self.now
         need = 1.0 if most >= 1 else 0.0 if met else self.random.random()
         return server.tokens >= need * (1 + repeat)
 
     def fit(self, server: Server, conn: Connection | None, met: bool = False) -> bool:
         """Whether a connection may go here; rule 2: once it may have run, where repeats are discarded."""
-        if server.entry.state != "ready" or not self.cold_room(server, bool(conn and conn.attempts), met):
+        if server.endpoint.state != api.EndpointState.READY or not self.cold_room(
+            server, bool(conn and conn.attempts), met
+        ):
             return False
-        if not conn or not conn.ran or conn.kind.repeat == "safe":
+        if not conn or not conn.ran or conn.kind.idempotency == api.Idempotency.IDEMPOTENT:
             return True
-        at, was, here, kind = conn.ran[0], conn.ran[1].entry, server.entry, conn.kind
-        same = {"all": True, "zone": was.zone == here.zone, "cell": was.cell == here.cell}
-        return kind.repeat == "keyed" and self.now - at < kind.window and same.get(kind.scope, False)
+        at, was, here, kind = conn.ran[0], conn.ran[1].endpoint, server.endpoint, conn.kind
+        same = {
+            api.DeduplicationScope.ALL: True,
+            api.DeduplicationScope.ZONE: was.zone == here.zone,
+            api.DeduplicationScope.CELL: was.cell == here.cell,
+        }
+        return (
+            kind.idempotency == api.Idempotency.IDEMPOTENCY_KEY
+            and self.now - at < kind.deduplication_window_us
+            and same.get(kind.deduplication_scope, False)
+        )
 
     def draw(self, conn: Connection | None, other: Server | None = None, near: bool = False) -> Server | None:
         """A server drawn by weight that is fit and not the other one; a suspected one if no other is left.
@@ -251,16 +225,16 @@
                 spot = (spot * factor + step) % size
                 if spot >= server.share * size:
                     continue
-            if (not near or server.entry.zone == self.settings.zone) and self.fit(server, conn):
+            if (not near or server.endpoint.zone == self.settings.zone) and self.fit(server, conn):
                 return server
         fit = [s for s in self.ready if s is not other and self.fit(s, conn)]
         fit = [s for s in fit if s.suspect_until <= self.now] or fit
         if self.even or not fit:
             return self.random.choice(fit) if fit else None
-        return self.random.choices(fit, [server.entry.weight for server in fit])[0]
+        return self.random.choices(fit, [server.endpoint.weight for server in fit])[0]
 
-    def hear(self, event: api.Request | api.OpenConnection, deadline: int, again: bool) -> Connection:
-        kind = self.settings.classes.get(event.service) or next(iter(self.settings.classes.values()))
+    def hear(self, event: api.Request | api.ExistingConnection, deadline: int, again: bool) -> Connection:
+        kind = self.settings.classes.get(event.service_class) or next(iter(self.settings.classes.values()))
         return self.connections.setdefault(event.id, Connection(event.id, event.key, kind, deadline, again))
 
     def on_request(self, event: api.Request) -> None:
@@ -268,10 +242,10 @@
         if event.id in self.connections:
             return
         # Mid-flow packets often miss their server: while set-ups fail, a thousand misses fed a storm.
-        again = event.returning or (event.midflow and self.pace < PACE_START)
-        conn = self.hear(event, self.now + event.expires_in - MARGIN, again)
+        again = event.reconnecting or (event.midflow and self.pace < PACE_START)
+        conn = self.hear(event, self.now + event.expires_in_us - MARGIN, again)
         # Every server that holds any of a group pays for it: a group that draws one pair stays on two.
-        alike = event.group or ("" if event.returning else event.key)
+        alike = event.affinity_group or ("" if event.reconnecting else event.key)
         conn.spot = crc32(alike.encode()) if alike else 0
         move = self.returns.pop(event.key, None) if event.key and not self.closing else None
         if move and move.until > self.now:
@@ -279,7 +253,9 @@
             if target.suspect_until <= self.now and self.fit(target, conn):
                 conn.left = None if move.back else move
                 return self.send(conn, target)
-        holder = self.draw(conn, near=self.settings.cross_price > 0) if event.midflow and not again else None
+        holder = (
+            self.draw(conn, near=self.settings.cross_zone_cost > 0) if event.midflow and not again else None
+        )
         if holder and not self.closing:  # the likelier of the pair; elsewhere it would be set up anew
             self.send(conn, holder)
         elif self.closing or (self.mean_x > X_FULL and self.random.random() < GATE):
@@ -313,13 +289,16 @@
 
     def place_anew(self, conn: Connection) -> None:
         """Draw two candidates and ask both for their load. A repeated set-up first waits for its turn."""
-        window = {"safe": inf, "keyed": conn.kind.window}.get(conn.kind.repeat, 0)
+        window = {
+            api.Idempotency.IDEMPOTENT: inf,
+            api.Idempotency.IDEMPOTENCY_KEY: conn.kind.deduplication_window_us,
+        }.get(conn.kind.idempotency, 0)
         if conn.ran and self.now - conn.ran[0] >= window:  # nobody would discard a repeat: no use in waiting
             return self.answer(conn)
         if conn.again and not self.credit():
             return self.hold(conn, int(HOLD * (1 + 3 * self.random.random())))
         conn.again = False
-        first = self.draw(conn, near=self.settings.cross_price > 0)
+        first = self.draw(conn, near=self.settings.cross_zone_cost > 0)
         second = self.draw(conn, first) if first else None
         conn.pair, conn.pairs = [server for server in (first, second) if server], conn.pairs + 1
         conn.spot = crc32(b"next", conn.spot) if conn.spot else 0  # a group's next pair is one everywhere too
@@ -340,8 +319,8 @@
             return
         fit = [s for s in conn.pair if not s.probing and self.load(s) < UNREAD and self.fit(s, conn, True)]
         fit = [s for s in fit if s.suspect_until <= self.now] or fit  # suspects if no other is left
-        price, home = CROSS_WEIGHT * self.settings.cross_price, self.settings.zone  # for all of its life
-        best = min(fit, key=lambda s: self.load(s) + price * (s.entry.zone != home), default=None)
+        price, home = CROSS_WEIGHT * self.settings.cross_zone_cost, self.settings.zone  # for all of its life
+        best = min(fit, key=lambda s: self.load(s) + price * (s.endpoint.zone != home), default=None)
         if best and self.load(best) < X_FULL:
             self.send(conn, best)
         elif self.now >= conn.deadline or (best and self.mean_x >= X_FULL):
@@ -359,19 +338,28 @@
         conn.server, conn.out, conn.pair, conn.attempts = server, True, [], conn.attempts + 1
         server.tokens -= 1.0
         limit = left // 2 if conn.attempts < self.settings.max_attempts else left
-        self.actions.append(api.Send(conn.id, server.entry.server, max(limit, min(conn.kind.aim, left))))
+        self.actions.append(
+            api.StartAttempt(
+                conn.id, server.endpoint.name, max(limit, min(conn.kind.latency_objective_us, left))
+            )
+        )
 
     def answer(self, conn: Connection) -> None:
         """Rules 1 and 2: the final answer, a refusal where coming again is harmless."""
         kind = self.connections.pop(conn.id).kind
-        discarded = kind.repeat == "keyed" and kind.scope == "all"
-        if discarded or kind.repeat == "safe" or not (conn.ran or conn.out):
-            advice = int(RETRY_ADVICE * (0.5 + self.random.random())) if self.settings.retry_advice else 0
-            self.actions.append(api.Refuse(conn.id, min(advice, self.settings.max_retry_advice)))
+        discarded = (
+            kind.idempotency == api.Idempotency.IDEMPOTENCY_KEY
+            and kind.deduplication_scope == api.DeduplicationScope.ALL
+        )
+        if discarded or kind.idempotency == api.Idempotency.IDEMPOTENT or not (conn.ran or conn.out):
+            advice = (
+                int(RETRY_ADVICE * (0.5 + self.random.random())) if self.settings.retry_after_enabled else 0
+            )
+            self.actions.append(api.Reject(conn.id, min(advice, self.settings.max_retry_after_us)))
         else:
             self.actions.append(api.Fail(conn.id))
 
-    def on_open(self, event: api.OpenConnection) -> None:
+    def on_open(self, event: api.ExistingConnection) -> None:
         if event.server in self.servers:
             conn = self.hear(event, 0, False)
             conn.server, conn.attempts, conn.out, self.open[conn] = self.servers[event.server], 1, False, None
@@ -382,13 +370,13 @@
             conn.server.failures = 0
             conn.out, self.open[conn], conn.since = False, None, self.now
 
-    def on_closing(self, _: api.Closing) -> None:
+    def on_closing(self, _: api.ShutdownStarted) -> None:
         """Answer whatever is owed an answer, and from now on whatever comes."""
         self.closing = True
         for conn in [conn for conn in self.connections.values() if conn not in self.open]:
             self.answer(conn)
 
-    def drop(self, over: Connection | api.ClientLeft) -> None:
+    def drop(self, over: Connection | api.ClientDisconnected) -> None:
         """Forget a connection that is over, or whose client has left."""
         if conn := self.connections.pop(over.id, None):
             self.open.pop(conn, None)
@@ -401,7 +389,7 @@
         server, move = conn.server, conn.left
         if event.report and server:
             server.x, server.x_at = load_in(event.report), self.now
-        lost = event.outcome not in ("ok", "cancelled", "moot")
+        lost = event.outcome not in ("ok", "cancelled", "not_sent")
         if lost and server and conn not in self.open:
             self.suspect(server)
             if event.outcome in ("error", "timeout"):
@@ -413,8 +401,8 @@
             self.drop(conn)
             return
         conn.out, conn.left, conn.again = False, None, True
-        if server and not conn.ran and event.outcome not in ("full", "connect_failed", "moot"):
-            conn.ran = self.now - event.elapsed, server
+        if server and not conn.ran and event.outcome not in ("overloaded", "connect_failed", "not_sent"):
+            conn.ran = self.now - event.elapsed_us, server
         if conn.attempts >= self.settings.max_attempts or self.now >= conn.deadline:
             self.answer(conn)
         elif move and move.origin.suspect_until <= self.now and self.fit(move.origin, conn):
@@ -424,49 +412,51 @@
 
     def ask(self, server: Server, then: Callable[[Connection], None], conn: Connection) -> None:
         """Probe a server, or join the probe that is under way; then is called once it is over."""
-        if not self.may_probe:
+        if not self.health_checks_enabled:
             return then(conn)
         server.waiting.append((then, conn))
         if not server.probing:
             server.probing = True
-            self.actions.append(api.Probe(server.entry.server))
+            self.actions.append(api.CheckHealth(server.endpoint.name))
 
     def suspect(self, server: Server) -> None:
         """A server that failed is left alone for a while, longer each time it fails again."""
         server.suspect_until = self.now + min(SUSPECT << min(server.failures, 4), SUSPECT_MAX)
         server.failures += 1
 
-    def on_probed(self, event: api.Probed) -> None:
+    def on_probed(self, event: api.HealthCheckResult) -> None:
         server = self.servers.get(event.server)
         if server is None or not server.probing:
             return
         waiting, server.waiting, server.probing = server.waiting, [], False
         if event.outcome == "ok":
             server.x, server.x_at = load_in(event.report or {}), self.now
-        elif event.outcome != "moot":  # many balancers asking at once fill a healthy server: twice counts
-            first = event.outcome == "full" and server.x not in (None, UNREAD) and not server.least_x
+        elif event.outcome != "not_sent":  # many balancers asking at once fill a healthy server: twice counts
+            first = event.outcome == "overloaded" and server.x not in (None, UNREAD) and not server.least_x
             # One that answers with an error stands and serves whom it holds: nobody is moved for it.
             server.x = None if first or event.outcome == "error" else UNREAD
             self.suspect(server)
         for then, conn in waiting:
             then(conn)
-        full = event.outcome == "ok" and self.load(server) > X_BRIM and not self.settings.tells_delay
+        full = (
+            event.outcome == "ok" and self.load(server) > X_BRIM and not self.settings.reports_message_latency
+        )
         if full and (held := self.held_at(server)):
             self.looked(held[0])  # whatever it was read for: between two looks a server fills in seconds
 
-    def on_delay(self, event: api.DelayNote) -> None:
+    def on_delay(self, event: api.MessageLatencyChanged) -> None:
         """Messages take longer than wanted at a server: read its load now, at most once a REACT."""
         conn = self.connections.get(event.id)
         if not (conn and conn in self.open and conn.server):
             return
-        server, late = conn.server, event.delay_ms * MS > conn.kind.message_aim > 0
-        server.least_x, server.delay = float(event.delay_ms > server.delay), event.delay_ms
+        server, late = conn.server, event.latency_ms * MS > conn.kind.message_latency_objective_us > 0
+        server.least_x, server.delay = float(event.latency_ms > server.delay), event.latency_ms
         if late and server.relief_at <= self.now:
             server.relief_at = self.now + REACT
             # All balancers are told in the same instant: asking at once they would fill the server.
             self.actions.append(api.SetTimer(1 + int(self.random.random() * REACT / 2), "relief::" + conn.id))
 
-    def on_load(self, event: api.LoadNote) -> None:
+    def on_load(self, event: api.ConnectionLoadChanged) -> None:
         if event.id in self.connections:
             self.connections[event.id].load = event.load
 
@@ -502,7 +492,7 @@
         x = max(self.load(conn.server), conn.server.least_x) if conn.server else 0.0
         for held in self.held_at(conn.server):
             # A wave of set-ups is work that is soon over, and in a report it looks like load.
-            settled = self.settings.tells_delay or self.now - held.since >= SETTLE
+            settled = self.settings.reports_message_latency or self.now - held.since >= SETTLE
             if settled and self.random.random() * x < x - X_FULL:
                 self.leave(held)
 
@@ -518,7 +508,7 @@
         elif task == "look" and not held:
             self.look()
         elif task == "list":
-            self.actions.append(api.WatchList())
+            self.actions.append(api.WatchEndpoints())
         elif conn and task == "hold":
             self.choose(conn, expired=True) if due == str(conn.due) else None
         elif conn and conn in self.open and conn.server:
@@ -529,7 +519,7 @@
         self.actions.append(api.SetTimer(SLOT, "slot"))
         self.clock += 1
         self.returns = {key: move for key, move in self.returns.items() if move.until > self.now}
-        if not self.may_probe or len(self.ready) < 2:
+        if not self.health_checks_enabled or len(self.ready) < 2:
             return
         skip = log(1 - gamma_at(self.clock))
         index = int(log(1 - self.random.random()) / skip)
@@ -550,7 +540,7 @@
         """Close a connection politely, and know its client again should it come back here."""
         if move and conn.key:
             move.until, self.returns[conn.key] = self.now + 2 * SLOT, move
-        self.actions.append(api.Move(conn.id))
+        self.actions.append(api.Migrate(conn.id))
         self.drop(conn)
 
     def compare(self, conn: Connection) -> None:
@@ -559,6 +549,6 @@
         if not move or not conn.server or conn not in self.open or move.origin.suspect_until > self.now:
             return
         back = chance_to_return(move.x_i, self.load(conn.server), len(self.ready), move.gamma)
-        if move.origin.entry.state == "ready" and self.random.random() < back:
+        if move.origin.endpoint.state == api.EndpointState.READY and self.random.random() < back:
             move.back = True
             self.leave(conn, move)
--- a/wheatstile/simulator/host.py
+++ b/wheatstile/simulator/host.py
@@ -15,9 +15,9 @@
 
     def __init__(self) -> None:
         self.instances: dict[int, Balancer] = {}
-        self.lists: dict[int, list[api.ListEntry]] = {}
+        self.lists: dict[int, list[api.Endpoint]] = {}
         self.rows_due = 0
-        self.rows: list[api.ListEntry] = []
+        self.rows: list[api.Endpoint] = []
         self.now: int | None = None
         self.turn = "0"
         self.instance = 0  # of the line being read, to have a fault named after it
@@ -69,8 +69,8 @@
         event: api.Event | None
         if name == "FLEET":
             kind = wire.text(fields, "kind")
-            rows: list[api.ListEntry] = []
-            if wire.LIST_KINDS.get(kind) != "failed":
+            rows: list[api.Endpoint] = []
+            if wire.LIST_KINDS.get(kind) is not api.EndpointUpdateKind.FAILED:
                 buffer = wire.whole(fields, "buffer")
                 if buffer not in self.lists:
                     raise wire.WireError(f"FLEET names list {buffer}, which no ROSTER defined")
--- a/wheatstile/simulator/wire.py
+++ b/wheatstile/simulator/wire.py
@@ -8,23 +8,32 @@
 from typing import Any
 
 from wheatstile import interface as api
-from wheatstile.config.members import weight_of
+from wheatstile.config.endpoints import weight_of
 from wheatstile.config.reports import report_in
 from wheatstile.config.settings import REPORT_NAMES
 
 # The wire's word -> the interface's word.
 OUTCOMES = {
-    "pass": "ok",
-    "fault": "error",
-    "no_room": "full",
-    "too_slow": "timeout",
-    "no_route": "connect_failed",
-    "cut": "reset",
-    "undone": "cancelled",
-    "stale_send": "moot",
+    "pass": api.AttemptOutcome.OK,
+    "fault": api.AttemptOutcome.ERROR,
+    "no_room": api.AttemptOutcome.OVERLOADED,
+    "too_slow": api.AttemptOutcome.TIMEOUT,
+    "no_route": api.AttemptOutcome.CONNECT_FAILED,
+    "cut": api.AttemptOutcome.RESET,
+    "undone": api.AttemptOutcome.CANCELLED,
+    "stale_send": api.AttemptOutcome.NOT_SENT,
+}
+STATES = {
+    "Running": api.EndpointState.READY,
+    "Stopping": api.EndpointState.DRAINING,
+    "Deleted": api.EndpointState.GONE,
+}
+LIST_KINDS = {
+    "update": api.EndpointUpdateKind.DELTA,
+    "replace": api.EndpointUpdateKind.FULL,
+    "restored": api.EndpointUpdateKind.CACHED,
+    "unavailable": api.EndpointUpdateKind.FAILED,
 }
-STATES = {"Running": "ready", "Stopping": "draining", "Deleted": "gone"}
-LIST_KINDS = {"update": "delta", "replace": "full", "restored": "cached", "unavailable": "failed"}
 Fields = dict[str, str]
 
 
@@ -74,7 +83,7 @@
     return fields.get(key, "0") == "1"
 
 
-def report(fields: Fields) -> api.Report | None:
+def report(fields: Fields) -> api.LoadReport | None:
     stats = fields.get("stats")
     return report_in(stats, ":", REPORT_NAMES) if stats else None
 
@@ -94,8 +103,8 @@
     )
 
 
-def _open(f: Fields) -> api.OpenConnection:
-    return api.OpenConnection(
+def _open(f: Fields) -> api.ExistingConnection:
+    return api.ExistingConnection(
         text(f, "requestId"),
         text(f, "service"),
         text(f, "server"),
@@ -112,7 +121,7 @@
     outcome = OUTCOMES.get(text(f, "verdict"))
     if outcome is None:
         # The attempt is over in a way this page does not know, so that it may have run.
-        outcome = "error"
+        outcome = api.AttemptOutcome.ERROR
     return api.AttemptEnded(
         text(f, "requestId"),
         whole(f, "try"),
@@ -124,21 +133,21 @@
     )
 
 
-def _left(f: Fields) -> api.ClientLeft:
-    return api.ClientLeft(text(f, "requestId"))
+def _left(f: Fields) -> api.ClientDisconnected:
+    return api.ClientDisconnected(text(f, "requestId"))
 
 
-def _probed(f: Fields) -> api.Probed:
-    outcome = OUTCOMES.get(text(f, "verdict"), "error")
-    return api.Probed(text(f, "server"), outcome, whole(f, "rttUs", 0), report(f))
+def _probed(f: Fields) -> api.HealthCheckResult:
+    outcome = OUTCOMES.get(text(f, "verdict"), api.AttemptOutcome.ERROR)
+    return api.HealthCheckResult(text(f, "server"), outcome, whole(f, "rttUs", 0), report(f))
 
 
 def _note(f: Fields) -> api.Event | None:
     topic = whole(f, "topic")
     if topic == 1:
-        return api.LoadNote(text(f, "requestId"), text(f, "server"), number(f, "x", 0.0))
+        return api.ConnectionLoadChanged(text(f, "requestId"), text(f, "server"), number(f, "x", 0.0))
     if topic == 2:
-        return api.DelayNote(text(f, "requestId"), text(f, "server"), number(f, "x", 0.0))
+        return api.MessageLatencyChanged(text(f, "requestId"), text(f, "server"), number(f, "x", 0.0))
     return None
 
 
@@ -159,11 +168,11 @@
 }
 
 
-def list_entry(f: Fields) -> api.ListEntry:
+def list_entry(f: Fields) -> api.Endpoint:
     """One row of a server list. An unknown state gets no new connections, as if it drained."""
-    return api.ListEntry(
+    return api.Endpoint(
         text(f, "server"),
-        STATES.get(text(f, "status"), "draining"),
+        STATES.get(text(f, "status"), api.EndpointState.DRAINING),
         f.get("az", ""),
         whole(f, "cohort", 0),
         weight_of(number(f, "share", 1.0)),
@@ -171,30 +180,30 @@
     )
 
 
-def server_list(kind: str, entries: list[api.ListEntry]) -> api.ServerList | None:
+def server_list(kind: str, entries: list[api.Endpoint]) -> api.EndpointUpdate | None:
     """The list event; an unknown kind is passed over."""
     if kind not in LIST_KINDS:
         return None
-    return api.ServerList(LIST_KINDS[kind], entries)
+    return api.EndpointUpdate(LIST_KINDS[kind], entries)
 
 
-def _send(a: api.Send) -> str:
-    return f"requestId={a.id}\tserver={a.server}\tlimitUs={a.timeout}"
+def _send(a: api.StartAttempt) -> str:
+    return f"requestId={a.id}\tserver={a.server}\tlimitUs={a.timeout_us}"
 
 
-def _refuse(a: api.Refuse) -> str:
-    return f"requestId={a.id}\tcoolDownUs={a.retry_after}"
+def _refuse(a: api.Reject) -> str:
+    return f"requestId={a.id}\tcoolDownUs={a.retry_after_us}"
 
 
 # The action's type -> its name on the wire and its fields.
 ACTIONS: dict[type, tuple[str, Callable[[Any], str]]] = {
-    api.Send: ("TRANSMIT", _send),
-    api.Refuse: ("SAY_NO", _refuse),
+    api.StartAttempt: ("TRANSMIT", _send),
+    api.Reject: ("SAY_NO", _refuse),
     api.Fail: ("ABORT", lambda a: f"requestId={a.id}"),
-    api.Move: ("MIGRATE", lambda a: f"requestId={a.id}"),
-    api.Probe: ("PROBE", lambda a: f"server={a.server}"),
-    api.SetTimer: ("ARM", lambda a: f"waitUs={a.delay}\ttag={a.token}"),
-    api.WatchList: ("STREAM_CHANGES", lambda a: "on=1"),
+    api.Migrate: ("MIGRATE", lambda a: f"requestId={a.id}"),
+    api.CheckHealth: ("PROBE", lambda a: f"server={a.server}"),
+    api.SetTimer: ("ARM", lambda a: f"waitUs={a.delay_us}\ttag={a.token}"),
+    api.WatchEndpoints: ("STREAM_CHANGES", lambda a: "on=1"),
 }
 
 
