Send no keyed repeat whose connection comes up after the class's window

Cause: the module looks at `dedupWindowUs` when it decides on a repeat, and the connection may take as long to come up as the settings allow. Read in the code and then forced.

Change: the channel keeps the end of the window from the first attempt that may have run, and nothing is sent from then on. Such an attempt ends as moot, as beside a drain, and the module answers.

Measured: test_a_keyed_repeat_whose_connection_comes_up_after_the_window_is_not_sent fails on the text before in both scopes (the server got the first line) and passes now; the same order within the window still sends.

--- a/tests/test_standing_terms.py
+++ b/tests/test_standing_terms.py
@@ -24,6 +24,8 @@
 FLOOD = 1000  # lines that a client sends at once
 READY_WITHIN, READY_WITHIN_BESIDE_PREDECESSOR = 6.0, 10.0  # seconds, of the standing test
 NO_READING = 4096  # bytes of a receive buffer that is soon full
+WINDOW = 3_000_000  # microseconds: longer than the kernel takes to repeat a connection's first packet
+AFTER_THE_WINDOW = 3.2  # seconds
 STEADY = 0.3  # seconds after which a queue that stands counts as held
 
 
@@ -376,6 +378,27 @@
     assert balancer.untouched(balancer.server)
 
 
+@pytest.mark.parametrize(("scope", "answer"), [("all", "BUSY"), ("zone", "ERR")])
+def test_a_keyed_repeat_whose_connection_comes_up_after_the_window_is_not_sent(
+    balancer: Balancer, scope: str, answer: str
+) -> None:
+    """It was decided on in time; what counts is when its first line would go out."""
+    balancer.with_class("dedup", scope, WINDOW)
+    balancer.start()
+    client = balancer.open(1)
+    first, _ = balancer.server.rpc()
+    sent = time.monotonic()
+    ahead = balancer.fill(balancer.server)
+    first.send("ERR")
+    balancer.connecting(balancer.server)
+    with balancer.stopped():
+        second = balancer.let_in(balancer.server, ahead)
+        time.sleep(max(0.0, sent + AFTER_THE_WINDOW - time.monotonic()))
+    assert second.line() == ""
+    assert [line.split()[0] for line in lines_to_the_end(client)] == [answer]
+    assert balancer.untouched(balancer.server)
+
+
 def test_a_keyed_repeat_whose_connection_comes_up_within_the_window_is_sent(balancer: Balancer) -> None:
     """The same order of events in a window that is not over."""
     balancer.with_class("dedup", "zone", 60_000_000)
--- a/wheatstile/net/channel.py
+++ b/wheatstile/net/channel.py
@@ -20,6 +20,7 @@
 REOPEN_WITHIN = 40.0  # seconds in which a connection from before the run has to be up again
 LATE = 0.02  # seconds past its client's time after which an RPC that nobody answered is failed here
 STAY_AWAY = 1000  # milliseconds that a client is told to when descriptors run out, or the balancer ends
+NEVER_RAN = ("full", "connect_failed", "moot")  # outcomes that prove it of an attempt
 SILENT, DRAIN = "silent server", "drain"  # why a client is moved, beside the module's decision
 
 
@@ -246,6 +247,8 @@
     async def _set_up(self, first: FirstLine) -> bytes:
         """Do as the module decides until the RPC is up or has its final answer."""
         longest = self.front.longest(first)  # taken once: a reload may take the class away meanwhile
+        window = self.core.repeat_window(first.fields["c"])
+        repeat_until: int | None = None
         self.core.tell(first.request(longest))
         while True:
             action = await self._unless_left(self._decisions.get())
@@ -259,7 +262,7 @@
                 continue  # given up on before it was sent: the answer is the next
             start = self.core.now()
             timeout = (action.timeout or longest * 1000) / 1e6
-            outcome, line = await self._try(first.with_wait, action.server, timeout)
+            outcome, line = await self._try(first.with_wait, action.server, timeout, repeat_until)
             elapsed = self.core.now() - start
             if outcome == "up":
                 self._send_up(line)
@@ -271,6 +274,8 @@
                 return b""
             report = self.attempt.report if self.attempt else None
             self._drop_attempt()  # before the module can ask for the next
+            if window is not None and repeat_until is None and outcome not in NEVER_RAN:
+                repeat_until = start + window
             closed = outcome == "ok"
             self.core.tell(
                 api.AttemptEnded(self.id, self.number, action.server, outcome, elapsed, closed, report)
@@ -293,9 +298,17 @@
         return b"ERR\r\n"
 
     async def _try(
-        self, first_line: Callable[[int], bytes], server: str, timeout: float, patient: bool = False
+        self,
+        first_line: Callable[[int], bytes],
+        server: str,
+        timeout: float,
+        until: int | None = None,
+        patient: bool = False,
     ) -> tuple[str, bytes]:
-        """One attempt. The one before it was closed when it ended, so that there are never two."""
+        """One attempt. The one before it was closed when it ended, so that there are never two.
+
+        Nothing is sent at `until` or later, however long its connection took to come up.
+        """
         self._check_waiting()
         self.attempt = self.front.subchannels.attempt(server)
         if self.attempt is None:
@@ -303,7 +316,8 @@
 
         def still_wanted(wait: int) -> bytes | None:
             self._check_waiting()
-            return None if self._answered.is_set() else first_line(wait)
+            too_late = until is not None and self.core.now() >= until
+            return None if self._answered.is_set() or too_late else first_line(wait)
 
         run = asyncio.create_task(self.attempt.run(still_wanted, timeout, patient))
         answered = asyncio.create_task(self._answered.wait())
--- a/wheatstile/net/core.py
+++ b/wheatstile/net/core.py
@@ -65,6 +65,11 @@
         """Have the module decide by these settings from its next event on."""
         self.balancer.configure(settings)
 
+    def repeat_window(self, service: str) -> int | None:
+        """Microseconds after an attempt that may have run within which one may follow; None: no limit."""
+        service_class = self.balancer.settings.classes.get(service)
+        return service_class.window if service_class and service_class.repeat == "keyed" else None
+
     def tell(self, event: api.Event) -> None:
         """Hand the module an event and carry out what it answers.
 
