Close no idle connection for a newcomer's room over a request that has just come

Cause: where idle clients fill the descriptors, `Channels._make_room` cancelled the oldest channel without an RPC, whatever had come on it in that turn: its request got a reset and no answer.

Change: the oldest that has nothing unread is closed (the oldest of all if each has), and the first line is read in the turn that takes note of it, so that what a cancelled reader has not taken is still unread.

The relay's reads are as before.

--- a/tests/test_standing_terms.py
+++ b/tests/test_standing_terms.py
@@ -95,6 +95,32 @@
 # Requests on connections that are being closed.
 
 
+@pytest.mark.parametrize("before", [b"", b"PING\r\n", b"OPEN 00000000000"])
+def test_a_request_is_served_though_a_crowd_takes_the_place_of_idle_connections(
+    balancer: Balancer, before: bytes
+) -> None:
+    """The oldest idle connection asks in the turn in which newcomers would have it closed for their room."""
+    balancer.start(files=DESCRIPTORS)
+    crowd = [balancer.client() for _ in range(2 * DESCRIPTORS)]
+    crowd.append(balancer.resting())  # so all have been accepted, and the first ones were closed again
+    oldest = next(client for client in crowd if not select.select([client.sock], [], [], 0)[0])
+    first_line = b"OPEN 0000000000000001 key1 c=web,d=9000,g=abc\r\n"
+    oldest.sock.sendall(before)
+    if before.startswith(b"PING"):
+        assert oldest.line() == "PONG"
+    else:
+        balancer.counters()  # a turn in which what came of the line is read
+        first_line = first_line.removeprefix(before)
+    with balancer.stopped():
+        oldest.sock.sendall(first_line)
+        newcomers = [balancer.client() for _ in range(5)]
+    server, line = balancer.server.rpc()
+    assert line.startswith("OPEN 0000000000000001 key1 ")
+    server.send("UP r")
+    assert oldest.line() == "UP r"
+    assert balancer.counters()["crowded out"] > len(newcomers)
+
+
 @pytest.mark.parametrize(("end", "answer"), [("its time is up", "ERR"), ("shutting down", "BUSY 1000")])
 def test_a_request_that_comes_after_the_shutdown_of_its_connection_is_not_sent_on(
     balancer: Balancer, end: str, answer: str
--- a/wheatstile/net/channel.py
+++ b/wheatstile/net/channel.py
@@ -188,7 +188,7 @@
             while not self._turned_away:
                 try:
                     async with asyncio.timeout(FIRST_LINE_WITHIN) as self._first_line_by:
-                        line = await self.lines.read_line()
+                        line = await self.lines.read_line(cancel_safe=True)
                 finally:
                     self._first_line_by = None
                 if line != b"PING\r\n" or self.lines.pending:
--- a/wheatstile/net/clients.py
+++ b/wheatstile/net/clients.py
@@ -74,10 +74,12 @@
         """End the oldest channel without an RPC when there are too many, however they fell silent.
 
         A usual client writes its first line at once and is soon served; the crowd may not take its place.
+        Nor may one that has written in this very turn be closed over what it wrote, unless all have.
         """
         most = max(self._left(), int(self.limits.descriptors * UNSERVED))
         if self._unserved and len(self._unserved) >= most:
-            channel = next(iter(self._unserved))
+            oldest = next(iter(self._unserved))
+            channel = next((it for it in self._unserved if not it.lines.unread()), oldest)
             self._unserved.pop(channel).cancel()
             self.core.counters["crowded out"] += 1
 
--- a/wheatstile/net/lines.py
+++ b/wheatstile/net/lines.py
@@ -30,9 +30,11 @@
         self._buffer = memoryview(bytearray(LINE_LIMIT))
         self._filled = 0
 
-    async def _fill(self) -> bool:
+    async def _fill(self, cancel_safe: bool = False) -> bool:
         if self._filled == LINE_LIMIT:
             raise LineTooLong
+        if cancel_safe and self.peek() is None:
+            await self.readable()
         count = await self._loop.sock_recv_into(self.sock, self._buffer[self._filled :])
         self._filled += count
         return count > 0
@@ -48,10 +50,13 @@
         """Whether bytes have been read that no caller has taken."""
         return self._filled > 0
 
-    async def read_line(self) -> bytes:
-        """One line with its end; empty when the peer has ended the connection."""
+    async def read_line(self, cancel_safe: bool = False) -> bytes:
+        """One line with its end; empty when the peer has ended the connection.
+
+        Where it is safe to cancel, bytes that have come stay unread in the kernel until this task takes them.
+        """
         while (end := bytes(self._buffer[: self._filled]).find(b"\r\n")) < 0:
-            if not await self._fill():
+            if not await self._fill(cancel_safe):
                 return b""
         return self._take(end + 2)
 
@@ -91,6 +96,13 @@
         except BlockingIOError:
             return None
 
+    def unread(self) -> bool:
+        """Whether bytes have come that nobody has read."""
+        try:
+            return bool(self.peek())
+        except OSError:
+            return False
+
     def ended(self) -> bool:
         """Whether an idle connection has been ended by its peer, or has said what nobody asked for."""
         try:
