Read the request of a client that is refused on the spare descriptor before the close

Cause: with no descriptor left, `Channels._refuse` wrote the unavailable status and closed over the request that stood unread: the kernel reset the connection, and the client met the reset in place of its answer's end.

Change: what has come is read before the close.

Measured: test_a_request_in_the_backlog_is_answered_when_no_descriptor_is_left fails on the text before with ECONNRESET and passes now.

--- a/tests/test_standing_terms.py
+++ b/tests/test_standing_terms.py
@@ -4,6 +4,7 @@
 """
 
 import itertools
+import resource
 import select
 import signal
 import socket
@@ -140,6 +141,25 @@
     assert balancer.untouched(balancer.server)
 
 
+def test_a_request_in_the_backlog_is_answered_when_no_descriptor_is_left(balancer: Balancer) -> None:
+    """It is refused on the spare descriptor; a close over the unread request would reset the connection."""
+    balancer.settings = balancer.settings | {"discovery": "pushed"}
+    balancer.start()
+    watch, _ = balancer.discovery.watch()
+    watch.begin_watch()  # from here on the program opens nothing of its own accord
+    assert balancer.node
+    numbers = [int(path.name) for path in Path(f"/proc/{balancer.node.pid}/fd").iterdir()]
+    limit = max(numbers) + 1
+    idle = [balancer.resting() for _ in range(limit - len(numbers))]  # they take the numbers between
+    with balancer.stopped():
+        resource.prlimit(balancer.node.pid, resource.RLIMIT_NOFILE, (limit, 1024))
+        client = balancer.open(1)
+    assert lines_to_the_end(client) == ["BUSY 1000"]
+    assert all(not select.select([peer.sock], [], [], 0)[0] for peer in idle)
+    resource.prlimit(balancer.node.pid, resource.RLIMIT_NOFILE, (1024, 1024))
+    balancer.goes_on(2)
+
+
 @pytest.mark.parametrize("behind", [0, 2 * DESCRIPTORS])
 def test_one_real_request_among_idle_clients_that_fill_the_descriptors(
     balancer: Balancer, behind: int
--- a/wheatstile/net/clients.py
+++ b/wheatstile/net/clients.py
@@ -14,6 +14,7 @@
 from wheatstile.net.channel import DRAIN, SILENT, STAY_AWAY, Channel
 from wheatstile.net.core import Core
 from wheatstile.net.first_line import FirstLine
+from wheatstile.net.lines import LINE_LIMIT
 from wheatstile.net.servers import Subchannels
 
 log = structlog.get_logger()
@@ -125,6 +126,7 @@
         with sock, suppress(OSError):
             sock.setblocking(False)
             sock.send(self.unavailable(STAY_AWAY))
+            sock.recv(LINE_LIMIT)  # a close over an unread request would reset the connection
 
     def _refuse_one(self, listener: socket.socket) -> None:
         """With no descriptor left, a spare one is given up for as long as it takes to refuse one client.
