--- a/wheatstile/net/client_connection.py
+++ b/wheatstile/net/client_connection.py
@@ -20,6 +20,7 @@
 REOPEN_WITHIN = 40.0  # seconds in which a connection from before the run has to be up again
 LATE = 0.02  # seconds past its client's time after which an RPC that nobody answered is failed here
 STAY_AWAY = 1000  # milliseconds that a client is told to when descriptors run out, or the balancer ends
+NEVER_RAN = ("overloaded", "connect_failed", "not_sent")  # outcomes that prove it of an attempt
 SILENT, DRAIN = "silent server", "drain"  # why a client is moved, beside the module's decision
 
 
@@ -187,7 +188,7 @@
             while not self._turned_away:
                 try:
                     async with asyncio.timeout(FIRST_LINE_WITHIN) as self._first_line_by:
-                        line = await self.lines.read_line()
+                        line = await self.lines.read_line(cancel_safe=True)
                 finally:
                     self._first_line_by = None
                 if line != b"PING\r\n" or self.lines.pending:
@@ -246,6 +247,8 @@
     async def _set_up(self, first: OpenRequest) -> bytes:
         """Do as the module decides until the RPC is up or has its final answer."""
         longest = self.front.longest(first)  # taken once: a reload may take the class away meanwhile
+        window = self.decisions.repeat_window(first.fields["c"])
+        repeat_until: int | None = None
         self.decisions.dispatch(first.request(longest))
         while True:
             action = await self._unless_left(self._decisions.get())
@@ -259,7 +262,7 @@
                 continue  # given up on before it was sent: the answer is the next
             start = self.decisions.now()
             timeout = (action.timeout_us or longest * 1000) / 1e6
-            outcome, line = await self._try(first.with_wait, action.server, timeout)
+            outcome, line = await self._try(first.with_wait, action.server, timeout, repeat_until)
             elapsed = self.decisions.now() - start
             if outcome == "up":
                 self._send_up(line)
@@ -273,6 +276,8 @@
                 return b""
             report = self.attempt.report if self.attempt else None
             self._drop_attempt()  # before the module can ask for the next
+            if window is not None and repeat_until is None and outcome not in NEVER_RAN:
+                repeat_until = start + window
             closed = outcome == "ok"
             self.decisions.dispatch(
                 api.AttemptEnded(
@@ -299,9 +304,17 @@
         return b"ERR\r\n"
 
     async def _try(
-        self, first_line: Callable[[int], bytes], server: str, timeout: float, patient: bool = False
+        self,
+        first_line: Callable[[int], bytes],
+        server: str,
+        timeout: float,
+        until: int | None = None,
+        patient: bool = False,
     ) -> tuple[str, bytes]:
-        """One attempt. The one before it was closed when it ended, so that there are never two."""
+        """One attempt. The one before it was closed when it ended, so that there are never two.
+
+        Nothing is sent at `until` or later, however long its connection took to come up.
+        """
         self._check_waiting()
         self.attempt = self.front.upstreams.attempt(server)
         if self.attempt is None:
@@ -309,7 +322,8 @@
 
         def still_wanted(wait: int) -> bytes | None:
             self._check_waiting()
-            return None if self._answered.is_set() else first_line(wait)
+            too_late = until is not None and self.decisions.now() >= until
+            return None if self._answered.is_set() or too_late else first_line(wait)
 
         run = asyncio.create_task(self.attempt.run(still_wanted, timeout, patient))
         answered = asyncio.create_task(self._answered.wait())
