Draw the chance at a cold server once a window, and count no client twice in its part

Cause, cold_room: the part of each balancer was 0.3 to 0.6 of a request, and - the chance was rolled anew with every draw. draw() draws up to 100 times; with four servers suspects and the one warm server already first of the pair, only cold ones were left, so that the roll succeeded sooner or later for every balancer. Ruled out: repeats (few), Move targets and midflow (none in the traces: all came through choose).

--- a/tests/test_weights.py
+++ b/tests/test_weights.py
@@ -7,7 +7,7 @@
 from world import World, entries
 
 from wheatstile import interface as api
-from wheatstile.rules import Connection
+from wheatstile.state import Connection
 
 NAMES = [f"s{number}" for number in range(10)]
 CHI_SQUARE = {1: 10.83, 9: 27.88, 19: 43.82}  # degrees of freedom -> exceeded by chance once in a thousand
--- a/wheatstile/rules.py
+++ b/wheatstile/rules.py
@@ -6,12 +6,13 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from math import ceil, inf, log
 from random import Random
 from zlib import crc32
 
 from wheatstile import interface as api
+from wheatstile.state import Connection, Move, Server
 
 MS, SECOND = 1000, 1_000_000
 SLOT = 4 * SECOND  # long enough for a move to show in reports that are seconds late
@@ -63,60 +64,6 @@
     return 1 - (n - 1) / (n * gamma) * (1 - x_j / x_i)
 
 
-@dataclass(slots=True, eq=False)
-class Server:
-    """What this balancer knows of one server."""
-
-    entry: api.ListEntry
-    spot: int  # hashed from its name
-    share: float = 1.0  # of the draws that meet one of its places, those that it takes
-    tokens: float = 0.0  # this balancer's part of a cold server's budget
-    tokens_at: int = 0  # when it last grew
-    x: float | None = None  # the last probed load over capacity; None: unknown, not idle
-    x_at: int = 0  # when it was read
-    probing: bool = False
-    waiting: list[tuple[Callable[["Connection"], None], "Connection"]] = field(default_factory=list)
-    relief_at: int = 0
-    delay: float = 0.0  # of messages here, in ms
-    least_x: float = 0.0  # proved by a delay that grows, whatever late reports say
-    suspect_until: int = 0
-    failures: int = 0
-
-
-@dataclass(slots=True, eq=False)
-class Connection:
-    """A request that is owed an answer, or the open connection that it became."""
-
-    id: str
-    key: str
-    kind: api.ServiceClass
-    deadline: int
-    again: bool  # a set-up that was tried before, here or elsewhere
-    spot: int = 0  # hashed from the client's group or key; 0: random draws
-    attempts: int = 0
-    server: Server | None = None  # of the attempt that is out, or that stands
-    out: bool = False
-    pair: list[Server] = field(default_factory=list)  # the candidates whose answers it waits for
-    pairs: int = 0  # that were drawn for it
-    due: int = 0  # when it is looked at again
-    left: "Move | None" = None  # the exploration that brought it here
-    since: int = 0  # when it stood
-    load: float = 1.0  # what it asks of its server, as last told
-    ran: tuple[int, Server] | None = None  # when and where the first attempt went that may have run
-
-
-@dataclass(slots=True, eq=False)
-class Move:
-    """One exploration: from a server whose load was read before, to a drawn one, or back."""
-
-    origin: Server
-    target: Server
-    x_i: float
-    gamma: float
-    until: int = 0
-    back: bool = False
-
-
 class Balancer:
     """The decisions of one balancer, on what it alone is told."""
 
@@ -179,8 +126,10 @@
             if server is None:
                 server = self.servers[entry.server] = Server(entry, crc32(entry.server.encode()))
             if server.tokens_at == 0 or server.entry.started != entry.started:
-                # What it was sent before says nothing of a new process: neither credit nor debt is kept.
-                server.tokens, server.tokens_at, server.x = self.random.random(), self.now, None
+                # What it was sent before says nothing of a new process, and what it was sent since is owed.
+                owed = server.sent_at >= entry.started
+                server.tokens, server.tokens_at, server.x = self.random.random() - owed, self.now, None
+                server.chance_until = server.sent_at + self.settings.cold_window if owed else 0
             server.entry = entry
         if event.kind != "delta":
             for name in self.servers.keys() - {entry.server for entry in event.entries}:
@@ -207,26 +156,30 @@
                     slot = (slot + 1) & last
                 table[slot] = server
 
-    def cold_room(self, server: Server, repeat: bool, met: bool = False) -> bool:
+    def cold_room(self, server: Server, repeat: bool) -> bool:
         """Rule 4: whether a cold server may be sent one more, within this balancer's part of its budget.
 
-        Clients here, spread over the others, make the mean load: all parts, in waves too, are what one server
-        holds. A repeat needs twice its part. Less than one is a chance: saved up, all would go in one wave.
+        Clients here, the one that asks among them, spread over the servers, make the mean load: all parts, in
+        waves too, are what fills one server to X_FULL. A repeat needs twice its part. A part of less than one
+        request is the chance to send one. It is drawn once in a window, however often the server is met.
         """
         age = self.now - server.entry.started
         if server.entry.started <= 0 or age >= self.settings.warm_after:
             return True
         warmth = max(self.settings.cold_from, age / self.settings.warm_after)
-        holds = (len(self.connections) + 1) / len(self.ready) / max(self.mean_x, 0.2) * warmth
+        holds = X_FULL * len(self.connections) / len(self.ready) / max(self.mean_x, 0.2) * warmth
         rate = holds * self.settings.cold_multiple / max(SECOND, self.settings.cold_window)
-        gain, most = (self.now - server.tokens_at) * rate, self.settings.cold_window * rate
-        server.tokens, server.tokens_at = min(most, server.tokens + gain), self.now
-        need = 1.0 if most >= 1 else 0.0 if met else self.random.random()
-        return server.tokens >= need * (1 + repeat)
-
-    def fit(self, server: Server, conn: Connection | None, met: bool = False) -> bool:
+        gain, part = (self.now - server.tokens_at) * rate, self.settings.cold_window * rate
+        server.tokens, server.tokens_at = min(part, server.tokens + gain), self.now
+        if part >= 1:
+            return server.tokens >= 1 + repeat
+        if self.now >= server.chance_until:
+            server.chance, server.chance_until = self.random.random(), self.now + self.settings.cold_window
+        return server.chance * (1 + repeat) < part
+
+    def fit(self, server: Server, conn: Connection | None) -> bool:
         """Whether a connection may go here; rule 2: once it may have run, where repeats are discarded."""
-        if server.entry.state != "ready" or not self.cold_room(server, bool(conn and conn.attempts), met):
+        if server.entry.state != "ready" or not self.cold_room(server, bool(conn and conn.attempts)):
             return False
         if not conn or not conn.ran or conn.kind.repeat == "safe":
             return True
@@ -338,7 +291,7 @@
         held = conn.id in self.connections and not conn.out and conn not in self.open
         if not held or (not expired and any(s.probing for s in conn.pair)):
             return
-        fit = [s for s in conn.pair if not s.probing and self.load(s) < UNREAD and self.fit(s, conn, True)]
+        fit = [s for s in conn.pair if not s.probing and self.load(s) < UNREAD and self.fit(s, conn)]
         fit = [s for s in fit if s.suspect_until <= self.now] or fit  # suspects if no other is left
         price, home = CROSS_WEIGHT * self.settings.cross_price, self.settings.zone  # for all of its life
         best = min(fit, key=lambda s: self.load(s) + price * (s.entry.zone != home), default=None)
@@ -358,6 +311,7 @@
             return self.answer(conn)
         conn.server, conn.out, conn.pair, conn.attempts = server, True, [], conn.attempts + 1
         server.tokens -= 1.0
+        server.chance, server.sent_at = 1.0, self.now
         limit = left // 2 if conn.attempts < self.settings.max_attempts else left
         self.actions.append(api.Send(conn.id, server.entry.server, max(limit, min(conn.kind.aim, left))))
 
