--- a/tests/test_decision_replay.py
+++ b/tests/test_decision_replay.py
@@ -2,8 +2,8 @@
 
 from support.decision_replay import digest, replay
 
-# It changes only with a commit that changes a decision and says so. The text of 77e20f2 gave 127,091 lines with
-# the digest 19b083a535d30f52...; the slow start's chance, drawn once in a window, made it this one.
+# It changes only with a commit that changes a decision and says so. The text of 77e20f2 gave 127,091 lines
+# with the digest 19b083a535d30f52...; the slow start, whose chance is drawn once a window, made it this one.
 EXPECTED_DIGEST = "326478ce7541f55af1594909ed7caa6b7aac0674b226cfe72c227cc1e9b58390"
 EXPECTED_LINES = 122_579
 
