Divide the decision module into a package, one job a module

Cause: one class of 445 lines with 30 attributes held every decision; nobody new could find one of them.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -54,7 +54,7 @@
 
     def report(index: int) -> None:
         server = names[index % servers]
-        world.balancer.servers[server].probing = True  # as if it had been asked
+        world.balancer.servers[server].is_being_checked = True  # as if it had been asked
         world.tell(api.HealthCheckResult(server, api.AttemptOutcome.OK, 1000, {"load": 0.4}))
 
     def change(index: int) -> None:
--- a/wheatstile/interface.py
+++ b/wheatstile/interface.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
-from math import isfinite
+from math import inf, isfinite
 from typing import TypeAlias
 
 LoadReport: TypeAlias = dict[str, float]
@@ -43,6 +43,18 @@
     CELL = "cell"
     UNKNOWN = "unknown"  # a word that this version does not know: nobody is relied on to discard a repeat
 
+    def holds_both(self, first: "Endpoint", second: "Endpoint") -> bool:
+        """Whether these two servers discard each other's repeats."""
+        match self:
+            case DeduplicationScope.ALL:
+                return True
+            case DeduplicationScope.ZONE:
+                return first.zone == second.zone
+            case DeduplicationScope.CELL:
+                return first.cell == second.cell
+            case DeduplicationScope.UNKNOWN:
+                return False
+
 
 class EndpointState(StrEnum):
     """The state of a server in the list of servers."""
@@ -74,6 +86,17 @@
     CANCELLED = "cancelled"
     NOT_SENT = "not_sent"  # given up before anything was sent; the server has not failed
 
+    @property
+    def is_failure(self) -> bool:
+        """Whether it speaks against the server."""
+        return self not in (AttemptOutcome.OK, AttemptOutcome.CANCELLED, AttemptOutcome.NOT_SENT)
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the server may have acted on the request."""
+        never_ran = (AttemptOutcome.OVERLOADED, AttemptOutcome.CONNECT_FAILED, AttemptOutcome.NOT_SENT)
+        return self not in never_ran
+
 
 @dataclass(frozen=True, slots=True)
 class ServiceClass:
@@ -87,6 +110,20 @@
     priority_weight: float = 1.0  # value of a well-served second (or request)
     message_latency_objective_us: int = 0  # of a message on an open connection; 0: not known
 
+    @property
+    def repeat_window_us(self) -> float:
+        """For how long after an attempt that may have run a repeat is harmless, at the right servers."""
+        if self.idempotency == Idempotency.IDEMPOTENT:
+            return inf
+        return self.deduplication_window_us if self.idempotency == Idempotency.IDEMPOTENCY_KEY else 0
+
+    @property
+    def is_client_retry_harmless(self) -> bool:
+        """Whether the client may come again, to any balancer, though an attempt may have run."""
+        is_keyed = self.idempotency == Idempotency.IDEMPOTENCY_KEY
+        is_discarded_anywhere = is_keyed and self.deduplication_scope == DeduplicationScope.ALL
+        return is_discarded_anywhere or self.idempotency == Idempotency.IDEMPOTENT
+
 
 @dataclass(frozen=True, slots=True)
 class Settings:
--- a/wheatstile/net/decision_loop.py
+++ b/wheatstile/net/decision_loop.py
@@ -13,7 +13,7 @@
 import structlog
 
 from wheatstile import interface as api
-from wheatstile.rules import Balancer
+from wheatstile.decisions import Balancer
 
 log = structlog.get_logger()
 
--- a/wheatstile/simulator/host.py
+++ b/wheatstile/simulator/host.py
@@ -6,7 +6,7 @@
 
 from wheatstile import interface as api
 from wheatstile.config.settings import settings
-from wheatstile.rules import Balancer
+from wheatstile.decisions import Balancer
 from wheatstile.simulator import wire
 
 
