--- /dev/null
+++ b/tests/store/process_cluster.py
@@ -0,0 +1,184 @@
+"""Members of the store as processes, the fault link between them, and what each printed over its restarts."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+import socket
+import time
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from pathlib import Path
+
+from fleet import Program
+
+from wheatstile.store.client import StoreClient
+
+OutputByMember = dict[str, list[str]]
+"""Lines of standard output by member, over all of its restarts."""
+
+PORT_RANGE = range(12_000, 32_000)
+"""Below the ports that the kernel gives to outgoing connections: a process may come back to its own."""
+PORT_ATTEMPTS = 2_000
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports on which nothing listens. Raises OSError where there are too few."""
+    found: list[int] = []
+    rng = random.Random(os.getpid() ^ time.monotonic_ns())
+    for port in rng.sample(PORT_RANGE, PORT_ATTEMPTS):
+        with suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            found.append(port)
+        if len(found) == count:
+            return found
+    raise OSError(f"no {count} free ports")
+
+
+class ProcessCluster:
+    """Members as processes; every message between two of them goes through the fault link.
+
+    With `direct` they are connected without it, and do not print what they apply. `close` ends all processes.
+    """
+
+    def __init__(
+        self,
+        root: Path,
+        seed: int,
+        names: str = "abcde",
+        compact_every: int = 40,
+        direct: bool = False,
+    ) -> None:
+        self.root = root
+        self.seed = seed
+        self.names = names
+        self.compact_every = compact_every
+        self.direct = direct
+        pairs = [(sender, recipient) for sender in names for recipient in names if sender != recipient]
+        ports = iter(free_ports(2 * len(names) + len(pairs)))
+        self.peer_ports = {name: next(ports) for name in names}
+        self.client_ports = {name: next(ports) for name in names}
+        self.link_ports = {pair: next(ports) for pair in pairs}
+        routes = [
+            f"{sender}:{recipient}:{self.link_ports[sender, recipient]}:{self.peer_ports[recipient]}"
+            for sender, recipient in pairs
+        ]
+        self.link = Program("link", "--frames", "--seed", str(seed), *routes)
+        self.link.expect("ready")
+        self.processes: dict[str, Program] = {}
+        self.paused: set[str] = set()
+        self.output: OutputByMember = {name: [] for name in names}
+
+    def start(self, *names: str, voters: str = "") -> None:
+        """Start these at once, and return when all are ready; a name outside `voters` joins."""
+        for name in names:
+            self.processes[name] = Program("store", "serve", *self.arguments(name, voters))
+        for name in names:
+            self.processes[name].expect("ready")
+
+    def arguments(self, name: str, voters: str) -> list[str]:
+        """Return the options of `store serve` for one member."""
+        joins = bool(voters) and name not in voters
+        peers = [peer for peer in self.names if peer != name and (joins or not voters or peer in voters)]
+        ports = {
+            peer: self.peer_ports[peer] if self.direct else self.link_ports[name, peer] for peer in peers
+        }
+        options = {
+            "--name": name,
+            "--listen": self.peer_ports[name],
+            "--client": self.client_ports[name],
+            "--dir": self.root / name,
+            "--seed": self.seed,
+            "--compact-every": self.compact_every,
+        }
+        arguments = [f"{option}={value}" for option, value in options.items()]
+        arguments += [f"--peer={peer}={port}" for peer, port in ports.items()]
+        arguments += ["--join"] if joins else []
+        arguments += [] if self.direct else ["--trace"]
+        return arguments
+
+    def start_missing(self) -> None:
+        """Start all members that are not running."""
+        self.start(*(name for name in self.names if name not in self.processes))
+
+    def kill(self, name: str) -> None:
+        """End a member by SIGKILL."""
+        process = self.processes.pop(name)
+        self.paused.discard(name)
+        process.signal(signal.SIGKILL)
+        process.process.wait()
+        self.output[name] += process.rest()
+
+    def pause(self, name: str) -> None:
+        """Stop a member by SIGSTOP, until `resume_all`."""
+        self.processes[name].signal(signal.SIGSTOP)
+        self.paused.add(name)
+
+    def resume_all(self) -> None:
+        """Let all paused members run on."""
+        for name in self.paused:
+            self.processes[name].signal(signal.SIGCONT)
+        self.paused.clear()
+
+    def client(self, timeout_s: float = 20.0) -> StoreClient:
+        """Return a client of all members, which the caller closes."""
+        return StoreClient(self.client_ports, timeout_s)
+
+    async def leader(self) -> str:
+        """Return the leader in the highest term that any running member knows of; waits for one."""
+        running = set(self.processes) - self.paused
+        client = StoreClient({name: self.client_ports[name] for name in running})
+        try:
+            while not (leader := await client.find_leader()):
+                await asyncio.sleep(0.05)
+            return leader.name
+        finally:
+            client.close()
+
+    def close(self) -> OutputByMember:
+        """End all processes; returns what the members printed."""
+        for name in list(self.processes):
+            self.kill(name)
+        self.link.close()
+        return self.output
+
+
+def run_scenario(
+    cluster: ProcessCluster, scenario: Callable[[ProcessCluster], Awaitable[None]], voters: str = ""
+) -> OutputByMember:
+    """Start the members (or only `voters`), run the scenario, and end them all; returns what they printed."""
+
+    async def run() -> None:
+        await scenario(cluster)
+
+    try:
+        cluster.start(*(voters or cluster.names), voters=voters)
+        asyncio.run(run())
+    finally:
+        output = cluster.close()
+    return output
+
+
+def check_applied(output: OutputByMember) -> int:
+    """Check one leader a term, one entry at each index, applied in order; return how many were applied."""
+    leader_by_term: dict[str, str] = {}
+    entry_by_index: dict[int, list[str]] = {}
+    for name, lines in output.items():
+        last_index = 0
+        for line in lines:
+            match line.split():
+                case ["leader", term]:
+                    first = leader_by_term.setdefault(term, name)
+                    assert first == name, f"term {term} was led by {first} and {name}"
+                case ["ready", *_]:
+                    last_index = 0
+                case ["snapshot", index_text]:
+                    last_index = int(index_text)
+                case ["applied", index_text, *entry]:
+                    index = int(index_text)
+                    assert last_index in (0, index - 1), f"{name} applied {index} after {last_index}"
+                    last_index = index
+                    expected = entry_by_index.setdefault(index, entry)
+                    assert expected == entry, f"{name} applied {entry} at {index}, not {expected}"
+    return len(entry_by_index)
--- /dev/null
+++ b/tests/store/test_storage.py
@@ -0,0 +1,110 @@
+"""`Storage`: what a crash leaves is read back; what no crash leaves is rejected with its place."""
+
+from __future__ import annotations
+
+import tempfile
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from wheatstile.store.errors import CorruptStorageError
+from wheatstile.store.raft.messages import Configuration, Entry, EntryKind, HardState, Snapshot
+from wheatstile.store.storage import LOG_FILE, DirectoryContents, Storage
+
+
+def make_entries(first: int, count: int, term: int) -> list[Entry]:
+    return [
+        Entry(term, index, EntryKind.DATA, f"{term}:{index}".encode())
+        for index in range(first, first + count)
+    ]
+
+
+def make_snapshot(index: int, term: int) -> Snapshot:
+    return Snapshot(index, term, Configuration(frozenset("abc")), b"state")
+
+
+def recover(directory: Path) -> DirectoryContents:
+    """Open the directory as after a crash."""
+    with Storage(directory, "c", "a", sync=False) as storage:
+        return storage.recovered
+
+
+def append_records(directory: Path, *records: tuple[HardState | None, list[Entry]]) -> list[int]:
+    """Return the log's sizes after each of these."""
+    sizes_bytes = []
+    with Storage(directory, "c", "a", sync=False) as storage:
+        for hard_state, entries in records:
+            storage.append(hard_state, entries)
+            sizes_bytes.append((directory / LOG_FILE).stat().st_size)
+    return sizes_bytes
+
+
+def test_a_later_record_replaces_the_log_from_its_first_index(tmp_path: Path) -> None:
+    append_records(
+        tmp_path,
+        (HardState(1, "a", 0), make_entries(1, 5, term=1)),
+        (HardState(2, None, 3), make_entries(4, 1, term=2)),
+    )
+    recovered = recover(tmp_path)
+    assert recovered.hard_state == HardState(2, None, 3)
+    assert [(entry.index, entry.term) for entry in recovered.entries] == [(1, 1), (2, 1), (3, 1), (4, 2)]
+
+
+@pytest.mark.parametrize(("term", "remaining"), [(1, [5, 6]), (2, [])])
+def test_a_crash_between_a_snapshot_and_its_log_leaves_only_what_follows_it(
+    tmp_path: Path, term: int, remaining: list[int]
+) -> None:
+    """Entries of another branch than the snapshot's must not stand behind it."""
+    append_records(tmp_path, (HardState(1, None, 0), make_entries(1, 6, term=1)))
+    with Storage(tmp_path, "c", "a", sync=False) as storage:
+        log = (tmp_path / LOG_FILE).read_bytes()
+        storage.save_snapshot(make_snapshot(4, term), HardState(term, None, 4), [])
+    (tmp_path / LOG_FILE).write_bytes(log)  # as it was when the snapshot had just been renamed
+    assert [entry.index for entry in recover(tmp_path).entries] == remaining
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.integers(1, 8), st.data())
+def test_a_crash_during_an_append_loses_that_record_alone(record_count: int, data: st.DataObject) -> None:
+    with tempfile.TemporaryDirectory() as name:
+        directory = Path(name)
+        records = [(None, make_entries(number * 3 + 1, 3, term=1)) for number in range(record_count)]
+        sizes_bytes = append_records(directory, *records)
+        log = (directory / LOG_FILE).read_bytes()
+        cut = data.draw(st.integers(0, len(log)), label="bytes written")
+        (directory / LOG_FILE).write_bytes(log[:cut])
+        complete_records = sum(size <= cut for size in sizes_bytes)
+        expected = list(range(1, complete_records * 3 + 1))
+        assert [entry.index for entry in recover(directory).entries] == expected
+        assert recover(directory).torn_bytes == 0, "it was cut off"
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.data())
+def test_a_flipped_bit_is_always_found(data: st.DataObject) -> None:
+    """Also in the last record, which may have been acknowledged."""
+    with tempfile.TemporaryDirectory() as name:
+        directory = Path(name)
+        records = [(HardState(1, "a", 0), make_entries(number + 1, 1, term=1)) for number in range(3)]
+        append_records(directory, *records)
+        log = bytearray((directory / LOG_FILE).read_bytes())
+        bit = data.draw(st.integers(0, len(log) * 8 - 1), label="bit")
+        log[bit // 8] ^= 1 << bit % 8
+        (directory / LOG_FILE).write_bytes(log)
+        with pytest.raises(CorruptStorageError, match=r"log: offset \d+: "):
+            recover(directory)
+
+
+@pytest.mark.parametrize(("cluster", "name"), [("other", "a"), ("c", "b")])
+def test_another_members_directory_is_rejected(tmp_path: Path, cluster: str, name: str) -> None:
+    append_records(tmp_path, (None, make_entries(1, 1, term=1)))
+    with pytest.raises(CorruptStorageError, match="the log of 'a' in cluster 'c'"):
+        Storage(tmp_path, cluster, name)
+
+
+def test_a_directory_has_one_owner(tmp_path: Path) -> None:
+    with Storage(tmp_path, "c", "a"), pytest.raises(BlockingIOError):
+        Storage(tmp_path, "c", "a")
+    recover(tmp_path)
--- /dev/null
+++ b/tests/store/test_store_commands.py
@@ -0,0 +1,26 @@
+"""Commands are checked before they are proposed."""
+
+from __future__ import annotations
+
+import pytest
+
+from wheatstile.store.commands import Command, Operation, OperationKind, Precondition, validate
+from wheatstile.store.errors import InvalidCommandError
+
+PUT = OperationKind.PUT
+DELETE = OperationKind.DELETE
+
+
+@pytest.mark.parametrize(
+    ("command", "reason"),
+    [
+        (Command([Operation(PUT, "")]), "key of 0 bytes"),
+        (Command([Operation(PUT, "k", bytes(2 << 20))]), "k: value of"),
+        (Command([Operation(PUT, "k"), Operation(DELETE, "k")]), "twice"),
+        (Command([Operation(PUT, "k", ttl_ms=-1)]), "ttl"),
+        (Command(preconditions=[Precondition("k", 0)] * 65), "65 writes"),
+    ],
+)
+def test_an_invalid_command_is_rejected_before_it_is_proposed(command: Command, reason: str) -> None:
+    with pytest.raises(InvalidCommandError, match=reason):
+        validate(command)
--- /dev/null
+++ b/tests/store/test_store_server.py
@@ -0,0 +1,322 @@
+"""Members as processes under concurrent clients: SIGKILL, SIGSTOP, restarts, one-way cuts, lost frames.
+
+What the clients saw has to be linearizable, and the members' logs have to agree. One schedule replays with
+`WHEATSTILE_SEEDS=N-N pytest tests/store/test_store_server.py -k faults`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import os
+import random
+import subprocess
+import sys
+import time
+from math import inf
+from pathlib import Path
+
+import pytest
+from linearizability import Kind, Operation, is_linearizable
+from process_cluster import ProcessCluster, check_applied, run_scenario
+
+from wheatstile.store.client import StoreClient
+from wheatstile.store.errors import OutcomeUnknownError
+from wheatstile.store.framing import LENGTH_PREFIX
+from wheatstile.store.protocol import Request, RequestKind
+
+FIRST, _, LAST = os.environ.get("WHEATSTILE_SEEDS", "1-2").partition("-")
+SEEDS = range(int(FIRST), int(LAST or FIRST) + 1)
+KEYS = ("k/a", "k/b")
+KINDS = (Kind.GET, Kind.PUT, Kind.SWAP)
+CLIENTS = 5
+FAULTS = 14
+
+Histories = dict[str, list[Operation]]
+"""Operations by key."""
+
+
+class RegisterUser:
+    """A client that reads, writes and swaps shared keys, each value once, and records what it saw."""
+
+    def __init__(self, client: StoreClient, number: int, seed: int, histories: Histories) -> None:
+        self.client = client
+        self.number = number
+        self.rng = random.Random(f"{seed}:{number}")
+        self.histories = histories
+
+    async def run(self, stopped: asyncio.Event) -> None:
+        for turn in itertools.count():
+            if stopped.is_set():
+                return
+            key = self.rng.choice(KEYS)
+            kind = self.rng.choice(KINDS)
+            value = f"{self.number}.{turn}"
+            match kind:
+                case Kind.GET:
+                    await self.get(key)
+                case Kind.PUT:
+                    await self.put(key, value)
+                case Kind.SWAP:
+                    await self.swap(key, value)
+            await asyncio.sleep(self.rng.random() * 0.2)
+
+    def record(
+        self,
+        key: str,
+        kind: Kind,
+        value: str | None,
+        called_at: float,
+        returned_at: float,
+        expected: str | None = None,
+        succeeded: bool = True,
+    ) -> None:
+        operation = Operation(kind, value, called_at, returned_at, expected, succeeded)
+        self.histories[key].append(operation)
+
+    async def get(self, key: str) -> None:
+        called_at = time.monotonic()
+        try:
+            found = await self.client.get(key)
+        except OutcomeUnknownError:
+            self.record(key, Kind.GET, None, called_at, inf)
+            return
+        value = found.value.decode() if found else None
+        self.record(key, Kind.GET, value, called_at, time.monotonic())
+
+    async def put(self, key: str, value: str) -> None:
+        called_at = time.monotonic()
+        returned_at = inf
+        try:
+            await self.client.put(key, value.encode())
+            returned_at = time.monotonic()
+        except OutcomeUnknownError:
+            pass
+        self.record(key, Kind.PUT, value, called_at, returned_at)
+
+    async def swap(self, key: str, value: str) -> None:
+        """Read the key and replace what was read; nothing is recorded where the read is not answered."""
+        called_at = time.monotonic()
+        try:
+            found = await self.client.get(key)
+        except OutcomeUnknownError:
+            return
+        expected = found.value.decode() if found else None
+        self.record(key, Kind.GET, expected, called_at, time.monotonic())
+        called_at = time.monotonic()
+        returned_at = inf
+        succeeded = True
+        try:
+            result = await self.client.put(key, value.encode(), found.revision if found else 0)
+            returned_at = time.monotonic()
+            succeeded = result.ok
+        except OutcomeUnknownError:
+            pass
+        self.record(key, Kind.SWAP, value, called_at, returned_at, expected, succeeded)
+
+
+async def inject_faults(cluster: ProcessCluster, rng: random.Random, count: int) -> list[str]:
+    """Draw faults and return what they were; at most two members are down or paused at a time.
+
+    Cuts may take the quorum away for a while.
+    """
+    injected: list[str] = []
+    for _ in range(count):
+        injected.append(await inject_fault(cluster, rng))
+        await asyncio.sleep(rng.uniform(0.2, 0.9))
+        if rng.random() < 0.5:
+            cluster.link.tell("heal")
+    return injected
+
+
+async def inject_fault(cluster: ProcessCluster, rng: random.Random) -> str:
+    running = [name for name in cluster.names if name in cluster.processes and name not in cluster.paused]
+    victim = rng.choice(running)
+    match rng.randrange(9):
+        case 0 if len(running) > 3:
+            cluster.kill(victim)
+            return f"kill {victim}"
+        case 1 if len(running) > 3:
+            cluster.pause(victim)
+            return f"pause {victim}"
+        case 2:
+            cluster.resume_all()
+            cluster.start_missing()
+            return "resume, restart"
+        case 3:
+            cluster.resume_all()
+            for name in rng.sample(sorted(cluster.processes), max(0, len(cluster.processes) - 3)):
+                cluster.kill(name)
+            cluster.start_missing()
+            return "restart several at once"
+        case 4:
+            leader = await asyncio.wait_for(cluster.leader(), 5) if rng.random() < 0.5 else victim
+            cluster.link.tell(f"cut * {leader}")
+            return f"cut all to {leader}"
+        case 5:
+            cluster.link.tell(f"cut {victim} *")
+            cluster.link.tell(f"reset {victim} *")
+            return f"cut {victim} to all, with resets"
+        case 6:
+            cluster.link.tell("lose * * 0.2")
+            cluster.link.tell("repeat * * 0.2")
+            return "lose and repeat frames"
+        case 7:
+            cluster.link.tell(f"delay * {victim} 0.1 0.2")
+            cluster.link.tell(f"rate {victim} * 20000")
+            return f"delay and slow {victim}"
+        case _:
+            cluster.link.tell("heal")
+            return "heal"
+
+
+async def wait_until_all_applied(client: StoreClient, cluster: ProcessCluster, revision: int) -> None:
+    for name in cluster.names:
+        await wait_until_applied(client, name, revision)
+
+
+async def wait_until_applied(client: StoreClient, name: str, revision: int) -> None:
+    while (await client.status(name)).applied_index < revision:
+        await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_histories_under_faults_are_linearizable(tmp_path: Path, seed: int) -> None:
+    async def scenario(cluster: ProcessCluster) -> None:
+        stopped = asyncio.Event()
+        histories: Histories = {key: [] for key in KEYS}
+        clients = [cluster.client(timeout_s=3.0) for _ in range(CLIENTS)]
+        async with asyncio.TaskGroup() as tasks:
+            for number, client in enumerate(clients):
+                tasks.create_task(RegisterUser(client, number, seed, histories).run(stopped))
+            faults = await inject_faults(cluster, random.Random(seed), FAULTS)
+            stopped.set()
+        cluster.resume_all()
+        cluster.link.tell("heal")
+        cluster.start_missing()
+        last_client = cluster.client(timeout_s=60)
+        revision = (await last_client.put("last", b"")).revision
+        await wait_until_all_applied(last_client, cluster, revision)
+        for client in [*clients, last_client]:
+            client.close()
+        for key, history in histories.items():
+            assert is_linearizable(history), f"seed {seed}: {key} is not linearizable; faults: {faults}"
+        answered = sum(operation.is_answered for history in histories.values() for operation in history)
+        assert answered > 30, f"seed {seed}: only {answered} answered, faults {faults}"
+
+    assert check_applied(run_scenario(ProcessCluster(tmp_path, seed), scenario)) > 30
+
+
+def test_members_are_added_replaced_and_handed_over(tmp_path: Path) -> None:
+    """Through the command line, as operators do it; the added member catches up by a snapshot."""
+    cluster = ProcessCluster(tmp_path, 1, "abcd")
+    options = [f"--member={name}={port}" for name, port in cluster.client_ports.items()]
+
+    def run_command(*arguments: str) -> str:
+        command = [sys.executable, "-m", "wheatstile", "store", *arguments, *options, "--within", "30"]
+        completed = subprocess.run(command, capture_output=True, text=True, timeout=120)
+        assert completed.returncode == 0, completed.stderr
+        return completed.stdout
+
+    async def scenario(cluster: ProcessCluster) -> None:
+        client = cluster.client(timeout_s=30)
+        for number in range(100):
+            revision = (await client.put(f"k/{number}", str(number).encode())).revision
+        cluster.start("d", voters="abc")
+        peer_port = str(cluster.peer_ports["d"])
+        output = await asyncio.to_thread(run_command, "add", "d", "--peer-port", peer_port)
+        assert "voters a b c d" in output
+        await wait_until_applied(client, "d", revision)
+        found = await client.get("k/0", max_staleness_ms=60_000)
+        assert found
+        assert found.value == b"0"
+        await asyncio.to_thread(run_command, "transfer", "d")
+        assert await cluster.leader() == "d"
+        assert "voters b c d" in await asyncio.to_thread(run_command, "remove", "a")
+        cluster.kill("a")
+        assert '"99"' in await asyncio.to_thread(run_command, "get", "k/99", "--json")
+        with pytest.raises(AssertionError, match="is at revision"):
+            await asyncio.to_thread(run_command, "put", "k/99", "x", "--revision", "1")
+        client.close()
+
+    output = run_scenario(cluster, scenario, voters="abc")
+    assert check_applied(output) > 100
+    assert any(line.startswith("snapshot") for line in output["d"])
+
+
+def test_a_watch_has_no_gap_and_no_repeat_when_leaders_are_killed(tmp_path: Path) -> None:
+    async def scenario(cluster: ProcessCluster) -> None:
+        client = cluster.client()
+        seen: list[str] = []
+
+        async def watch() -> None:
+            async for event in client.watch("w/>", 0):
+                seen.append(event.value.decode())
+                if seen[-1] == "end":
+                    return
+
+        async with asyncio.TaskGroup() as tasks:
+            watching = tasks.create_task(watch())
+            for turn in range(6):
+                for number in range(10):
+                    await client.put("w/x", f"{turn}.{number}".encode())
+                victim = await cluster.leader()
+                cluster.kill(victim)
+                await client.put("w/x", f"{turn}.without {victim}".encode())
+                cluster.start(victim)
+            await client.put("w/x", b"end")
+            await asyncio.wait_for(watching, 60)
+        client.close()
+        assert len(seen) == 6 * 11 + 1
+        assert len(set(seen)) == len(seen)
+        assert seen == sorted(seen, key=lambda value: (value == "end", value[:2], "without" in value))
+
+    run_scenario(ProcessCluster(tmp_path, 2, "abc"), scenario)
+
+
+def test_an_isolated_member_never_answers_as_if_it_were_current(tmp_path: Path) -> None:
+    async def scenario(cluster: ProcessCluster) -> None:
+        client = cluster.client()
+        await client.put("k", b"old")
+        leader = await cluster.leader()
+        isolated = StoreClient({leader: cluster.client_ports[leader]}, timeout_s=2.0)
+        assert await isolated.get("k")
+        cluster.link.tell(f"isolate {leader}")
+        other_ports = {name: port for name, port in cluster.client_ports.items() if name != leader}
+        others = StoreClient(other_ports, timeout_s=20)
+        await others.put("k", b"new")
+        with pytest.raises(OutcomeUnknownError):
+            await isolated.get("k")
+        with pytest.raises(OutcomeUnknownError, match="stale"):
+            await isolated.get("k", max_staleness_ms=200)
+        stale = await isolated.get("k", max_staleness_ms=60_000)
+        assert stale
+        assert stale.value == b"old"
+        with pytest.raises(OutcomeUnknownError):
+            await isolated.put("k", b"never")
+        cluster.link.tell("heal")
+        found = await isolated.get("k") if await cluster.leader() else None
+        assert found
+        assert found.value == b"new"
+        for each in (client, isolated, others):
+            each.close()
+
+    run_scenario(ProcessCluster(tmp_path, 3, "abc"), scenario)
+
+
+def test_a_malformed_frame_ends_its_connection_alone(tmp_path: Path) -> None:
+    async def scenario(cluster: ProcessCluster) -> None:
+        client = cluster.client()
+        await client.put("k", b"1")
+        for port in (cluster.client_ports["a"], cluster.peer_ports["a"]):
+            for malformed in (b"\xff\xff\xff\xff", LENGTH_PREFIX.pack(3) + b"abc", b"\x00"):
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                writer.write(malformed)
+                writer.write_eof()
+                assert await reader.read() == b""
+                writer.close()
+        reply = await client.request(Request(RequestKind.GET, key="k"))
+        assert reply.versions[0].value == b"1"
+        client.close()
+
+    run_scenario(ProcessCluster(tmp_path, 4, "ab"), scenario, voters="a")
--- a/wheatstile/cli/store.py
+++ b/wheatstile/cli/store.py
@@ -57,27 +57,28 @@
 def serve(name: str, peers: dict[str, int], join: bool, listen: int, client: int, directory: Path,
           cluster: str, seed: int, compact_every: int, trace: bool) -> int:
     """Serves one member until SIGTERM; prints `ready NAME PEER_PORT CLIENT_PORT` first."""
-    from wheatstile.store.member import Place
-    from wheatstile.store.server import Ports, main
+    from wheatstile.store.member_config import MemberConfig
+    from wheatstile.store.server import Ports, run_server
 
     if name in peers:
         return refuse([f"--peer {name}: that is this member's own name"])
     voters = frozenset() if join else frozenset({name, *peers})
-    place = Place(name, voters, directory, cluster, seed, trace, compact_every)
-    return main(place, Ports(listen, client, peers))
+    config = MemberConfig(name, voters, directory, cluster, seed, trace, compact_every)
+    return run_server(config, Ports(listen, client, peers))
 
 
 def asked(members: dict[str, int], within: float, work: Callable[[Any], Awaitable[int]]) -> int:
     """Runs `work` with a client; the exit status."""
-    from wheatstile.store.client import Client, Lapsed, StoreError, Undecided
+    from wheatstile.store.client import StoreClient
+    from wheatstile.store.errors import OutcomeUnknownError, RequestRejectedError, WatchCompactedError
 
     async def run() -> int:
-        client = Client(members, within)
+        client = StoreClient(members, within)
         try:
             return await work(client)
-        except (StoreError, Lapsed) as error:
+        except (RequestRejectedError, WatchCompactedError) as error:
             return refuse([str(error)])
-        except Undecided as error:
+        except OutcomeUnknownError as error:
             print(f"undecided: {error}", file=sys.stderr)
             return UNDECIDED
         finally:
@@ -92,8 +93,8 @@
 def told(found: list[Any], as_json: bool) -> None:
     from tabulate import tabulate
 
-    rows = [{"key": f.key, "revision": f.revision, "op": f.op, "value": f.value.decode("utf-8", "replace")}
-            for f in found]
+    rows = [{"key": f.key, "revision": f.revision, "op": f.change,
+             "value": f.value.decode("utf-8", "replace")} for f in found]
     if as_json:
         print(json.dumps(rows))
     elif rows:
@@ -112,16 +113,16 @@
     """Reads KEY, or with `*` and `>` all keys that match; exit status 1 if there is none."""
     import msgspec
 
-    from wheatstile.store.protocol import Request
+    from wheatstile.store.protocol import LINEARIZABLE, Request, RequestKind
 
     async def work(client: Any) -> int:
-        request = Request("list" if "*" in key or ">" in key else "get", key=key,
-                          stale_ms=-1 if stale is None else int(stale * 1000))
+        request = Request(RequestKind.LIST if "*" in key or ">" in key else RequestKind.GET, key=key,
+                          max_staleness_ms=LINEARIZABLE if stale is None else int(stale * 1000))
         if history:
-            request = msgspec.structs.replace(request, op="history")
-        reply = await client.ask(request)
-        told(reply.found, as_json)
-        return 0 if reply.found else REFUSED
+            request = msgspec.structs.replace(request, kind=RequestKind.HISTORY)
+        reply = await client.request(request)
+        told(reply.versions, as_json)
+        return 0 if reply.versions else REFUSED
 
     return asked(members, within, work)
 
@@ -171,10 +172,10 @@
     """Prints changes of matching keys, none left out, until it is ended."""
 
     async def work(client: Any) -> int:
-        start = (await client.matching(pattern))[0] if after is None else after
+        start = (await client.list_matching(pattern))[0] if after is None else after
         async for event in client.watch(pattern, start):
             value = event.value.decode("utf-8", "replace")
-            row = {"revision": event.revision, "op": event.op, "key": event.key, "value": value}
+            row = {"revision": event.revision, "op": event.change, "key": event.key, "value": value}
             print(json.dumps(row) if as_json else " ".join(map(str, row.values())), flush=True)
         return 0
 
@@ -193,7 +194,7 @@
     async def work(client: Any) -> int:
         said = await client.statuses()
         rows = [{"name": name, "role": f"not reached: {status}"} if isinstance(status, str)
-                else msgspec.structs.asdict(status) for name, status in said.items()]
+                else msgspec.to_builtins(status) for name, status in said.items()]
         columns = ("name", "role", "leader", "term", "commit", "applied", "age_ms", "keys", "voters",
                    "learners")
         print(json.dumps(rows) if as_json else tabulate([[row.get(c, "") for c in columns] for row in rows],
@@ -205,12 +206,12 @@
 
 async def changed(client: Any, change: Callable[[set[str], set[str]], None]) -> int:
     """Changes the members from what they are; the client asks the leader, whoever that is."""
-    leader = await client.leader()
+    leader = await client.find_leader()
     if leader is None:
         return refuse(["no leader is reached"])
     voters, learners = set(leader.voters), set(leader.learners)
     change(voters, learners)
-    status = await client.change(voters, learners - voters)
+    status = await client.change_members(voters, learners - voters)
     print(f"voters {' '.join(status.voters)}; learners {' '.join(status.learners) or 'none'}")
     return 0
 
@@ -223,10 +224,10 @@
 @within
 def add(name: str, peer_port: int, learner: bool, members: dict[str, int], within: float) -> int:
     """Adds NAME (started with --join) as a learner, and as a voter unless --learner."""
-    from wheatstile.store.server import BOOK
+    from wheatstile.store.peer_transport import ADDRESS_KEY_PREFIX
 
     async def work(client: Any) -> int:
-        await client.put(f"{BOOK}/{name}", str(peer_port).encode())
+        await client.put(f"{ADDRESS_KEY_PREFIX}/{name}", str(peer_port).encode())
         # As a learner first: a voter without a log would count against a majority until it has one.
         status = await changed(client, lambda voters, learners: learners.add(name))
         if status or learner:
@@ -261,7 +262,7 @@
     """Hands leadership to NAME."""
 
     async def work(client: Any) -> int:
-        await client.transfer(name)
+        await client.transfer_leadership(name)
         return 0
 
     return asked(members, within, work)
@@ -273,14 +274,14 @@
 @within
 def backup(file: Path, members: dict[str, int], within: float) -> int:
     """Writes the whole store, as it stands now, to FILE."""
-    from wheatstile.store import archive
+    from wheatstile.store.backup import write_backup
 
     async def work(client: Any) -> int:
-        leader = await client.leader()
+        leader = await client.find_leader()
         if leader is None:
             return refuse(["no leader is reached"])
-        revision, data = await client.backup()
-        archive.write(file, leader.cluster, revision, data)
+        revision, data = await client.download_backup()
+        write_backup(file, leader.cluster, revision, data)
         print(f"revision {revision}, {len(data)} bytes")
         return 0
 
@@ -294,14 +295,14 @@
 @click.option("--name", default="store", show_default=True, help="Its one member, to which others are added.")
 def restore(file: Path, directory: Path, cluster: str, name: str) -> int:
     """Makes an empty directory that of the first member of a new cluster with what FILE holds."""
-    from wheatstile.store import archive
-    from wheatstile.store.disk import Damaged
+    from wheatstile.store.backup import restore_backup
+    from wheatstile.store.errors import CorruptStorageError, RestoreRejectedError
 
     try:
-        head = archive.restore(file, directory, cluster, name)
-    except (Damaged, ValueError, OSError) as error:
+        header = restore_backup(file, directory, cluster, name)
+    except (CorruptStorageError, RestoreRejectedError, ValueError, OSError) as error:
         return refuse([str(error)])
-    print(f"revision {head.revision} of {head.cluster}")
+    print(f"revision {header.revision} of {header.cluster}")
     return 0
 
 
@@ -310,14 +311,15 @@
 @as_json
 def inspect(directory: Path, as_json: bool) -> int:
     """What a member's directory holds; it is not changed, and no member needs to run."""
+    import msgspec
     from tabulate import tabulate
 
-    from wheatstile.store import archive
-    from wheatstile.store.disk import Damaged
+    from wheatstile.store.errors import CorruptStorageError
+    from wheatstile.store.inspection import inspect_directory
 
     try:
-        found = archive.inspect(directory)
-    except (Damaged, OSError) as error:
+        found = msgspec.to_builtins(inspect_directory(directory))
+    except (CorruptStorageError, OSError) as error:
         return refuse([str(error)])
     print(json.dumps(found) if as_json else tabulate(found.items(), tablefmt="plain", disable_numparse=True))
     return 0
--- /dev/null
+++ b/wheatstile/store/client_connections.py
@@ -0,0 +1,57 @@
+"""A client's connections to the members, one for each, opened when they are first used."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+
+from wheatstile.store.framing import FrameReader, connect, encode_frame
+from wheatstile.store.protocol import Reply, Request
+
+
+class ClientConnections:
+    """Connections to the loopback ports of `members`, NAME to port; `close` ends them.
+
+    A connection on which anything failed is closed: a reply that is still to come would be taken for that to
+    the next request.
+    """
+
+    def __init__(self, members: Mapping[str, int]) -> None:
+        self._members = members
+        self._readers: dict[str, FrameReader] = {}
+
+    async def request(self, name: str, request: Request) -> Reply:
+        """Send a request to a member and return its reply.
+
+        Raises OSError, `ProtocolError`, `msgspec.DecodeError`.
+        """
+        if name not in self._readers:
+            self._readers[name] = FrameReader(await connect(self._members[name]))
+        try:
+            sock = self._readers[name].sock
+            await asyncio.get_running_loop().sock_sendall(sock, encode_frame(request))
+        except BaseException:
+            self.discard(name)
+            raise
+        return await self.receive(name)
+
+    async def receive(self, name: str) -> Reply:
+        """Return the member's next reply. Raises as `request` does."""
+        try:
+            reply = await self._readers[name].read(Reply)
+            if reply is None:
+                raise ConnectionResetError(f"{name} closed the connection")
+        except BaseException:
+            self.discard(name)
+            raise
+        return reply
+
+    def discard(self, name: str) -> None:
+        """Close the connection to a member, if there is one."""
+        if reader := self._readers.pop(name, None):
+            reader.sock.close()
+
+    def close(self) -> None:
+        """Close all connections."""
+        for name in list(self._readers):
+            self.discard(name)
--- /dev/null
+++ b/wheatstile/store/client_service.py
@@ -0,0 +1,161 @@
+"""Requests of clients: one connection carries one request after another, or one watch."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from functools import partial
+
+from wheatstile.store.commands import validate
+from wheatstile.store.errors import (
+    InvalidCommandError,
+    MembershipChangeRejectedError,
+    NotLeaderError,
+    OutcomeUnknownError,
+)
+from wheatstile.store.framing import MAX_REQUEST_BYTES, FrameReader, encode_frame
+from wheatstile.store.member import Member
+from wheatstile.store.protocol import LINEARIZABLE, ErrorCode, KeyVersion, Reply, Request, RequestKind
+from wheatstile.store.state_machine import Version
+from wheatstile.store.watch_stream import WatchStream
+
+MAX_CLIENTS = 1024
+"""Client connections at once; further ones are closed."""
+MAX_LISTED_KEYS = 10_000
+"""Keys in one answer."""
+MAX_REQUEST_TIMEOUT_MS = 60_000
+BACKUP_CHUNK_BYTES = 1 << 20
+SEND_TIMEOUT_S = 5.0
+"""Time in which a client has to take a reply, before its connection is closed."""
+TRANSFER_POLL_INTERVAL_S = 0.01
+
+
+async def send_reply(sock: socket.socket, reply: Reply) -> None:
+    """Send one reply. Raises TimeoutError where the client does not take it, OSError."""
+    async with asyncio.timeout(SEND_TIMEOUT_S):
+        await asyncio.get_running_loop().sock_sendall(sock, encode_frame(reply))
+
+
+class ClientService:
+    """Answers the requests of all clients of one member."""
+
+    def __init__(self, member: Member) -> None:
+        self._member = member
+        self._client_count = 0
+
+    async def serve(self, sock: socket.socket) -> None:
+        """Answer requests until the connection ends. Raises `ProtocolError`, DecodeError, OSError."""
+        if self._client_count >= MAX_CLIENTS:
+            return
+        self._client_count += 1
+        try:
+            await self._serve_requests(sock)
+        finally:
+            self._client_count -= 1
+
+    async def _serve_requests(self, sock: socket.socket) -> None:
+        frames = FrameReader(sock, MAX_REQUEST_BYTES)
+        while (request := await frames.read(Request)) is not None:
+            if request.kind is RequestKind.WATCH:
+                send = partial(send_reply, sock)
+                await WatchStream(self._member, send, request.key, request.after_revision).run()
+                return
+            reply = await self._answer(request)
+            if request.kind is RequestKind.BACKUP and reply.error is ErrorCode.NONE:
+                await self._send_backup(sock)
+            else:
+                await send_reply(sock, reply)
+
+    async def _answer(self, request: Request) -> Reply:
+        """Carry out a request within its time-out; what prevents it becomes the reply's error."""
+        timeout_ms = min(max(request.timeout_ms, 1), MAX_REQUEST_TIMEOUT_MS)
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                return await self._handle(request)
+        except TimeoutError:
+            reason = f"not decided within {request.timeout_ms} ms"
+            return Reply(ErrorCode.OUTCOME_UNKNOWN, reason, self._member.node.leader or "")
+        except OutcomeUnknownError as error:
+            return Reply(ErrorCode.OUTCOME_UNKNOWN, error.reason)
+        except NotLeaderError as error:
+            return Reply(ErrorCode.NOT_LEADER, str(error), error.leader or "")
+        except MembershipChangeRejectedError as error:
+            return Reply(ErrorCode.REJECTED, error.reason)
+        except InvalidCommandError as error:
+            return Reply(ErrorCode.INVALID, error.reason)
+
+    async def _handle(self, request: Request) -> Reply:
+        member = self._member
+        match request.kind:
+            case RequestKind.WRITE:
+                return await self._write(request)
+            case RequestKind.CHANGE_MEMBERS:
+                await member.change_members(request.voters, request.learners)
+                return Reply(status=member.status())
+            case RequestKind.TRANSFER_LEADERSHIP:
+                return await self._transfer_leadership(request.key)
+            case RequestKind.STATUS:
+                return Reply(status=member.status())
+            case RequestKind.BACKUP:
+                await member.wait_until_current()
+                return Reply()
+        return await self._read(request)
+
+    async def _write(self, request: Request) -> Reply:
+        if request.command is None:
+            return Reply(ErrorCode.INVALID, "no command")
+        validate(request.command)
+        result = await self._member.write(request.command)
+        return Reply(result=result, revision=result.revision)
+
+    async def _transfer_leadership(self, target: str) -> Reply:
+        """Return once another term has begun."""
+        term = self._member.node.term
+        self._member.transfer_leadership(target)
+        while self._member.node.term == term:
+            await asyncio.sleep(TRANSFER_POLL_INTERVAL_S)
+        return Reply(status=self._member.status())
+
+    async def _read(self, request: Request) -> Reply:
+        """Answer a get, a list or a history, from a state that is as recent as the request asks."""
+        member = self._member
+        if request.max_staleness_ms <= LINEARIZABLE:
+            await member.wait_until_current()
+        elif member.commit_age_ms > request.max_staleness_ms:
+            age_ms = member.commit_age_ms
+            reason = f"{age_ms} ms old, {request.max_staleness_ms} at most"
+            return Reply(ErrorCode.STALE, reason, commit_age_ms=age_ms)
+        versions = self._find_versions(request)
+        if len(versions) > MAX_LISTED_KEYS:
+            return Reply(ErrorCode.INVALID, f"over {MAX_LISTED_KEYS} keys match {request.key}")
+        return Reply(versions=versions, revision=member.applied_index, commit_age_ms=member.commit_age_ms)
+
+    def _find_versions(self, request: Request) -> list[KeyVersion]:
+        """Return what a read asks for; one more than may be listed where there are too many keys."""
+        state_machine = self._member.state_machine
+        found: list[tuple[str, Version]] = []
+        match request.kind:
+            case RequestKind.GET:
+                version = state_machine.get(request.key)
+                found = [(request.key, version)] if version else []
+            case RequestKind.LIST:
+                for key_and_version in state_machine.matching(request.key):
+                    found.append(key_and_version)
+                    if len(found) > MAX_LISTED_KEYS:
+                        break
+            case RequestKind.HISTORY:
+                versions = state_machine.keys.get(request.key, [])
+                found = [(request.key, version) for version in versions]
+        return [
+            KeyVersion(key, version.revision, version.change, version.value, version.written_at_ms)
+            for key, version in found
+        ]
+
+    async def _send_backup(self, sock: socket.socket) -> None:
+        """Send the complete state as it is now, in chunks."""
+        data = self._member.state_machine.dump()
+        revision = self._member.applied_index
+        for start in range(0, len(data), BACKUP_CHUNK_BYTES):
+            chunk = data[start : start + BACKUP_CHUNK_BYTES]
+            remaining_bytes = len(data) - start - len(chunk)
+            await send_reply(sock, Reply(revision=revision, chunk=chunk, remaining_bytes=remaining_bytes))
--- /dev/null
+++ b/wheatstile/store/commands.py
@@ -0,0 +1,99 @@
+"""Commands to the state machine and their results; MessagePack arrays in the log and on the wire."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from wheatstile.store.errors import InvalidCommandError
+
+MAX_KEY_BYTES = 512
+MAX_VALUE_BYTES = 1 << 20
+MAX_COMMAND_CLAUSES = 64
+"""Operations and preconditions in one command."""
+
+ANY_REVISION = -1
+"""As an expected revision: the key may be at any, or absent."""
+ABSENT_REVISION = 0
+"""As an expected revision: the key must be absent."""
+
+
+class OperationKind(enum.StrEnum):
+    """What an operation does to its key; the values are those in the log and on the wire."""
+
+    PUT = "put"
+    DELETE = "delete"
+    PURGE = "purge"  # deletes the key's earlier versions as well
+
+
+class Operation(msgspec.Struct, frozen=True, array_like=True):
+    """One write of a command.
+
+    `expected_revision` is what the key must be at, `ANY_REVISION` or `ABSENT_REVISION`. `ttl_ms` is the time
+    to live; 0 means that the key does not expire.
+    """
+
+    kind: OperationKind
+    key: str
+    value: bytes = b""
+    expected_revision: int = ANY_REVISION
+    ttl_ms: int = 0
+
+
+class Precondition(msgspec.Struct, frozen=True, array_like=True):
+    """A key that a command does not write, and the revision that it must be at."""
+
+    key: str
+    expected_revision: int
+
+
+class Command(msgspec.Struct, frozen=True, array_like=True):
+    """A transaction: all `operations` are applied if every precondition holds, else none.
+
+    With a `session_id`, a `sequence` that was applied is not applied again: its first result is returned once
+    more. `clock_ms` is the leader's clock when it proposed the command.
+    """
+
+    operations: list[Operation] = []
+    preconditions: list[Precondition] = []
+    session_id: str = ""
+    sequence: int = 0
+    clock_ms: int = 0
+
+
+class CommandResult(msgspec.Struct, frozen=True, array_like=True):
+    """What became of a command.
+
+    `revision` is that of the write, or that of the key which failed a precondition, and then `reason` says
+    so. `repeated` marks the result of an earlier application.
+    """
+
+    ok: bool
+    revision: int = 0
+    reason: str = ""
+    repeated: bool = False
+
+
+def validate(command: Command) -> None:
+    """Check a command before it is proposed. Raises `InvalidCommandError`."""
+    clauses = len(command.operations) + len(command.preconditions)
+    if clauses > MAX_COMMAND_CLAUSES:
+        raise InvalidCommandError(f"{clauses} writes and conditions, {MAX_COMMAND_CLAUSES} at most")
+    written: set[str] = set()
+    for operation in command.operations:
+        _validate_operation(operation)
+        if operation.key in written:
+            raise InvalidCommandError(f"{operation.key}: written twice in one command")
+        written.add(operation.key)
+
+
+def _validate_operation(operation: Operation) -> None:
+    key_bytes = len(operation.key.encode())
+    if not 0 < key_bytes <= MAX_KEY_BYTES:
+        raise InvalidCommandError(f"key of {key_bytes} bytes, 1 to {MAX_KEY_BYTES} wanted")
+    value_bytes = len(operation.value)
+    if value_bytes > MAX_VALUE_BYTES:
+        raise InvalidCommandError(f"{operation.key}: value of {value_bytes} bytes, {MAX_VALUE_BYTES} at most")
+    if operation.ttl_ms < 0:
+        raise InvalidCommandError(f"{operation.key}: ttl of {operation.ttl_ms} ms")
--- a/wheatstile/store/errors.py
+++ b/wheatstile/store/errors.py
@@ -69,3 +69,41 @@
     def __init__(self, compacted_revision: int) -> None:
         super().__init__(f"the oldest is after {compacted_revision}")
         self.compacted_revision = compacted_revision
+
+
+class InvalidCommandError(StoreError):
+    """A command that breaks a limit, or writes a key twice."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+class RestoreRejectedError(StoreError):
+    """A backup may not be restored under this cluster's name or into this directory."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+class ProtocolError(StoreError, ValueError):
+    """A peer or a client sent what the protocol does not allow; the connection is closed."""
+
+
+class FrameTooLargeError(ProtocolError):
+    """A frame announces more bytes than the receiver accepts."""
+
+    def __init__(self, length_bytes: int, max_bytes: int) -> None:
+        super().__init__(f"a frame of {length_bytes} bytes, {max_bytes} at most")
+        self.length_bytes = length_bytes
+        self.max_bytes = max_bytes
+
+
+class RequestRejectedError(StoreError):
+    """The store has rejected a client's request; `code` is the reply's error code."""
+
+    def __init__(self, code: str, reason: str) -> None:
+        super().__init__(f"{code}: {reason}")
+        self.code = code
+        self.reason = reason
--- /dev/null
+++ b/wheatstile/store/event_history.py
@@ -0,0 +1,64 @@
+"""The latest changes of keys, in order, for watches."""
+
+from __future__ import annotations
+
+import enum
+from bisect import bisect_right
+from collections import deque
+from collections.abc import Iterable
+
+import msgspec
+
+from wheatstile.store.errors import WatchCompactedError
+
+MAX_EVENTS = 10_000
+"""Stored events; a watch that is further behind has to read the keys anew."""
+MAX_EVENTS_PER_READ = 256
+
+
+class ChangeKind(enum.StrEnum):
+    """What happened to a key; the values are those in snapshots and on the wire."""
+
+    PUT = "put"
+    DELETE = "delete"
+    PURGE = "purge"
+    EXPIRE = "expire"
+
+
+class Event(msgspec.Struct, frozen=True, array_like=True):
+    """One change of one key."""
+
+    revision: int
+    key: str
+    change: ChangeKind
+    value: bytes
+
+
+class EventHistory:
+    """The last `MAX_EVENTS` events; `compacted_revision` is that of the latest one discarded."""
+
+    def __init__(self, events: Iterable[Event] = (), compacted_revision: int = 0) -> None:
+        self.events: deque[Event] = deque(events)
+        self.compacted_revision = compacted_revision
+
+    def append(self, event: Event) -> None:
+        """Add an event, and discard the oldest above the bound."""
+        self.events.append(event)
+        while len(self.events) > MAX_EVENTS:
+            self.compacted_revision = self.events.popleft().revision
+
+    def after(self, revision: int, limit: int = MAX_EVENTS_PER_READ) -> list[Event]:
+        """Return up to `limit` events after `revision`, and all of the last one's revision.
+
+        Raises `WatchCompactedError` where some of them were discarded.
+        """
+        if revision < self.compacted_revision:
+            raise WatchCompactedError(self.compacted_revision)
+        start = bisect_right(self.events, revision, key=lambda event: event.revision)
+        found: list[Event] = []
+        for position in range(start, len(self.events)):
+            event = self.events[position]
+            if len(found) >= limit and event.revision != found[-1].revision:
+                break
+            found.append(event)
+        return found
--- a/wheatstile/store/member.py
+++ b/wheatstile/store/member.py
@@ -1,6 +1,6 @@
-"""One member of the store without its sockets: the Raft core, its disk, its state, and who waits for what.
+"""One member of the store without its sockets: Raft, storage, state machine, and the requests that wait.
 
-What comes up within one turn of the loop is carried out together, with one fsync for all (group commit).
+What comes up within one turn of the event loop is processed together, with one fsync for all (group commit).
 """
 
 from __future__ import annotations
@@ -12,296 +12,299 @@
 import zlib
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass
-from pathlib import Path
+from types import TracebackType
+from typing import Self
 
 import msgspec
 import structlog
 
-from wheatstile.store.disk import Disk
-from wheatstile.store.errors import NotLeaderError
-from wheatstile.store.machine import Command, Machine, Result
-from wheatstile.store.protocol import Status
-from wheatstile.store.raft.messages import Entry, EntryKind, Message, Role
+from wheatstile.store.commands import Command, CommandResult
+from wheatstile.store.errors import NotLeaderError, StorageFailedError
+from wheatstile.store.leader_clock import LeaderClock
+from wheatstile.store.member_config import MemberConfig
+from wheatstile.store.proposal_queue import ProposalQueue
+from wheatstile.store.protocol import MemberStatus
+from wheatstile.store.raft.messages import Entry, EntryKind, Message, Ready, Role, Snapshot
 from wheatstile.store.raft.node import RaftNode
+from wheatstile.store.state_machine import StateMachine
+from wheatstile.store.storage import Storage
 
 log = structlog.get_logger()
 
-TICK = 0.05
-"""Seconds a tick lasts: an election time-out is 0.5 to 1 s, a heartbeat goes every 0.1 s."""
-CATCH_UP = 100
-"""Ticks made up for at most after a pause; a leader steps down within them, a follower asks for votes."""
-COMPACT_EVERY = 5_000
-"""Applied entries after which the log is compacted into a snapshot."""
-
-GROUP, GROUP_WAIT = 512, 0.005
-"""Commands that wait at most for those before them to be committed, and seconds."""
-
-
-class DiskFailed(Exception):
-    """What is on the disk is not known any more, so nothing may be said on the strength of it."""
-
-
-class Unknown(Exception):
-    """Whether the command is applied cannot be told any more."""
-
-
-@dataclass(frozen=True)
-class Place:
-    """Who this member is and where it keeps what it knows."""
-
-    name: str
-    voters: frozenset[str]
-    directory: Path
-    cluster: str = "wheatstile"
-    seed: int = 0
-    trace: bool = False  # prints what it does, for checkers over histories
-    compact_every: int = COMPACT_EVERY
+TICK_S = 0.05
+"""Length of a Raft tick: an election time-out is 0.5 to 1 s, a heartbeat goes every 0.1 s."""
+MAX_CATCH_UP_TICKS = 100
+"""Ticks made up for after a pause; a leader steps down within them, a follower starts an election."""
 
 
 class Member:
-    """`send` takes a message for another member, and may drop it."""
-
-    def __init__(self, place: Place, send: Callable[[Message], None]) -> None:
-        self.place, self._send = place, send
-        self.disk = Disk(place.directory, place.cluster, place.name)
-        loaded = self.disk.loaded
-        if loaded.torn_bytes:
-            log.warning("a torn record is cut off", bytes=loaded.torn_bytes)
-        self.machine = Machine.load(loaded.snapshot.data if loaded.snapshot else b"")
-        draw = random.Random(f"{place.seed}:{place.name}").randrange
+    """A running member; `close` releases its files, also at the end of a `with` statement.
+
+    `send` takes a message for another member, and may lose it. Needs a running event loop. Raises
+    `CorruptStorageError`, OSError.
+    """
+
+    def __init__(self, config: MemberConfig, send: Callable[[Message], None]) -> None:
+        self.config = config
+        self._send = send
+        self._loop = asyncio.get_running_loop()
+        self.storage = Storage(config.directory, config.cluster, config.name)
+        recovered = self.storage.recovered
+        if recovered.torn_bytes:
+            log.warning("store_torn_record_truncated", truncated_bytes=recovered.torn_bytes)
+        self.state_machine = StateMachine.load(recovered.snapshot.data if recovered.snapshot else b"")
         self.node = RaftNode(
-            place.name,
-            place.voters,
-            draw,
-            hard_state=loaded.hard_state,
-            snapshot=loaded.snapshot,
-            entries=loaded.entries,
-            ticks=self._now(),
+            config.name,
+            config.voters,
+            random.Random(f"{config.seed}:{config.name}").randrange,
+            hard_state=recovered.hard_state,
+            snapshot=recovered.snapshot,
+            entries=recovered.entries,
+            ticks=self._now_ticks(),
         )
-        self.loop = asyncio.get_running_loop()
-        self.failed: asyncio.Future[None] = self.loop.create_future()
-        self.applied_one = asyncio.Event()  # of the next application, and then replaced
-        self._writes: dict[int, tuple[int, asyncio.Future[Result]]] = {}  # index -> (term, who waits)
-        self._queue: list[tuple[float, Command, asyncio.Future[Result]]] = []
-        self._proposed = 0  # the index of the last command taken from the queue
-        self._reads: dict[int, asyncio.Future[int]] = {}
-        # A read's number: not one of an earlier life of this member, whose answer may still come.
-        self._numbers = itertools.count(time.monotonic_ns())
-        self._kicked = False
-        self._leading = 0  # the term in which this member's commands are stamped
-        self._clock: tuple[int, int] = (0, 0)  # the committed clock when this term's began, and ours then
-        self._said = Role.FOLLOWER
+        self.failed: asyncio.Future[None] = self._loop.create_future()
+        """Ends with `StorageFailedError`."""
+        self.next_application = asyncio.Event()
+        """Set when something is applied next, and then replaced by a new event."""
+        self._leader_clock = LeaderClock()
+        self._proposals = ProposalQueue(self.node, self.clock_ms)
+        self._reads: dict[int, asyncio.Future[int]] = {}  # request identifier -> its read index
+        # An answer to a read of this member's previous incarnation may still arrive: no identifier repeats.
+        self._request_ids = itertools.count(time.monotonic_ns())
+        self._is_flush_scheduled = False
+        self._last_logged_role = Role.FOLLOWER
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """Close the files."""
+        self.storage.close()
 
     @staticmethod
-    def _now() -> int:
-        return int(time.monotonic() / TICK)
+    def _now_ticks() -> int:
+        return int(time.monotonic() / TICK_S)
 
-    # -- time -----------------------------------------------------------------------------------------------
+    async def run(self) -> None:
+        """Keep time until the storage fails. Raises `StorageFailedError`."""
+        while not self.failed.done():
+            self.catch_up()
+            self._propose_expiration()
+            self.schedule_flush()
+            await asyncio.wait([self.failed], timeout=TICK_S)
+        self.failed.result()
 
     def catch_up(self) -> None:
-        """Brings the core's ticks up to the clock: a process that was stopped has been away as long."""
-        now = self._now()
-        due = now - self.node.ticks
-        if due > CATCH_UP:
-            log.warning("a pause", seconds=round(due * TICK, 2))
-            self.node.skip_ticks(due - CATCH_UP)
+        """Bring Raft's clock up to the monotonic clock, also after the process was stopped for a while."""
+        now = self._now_ticks()
+        missed_ticks = now - self.node.ticks
+        if missed_ticks > MAX_CATCH_UP_TICKS:
+            log.warning("store_process_paused", paused_s=round(missed_ticks * TICK_S, 2))
+            self.node.skip_ticks(missed_ticks - MAX_CATCH_UP_TICKS)
         while self.node.ticks < now:
             self.node.tick()
 
-    async def run(self) -> None:
-        """Keeps time until the disk fails. Raises `DiskFailed`."""
-        while not self.failed.done():
-            self.catch_up()
-            self._end_keys()
-            self.kick()
-            await asyncio.wait([self.failed], timeout=TICK)
-        self.failed.result()
+    @property
+    def applied_index(self) -> int:
+        """The index of the last applied entry, which is the store's revision on this member."""
+        return self.node.log.applied_index
+
+    @property
+    def commit_age_ms(self) -> int:
+        """By how much, at the most, a read that asks no other member may be behind."""
+        self.catch_up()
+        return (self.node.commit_age_ticks + 1) * int(TICK_S * 1000)
 
     def clock_ms(self) -> int:
-        """The committed clock as this leader runs it; it stands while nobody leads."""
-        base, since = self._clock
-        if self._leading != self.node.term or self.node.role is not Role.LEADER:
-            return self.machine.now_ms
-        return max(self.machine.now_ms, base + (time.monotonic_ns() - since) // 1_000_000)
-
-    def _end_keys(self) -> None:
-        """Has the log carry the clock on where a key's time is up and nobody writes."""
-        end = self.machine.next_end()
-        if end is not None and self._leading == self.node.term and end <= self.clock_ms():
-            with suppress(NotLeaderError):
-                self.node.propose(msgspec.msgpack.encode(Command(now_ms=self.clock_ms())))
+        """Return the committed clock, as this member runs it on while it leads."""
+        committed_ms = self.state_machine.clock_ms
+        if self._leader_clock.term != self.node.term or self.node.role is not Role.LEADER:
+            return committed_ms
+        return self._leader_clock.now_ms(committed_ms)
+
+    def status(self) -> MemberStatus:
+        """Return what this member reports of itself."""
+        raft_log = self.node.log
+        configuration = self.node.configuration
+        return MemberStatus(
+            name=self.config.name,
+            role=self.node.role,
+            leader=self.node.leader or "",
+            term=self.node.term,
+            commit_index=raft_log.commit_index,
+            applied_index=raft_log.applied_index,
+            snapshot_index=raft_log.snapshot.index,
+            voters=sorted(configuration.voters),
+            learners=sorted(configuration.learners),
+            is_changing_members=bool(configuration.outgoing_voters),
+            commit_age_ms=self.commit_age_ms,
+            clock_ms=self.clock_ms(),
+            key_count=len(self.state_machine.keys),
+            fsync_count=self.storage.fsync_count,
+            cluster=self.config.cluster,
+        )
 
-    # -- what is asked of it --------------------------------------------------------------------------------
+    async def write(self, command: Command) -> CommandResult:
+        """Return the command's result once it is committed and applied on this member.
 
-    async def write(self, command: Command) -> Result:
-        """The command's result once it is committed and applied here. Raises `NotLeader`, `Unknown`."""
+        Raises `NotLeaderError`, `OutcomeUnknownError`.
+        """
         self.catch_up()
         if self.node.role is not Role.LEADER:
             raise NotLeaderError(self.node.leader)
-        future: asyncio.Future[Result] = self.loop.create_future()
-        self._queue.append((self.loop.time(), command, future))
-        self.kick()
-        return await future
-
-    def _propose_queued(self) -> None:
-        """Takes what waits into the log, all at once, when what was taken before is committed: the more there
-        is to do, the more goes by one fsync. Nothing waits longer than `GROUP_WAIT` and a tick."""
-        if not self._queue or (
-            self.node.log.commit_index < self._proposed
-            and len(self._queue) < GROUP
-            and self.loop.time() - self._queue[0][0] < GROUP_WAIT
-        ):
-            return
-        queue, self._queue = self._queue, []
-        for _, command, future in queue:
-            if future.done():
-                continue  # its client's time is up, and nothing has been done
-            try:
-                stamped = msgspec.structs.replace(command, now_ms=self.clock_ms())
-                self._proposed = self.node.propose(msgspec.msgpack.encode(stamped))
-                self._writes[self._proposed] = (self.node.term, future)
-            except NotLeaderError as error:
-                future.set_exception(error)
-
-    async def current(self) -> None:
-        """Returns once what is applied here holds all that was committed before the call. Raises `NotLeader`
-        where nobody leads; without a quorum it does not return."""
+        result = self._proposals.submit(command)
+        self.schedule_flush()
+        return await result
+
+    async def wait_until_current(self) -> None:
+        """Return once all that was committed before the call is applied on this member (read index).
+
+        Raises `NotLeaderError` where nobody leads; without a quorum it does not return.
+        """
         self.catch_up()
-        number = next(self._numbers)
-        future: asyncio.Future[int] = self.loop.create_future()
-        self._reads[number] = future
+        request_id = next(self._request_ids)
+        read: asyncio.Future[int] = self._loop.create_future()
+        self._reads[request_id] = read
         try:
-            self.node.read(number)
-            self.kick()
-            index = await future
+            self.node.read(request_id)
+            self.schedule_flush()
+            index = await read
         finally:
-            del self._reads[number]
-            self.node.cancel_read(number)
-        while self.node.log.applied_index < index:
-            await self.applied_one.wait()
-
-    @property
-    def age_ms(self) -> int:
-        """By how much, at the most, a read without asking anybody may be behind."""
-        self.catch_up()
-        return (self.node.commit_age_ticks + 1) * int(TICK * 1000)
-
-    def status(self) -> Status:
-        node = self.node
-        return Status(
-            node.name,
-            node.role.value,
-            node.leader or "",
-            node.term,
-            node.log.commit_index,
-            node.log.applied_index,
-            node.log.snapshot.index,
-            sorted(node.configuration.voters),
-            sorted(node.configuration.learners),
-            bool(node.configuration.outgoing_voters),
-            self.age_ms,
-            self.clock_ms(),
-            len(self.machine.keys),
-            self.disk.syncs,
-            self.place.cluster,
-        )
-
-    def step(self, msg: Message) -> None:
+            del self._reads[request_id]
+            self.node.cancel_read(request_id)
+        while self.applied_index < index:
+            await self.next_application.wait()
+
+    async def change_members(self, voters: list[str], learners: list[str]) -> None:
+        """Return once these are the members. Raises `NotLeaderError`, `MembershipChangeRejectedError`."""
+        index = self.node.change_members(voters, learners)
+        self.schedule_flush()
+        while self.applied_index < index or self.node.configuration.outgoing_voters:
+            await self.next_application.wait()
+
+    def transfer_leadership(self, target: str) -> None:
+        """Begin to hand leadership to `target`. Raises `NotLeaderError`, `MembershipChangeRejectedError`."""
+        self.node.transfer_leadership(target)
+        self.schedule_flush()
+
+    def on_message(self, message: Message) -> None:
+        """Handle a message from another member."""
         self.catch_up()
-        self.node.step(msg)
-        self.kick()
+        self.node.step(message)
+        self.schedule_flush()
 
-    # -- carrying out ---------------------------------------------------------------------------------------
+    def _propose_expiration(self) -> None:
+        """Carry the committed clock on where a key expires and nobody writes."""
+        expires_at_ms = self.state_machine.next_expiration_ms()
+        if expires_at_ms is None or self._leader_clock.term != self.node.term:
+            return
+        now_ms = self.clock_ms()
+        if expires_at_ms <= now_ms:
+            with suppress(NotLeaderError):
+                self.node.propose(msgspec.msgpack.encode(Command(clock_ms=now_ms)))
 
-    def kick(self) -> None:
-        if not self._kicked and not self.failed.done():
-            self._kicked = True
-            self.loop.call_soon(self._carry_out)
+    def schedule_flush(self) -> None:
+        """Process Raft's `Ready` in the next turn of the event loop."""
+        if not self._is_flush_scheduled and not self.failed.done():
+            self._is_flush_scheduled = True
+            self._loop.call_soon(self._flush)
 
-    def _carry_out(self) -> None:
-        """One Ready, in the order that raft.py asks: persist, send, apply, answer reads."""
-        self._kicked = False
+    def _flush(self) -> None:
+        """Process one `Ready` in the order of its fields: persist, send, apply, answer reads."""
+        self._is_flush_scheduled = False
         if self.failed.done():
             return
-        self._propose_queued()
+        self._proposals.propose_due()
         ready = self.node.ready()
         if ready.is_empty():
             return
         try:
-            if ready.snapshot is not None:
-                self.disk.compact(ready.snapshot, self.node.hard_state, list(self.node.log.entries))
-            else:
-                self.disk.save(ready.hard_state, ready.entries)
+            self._persist(ready)
         except OSError as error:
             self._fail(error)
             return
         if ready.snapshot is not None:
-            self.machine = Machine.load(ready.snapshot.data)
-            self._trace(f"snapshot {ready.snapshot.index}")
-            for index in [i for i in self._writes if i <= ready.snapshot.index]:
-                self._settle(index, None)
-        for msg in ready.messages:
-            self._send(msg)
+            self._install_snapshot(ready.snapshot)
+        for message in ready.messages:
+            self._send(message)
         for entry in ready.committed_entries:
             self._apply(entry)
-        for read in ready.read_states:
-            if waiting := self._waiting(read.request_id):
-                waiting.set_result(read.index)
-        for number in ready.rejected_reads:
-            if waiting := self._waiting(number):
-                waiting.set_exception(NotLeaderError(self.node.leader))
+        self._answer_reads(ready)
         if ready.committed_entries or ready.snapshot:
-            event, self.applied_one = self.applied_one, asyncio.Event()
-            event.set()
-        if self.node.role is not self._said:
-            self._said = self.node.role
-            log.info("role", role=self._said.value, term=self.node.term, leader=self.node.leader)
-            if self._said is Role.LEADER:
-                self._trace(f"leader {self.node.term}")
-        if self.node.log.applied_index - self.node.log.snapshot.index >= self.place.compact_every:
+            self._announce_application()
+        self._log_role_change()
+        if self.applied_index - self.node.log.snapshot.index >= self.config.compact_every:
             self._compact()
 
-    def _waiting(self, number: int) -> asyncio.Future[int] | None:
-        """The read of this number, unless its client has left."""
-        future = self._reads.get(number)
-        return None if future is None or future.done() else future
+    def _persist(self, ready: Ready) -> None:
+        if ready.snapshot is None:
+            self.storage.append(ready.hard_state, ready.entries)
+        else:
+            entries = list(self.node.log.entries)
+            self.storage.save_snapshot(ready.snapshot, self.node.hard_state, entries)
+
+    def _install_snapshot(self, snapshot: Snapshot) -> None:
+        self.state_machine = StateMachine.load(snapshot.data)
+        self._trace(f"snapshot {snapshot.index}")
+        self._proposals.on_snapshot_installed(snapshot.index)
+
+    def _apply(self, entry: Entry) -> None:
+        result = CommandResult(True, entry.index)
+        if entry.kind is EntryKind.DATA:
+            command = msgspec.msgpack.decode(entry.data, type=Command)
+            result = self.state_machine.apply(entry.index, command)
+        elif self._is_first_entry_as_leader(entry):
+            self._leader_clock.start(entry.term, self.state_machine.clock_ms)
+        self._trace(f"applied {entry.index} {entry.term} {zlib.crc32(entry.data):08x} {int(result.ok)}")
+        self._proposals.on_applied(entry, result)
+
+    def _is_first_entry_as_leader(self, entry: Entry) -> bool:
+        is_leader = entry.term == self.node.term and self.node.role is Role.LEADER
+        return is_leader and self._leader_clock.term != entry.term
+
+    def _answer_reads(self, ready: Ready) -> None:
+        for read_state in ready.read_states:
+            if read := self._unfinished_read(read_state.request_id):
+                read.set_result(read_state.index)
+        for request_id in ready.rejected_reads:
+            if read := self._unfinished_read(request_id):
+                read.set_exception(NotLeaderError(self.node.leader))
+
+    def _unfinished_read(self, request_id: int) -> asyncio.Future[int] | None:
+        """Return the read that waits under this identifier, unless its client has given up."""
+        read = self._reads.get(request_id)
+        return None if read is None or read.done() else read
+
+    def _announce_application(self) -> None:
+        event = self.next_application
+        self.next_application = asyncio.Event()
+        event.set()
+
+    def _log_role_change(self) -> None:
+        role = self.node.role
+        if role is self._last_logged_role:
+            return
+        self._last_logged_role = role
+        log.info("store_role_changed", role=role.value, term=self.node.term, leader=self.node.leader)
+        if role is Role.LEADER:
+            self._trace(f"leader {self.node.term}")
 
     def _compact(self) -> None:
-        self.node.compact(self.machine.dump())
+        self.node.compact(self.state_machine.dump())
+        raft_log = self.node.log
         try:
-            self.disk.compact(self.node.log.snapshot, self.node.hard_state, list(self.node.log.entries))
+            self.storage.save_snapshot(raft_log.snapshot, self.node.hard_state, list(raft_log.entries))
         except OSError as error:
             self._fail(error)
 
     def _fail(self, error: OSError) -> None:
-        self.failed.set_exception(DiskFailed(f"{self.place.directory}: {error}"))
-
-    def _apply(self, entry: Entry) -> None:
-        result = Result(True, entry.index)
-        if entry.kind is EntryKind.DATA:
-            result = self.machine.apply(entry.index, msgspec.msgpack.decode(entry.data, type=Command))
-        elif entry.term == self.node.term and self.node.role is Role.LEADER and self._leading != entry.term:
-            # Our first entry: all stamps of earlier leaders are known now, and the clock runs on from there.
-            self._leading = entry.term
-            self._clock = (self.machine.now_ms, time.monotonic_ns())
-        self._trace(f"applied {entry.index} {entry.term} {zlib.crc32(entry.data):08x} {int(result.ok)}")
-        self._settle(entry.index, result, entry.term)
-
-    def _settle(self, index: int, result: Result | None, term: int = -1) -> None:
-        proposed, future = self._writes.pop(index, (0, None))
-        if future is None or future.done():
-            return
-        if result is None:
-            future.set_exception(Unknown("covered by a snapshot"))
-        elif proposed != term:
-            future.set_exception(NotLeaderError(self.node.leader))  # another leader's entry took its place
-        else:
-            future.set_result(result)
+        self.failed.set_exception(StorageFailedError(str(self.config.directory), error))
 
     def _trace(self, line: str) -> None:
-        if self.place.trace:
+        if self.config.trace:
             print(line, flush=True)
-
-    def close(self) -> None:
-        self.disk.close()
--- /dev/null
+++ b/wheatstile/store/peer_transport.py
@@ -0,0 +1,124 @@
+"""Messages between members over TCP: one connection for each direction of each pair."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable, Mapping
+
+import structlog
+
+from wheatstile.store.errors import ProtocolError
+from wheatstile.store.framing import FrameReader, connect, encode_frame
+from wheatstile.store.member_config import MemberConfig
+from wheatstile.store.protocol import PeerHandshake
+from wheatstile.store.raft.messages import Message, MessageKind
+
+log = structlog.get_logger()
+
+MAX_OUTBOX_MESSAGES = 256
+"""Messages waiting for one peer at most; the oldest is discarded, which Raft bears as loss."""
+RECONNECT_DELAY_S = 0.1
+"""Time before a lost peer is connected to again."""
+ADDRESS_KEY_PREFIX = "_members"
+"""Members that were added later have the key `_members/NAME`, whose value begins with the port for peers."""
+
+
+class PeerTransport:
+    """Sends messages to peers, and receives theirs.
+
+    `ports` are the peers' known loopback ports; `stored_address` returns the value of a peer's address key,
+    for those that are not among them.
+    """
+
+    def __init__(
+        self,
+        config: MemberConfig,
+        ports: Mapping[str, int],
+        stored_address: Callable[[str], bytes | None],
+    ) -> None:
+        self._config = config
+        self._ports = ports
+        self._stored_address = stored_address
+        self._outboxes: dict[str, asyncio.Queue[Message]] = {}
+        self._new_peers: asyncio.Queue[str] = asyncio.Queue()
+
+    async def run(self) -> None:
+        """Send what is queued, until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            while True:
+                peer = await self._new_peers.get()
+                tasks.create_task(self._send_queued(peer))
+
+    def send(self, message: Message) -> None:
+        """Queue a message for its recipient."""
+        peer = message.recipient
+        if peer not in self._outboxes:
+            self._outboxes[peer] = asyncio.Queue(MAX_OUTBOX_MESSAGES)
+            self._new_peers.put_nowait(peer)
+        outbox = self._outboxes[peer]
+        if outbox.full():
+            outbox.get_nowait()
+        outbox.put_nowait(message)
+
+    def _port_of(self, peer: str) -> int | None:
+        if peer in self._ports:
+            return self._ports[peer]
+        fields = (self._stored_address(f"{ADDRESS_KEY_PREFIX}/{peer}") or b"").split()
+        return int(fields[0]) if fields and fields[0].isdigit() else None
+
+    async def _send_queued(self, peer: str) -> None:
+        """Connect to `peer` whenever there is something to send, and send until the connection is lost."""
+        outbox = self._outboxes[peer]
+        while True:
+            message = await outbox.get()
+            port = self._port_of(peer)
+            if port is None:
+                continue
+            try:
+                with await connect(port) as sock:
+                    await self._send_over(sock, peer, message)
+            except OSError:  # what was on the way may be lost
+                await asyncio.sleep(RECONNECT_DELAY_S)
+
+    async def _send_over(self, sock: socket.socket, peer: str, message: Message) -> None:
+        """Send `message` and all that follows it in the peer's outbox, until an OSError."""
+        loop = asyncio.get_running_loop()
+        outbox = self._outboxes[peer]
+        handshake = PeerHandshake(self._config.cluster, self._config.name, peer)
+        await loop.sock_sendall(sock, encode_frame(handshake))
+        while True:
+            frames = [encode_frame(message)]
+            while not outbox.empty():
+                frames.append(encode_frame(outbox.get_nowait()))
+            await loop.sock_sendall(sock, b"".join(frames))
+            message = await outbox.get()
+
+    async def receive(self, sock: socket.socket, on_message: Callable[[Message], None]) -> None:
+        """Pass a peer's messages on until the connection ends.
+
+        Raises `ProtocolError`, `msgspec.DecodeError`, OSError.
+        """
+        frames = FrameReader(sock)
+        handshake = await frames.read(PeerHandshake)
+        if handshake is None or not self._accepts(handshake):
+            return
+        while (message := await frames.read(Message)) is not None:
+            if (message.sender, message.recipient) != (handshake.name, self._config.name):
+                route = f"from {message.sender} to {message.recipient}"
+                raise ProtocolError(f"a message {route} on the connection of {handshake.name}")
+            if message.kind is MessageKind.SNAPSHOT and message.snapshot is None:
+                raise ProtocolError("a snapshot message without a snapshot")
+            on_message(message)
+
+    def _accepts(self, handshake: PeerHandshake) -> bool:
+        """Whether the peer is of this cluster and means this member."""
+        if (handshake.cluster, handshake.recipient) == (self._config.cluster, self._config.name):
+            return True
+        log.warning(
+            "store_peer_rejected",
+            name=handshake.name,
+            cluster=handshake.cluster,
+            recipient=handshake.recipient,
+        )
+        return False
--- a/wheatstile/store/protocol.py
+++ b/wheatstile/store/protocol.py
@@ -1,130 +1,122 @@
-"""What goes over the store's connections: frames of a 4-byte big-endian length and a MessagePack body.
+"""Messages on the store's connections; each is a MessagePack map in a frame (`framing`).
 
-A member sends another `Hello` and then `messages.Message`s, one way. A client sends `Request`s and gets one
-`Reply` for each, in order; a watch's replies go on until either side ends the connection, a backup's until
-nothing is left.
+A member sends a `PeerHandshake` and then `raft.messages.Message`s to another, one way. A client sends
+`Request`s and gets one `Reply` for each, in order; a watch's replies go on until either side ends the
+connection, a backup's until no bytes remain. Fields whose key on the wire differs give it with
+`msgspec.field(name=...)`.
 """
 
 from __future__ import annotations
 
-import asyncio
-import socket
-import struct
-from typing import Literal, TypeVar
+import enum
 
 import msgspec
 
-from wheatstile.store.machine import Command, Event, Result
+from wheatstile.store.commands import Command, CommandResult
+from wheatstile.store.event_history import ChangeKind, Event
+from wheatstile.store.raft.messages import Role
 
-T = TypeVar("T")
-LENGTH = struct.Struct(">I")
-MAX_FRAME = 16 * 1024 * 1024
-"""Bytes of one frame at most: a batch of entries, each a command of at most `MAX_REQUEST`."""
-MAX_REQUEST = 4 * 1024 * 1024
-"""Bytes of a client's frame."""
-CHUNK = 256 * 1024
-"""Bytes read at once."""
+LINEARIZABLE = -1
+"""As `Request.max_staleness_ms`: the read has to see every write acknowledged before it."""
+DEFAULT_TIMEOUT_MS = 2000
 
 
-class Hello(msgspec.Struct, frozen=True):
+class RequestKind(enum.StrEnum):
+    """What a client asks for; the values are those on the wire."""
+
+    WRITE = "write"
+    GET = "get"
+    LIST = "list"
+    HISTORY = "history"
+    WATCH = "watch"
+    STATUS = "status"
+    CHANGE_MEMBERS = "members"
+    TRANSFER_LEADERSHIP = "transfer"
+    BACKUP = "backup"
+
+
+class ErrorCode(enum.StrEnum):
+    """Why a request was not carried out; the values are those on the wire."""
+
+    NONE = ""
+    NOT_LEADER = "not-leader"  # `Reply.leader` may name the leader
+    OUTCOME_UNKNOWN = "unknown"  # a write may yet be applied
+    REJECTED = "refused"  # the membership change or transfer is not possible now
+    STALE = "stale"  # this member may be further behind than the read allows
+    WATCH_COMPACTED = "behind"  # events after the watch's revision were discarded
+    INVALID = "bad"
+
+
+class PeerHandshake(msgspec.Struct, frozen=True):
+    """The first frame from one member to another, with the names of both and of the cluster."""
+
     cluster: str
     name: str
-    to: str
+    recipient: str = msgspec.field(name="to")
 
 
 class Request(msgspec.Struct, frozen=True):
-    """`within_ms` bounds the answer. A read is linearizable, unless `stale_ms` says how old it may be."""
+    """A client's request.
+
+    `key` is a key, a pattern or a member's name, by `kind`. A watch gives events after `after_revision`. A
+    read may be behind by `max_staleness_ms`. The member answers within `timeout_ms`.
+    """
 
-    op: Literal["write", "get", "list", "history", "watch", "status", "members", "transfer", "backup"]
+    kind: RequestKind = msgspec.field(name="op")
     command: Command | None = None
-    key: str = ""  # or a pattern, or a member's name
-    after: int = 0  # a watch: events after this revision
-    stale_ms: int = -1
-    within_ms: int = 2000
+    key: str = ""
+    after_revision: int = msgspec.field(default=0, name="after")
+    max_staleness_ms: int = msgspec.field(default=LINEARIZABLE, name="stale_ms")
+    timeout_ms: int = msgspec.field(default=DEFAULT_TIMEOUT_MS, name="within_ms")
     voters: list[str] = []
     learners: list[str] = []
 
 
-class Found(msgspec.Struct, frozen=True, array_like=True):
+class KeyVersion(msgspec.Struct, frozen=True, array_like=True):
+    """One version of a key."""
+
     key: str
     revision: int
-    op: str
+    change: ChangeKind
     value: bytes
-    at_ms: int = 0
+    written_at_ms: int = 0
+
 
+class MemberStatus(msgspec.Struct, frozen=True):
+    """What a member reports of itself; the keys on the wire are those that `store status --json` prints."""
 
-class Status(msgspec.Struct, frozen=True):
     name: str
-    role: str
+    role: Role
     leader: str
     term: int
-    commit: int
-    applied: int
-    snapshot: int
+    commit_index: int = msgspec.field(name="commit")
+    applied_index: int = msgspec.field(name="applied")
+    snapshot_index: int = msgspec.field(name="snapshot")
     voters: list[str]
     learners: list[str]
-    changing: bool
-    age_ms: int
+    is_changing_members: bool = msgspec.field(name="changing")
+    commit_age_ms: int = msgspec.field(name="age_ms")
     clock_ms: int
-    keys: int
-    syncs: int
+    key_count: int = msgspec.field(name="keys")
+    fsync_count: int = msgspec.field(name="syncs")
     cluster: str
 
 
 class Reply(msgspec.Struct, frozen=True):
-    """`error`: not-leader (`leader` may name it), unknown (it may yet be applied), refused, stale, behind,
-    bad; empty where the request was done. `revision` is that as of which a read is answered."""
+    """The answer to a request; `error` is `ErrorCode.NONE` where the request was carried out."""
 
-    error: str = ""
+    error: ErrorCode = ErrorCode.NONE
     reason: str = ""
     leader: str = ""
-    result: Result | None = None
-    found: list[Found] = []
+    result: CommandResult | None = None
+    versions: list[KeyVersion] = msgspec.field(default_factory=list, name="found")
     events: list[Event] = []
     revision: int = 0
-    age_ms: int = 0
-    status: Status | None = None
-    data: bytes = b""  # a piece of a backup, `left` bytes of which are still to come
-    left: int = 0
-
-
-def frame(value: object) -> bytes:
-    body = msgspec.msgpack.encode(value)
-    return LENGTH.pack(len(body)) + body
-
-
-class Frames:
-    """The frames that come on a connection; many of them with one read, where they came together."""
-
-    def __init__(self, sock: socket.socket, most: int = MAX_FRAME) -> None:
-        self.sock, self._most, self._rest = sock, most, bytearray()
-        self._loop = asyncio.get_running_loop()
-
-    async def next(self, kind: type[T]) -> T | None:
-        """One frame as a `kind`; None at the end of the stream. Raises ValueError (too large, no `kind`)."""
-        while True:
-            if len(self._rest) >= LENGTH.size:
-                (length,) = LENGTH.unpack_from(self._rest)
-                if length > self._most:
-                    raise ValueError(f"a frame of {length} bytes, {self._most} at most")
-                end = LENGTH.size + length
-                if len(self._rest) >= end:
-                    body = bytes(memoryview(self._rest)[LENGTH.size : end])
-                    del self._rest[:end]
-                    return msgspec.msgpack.decode(body, type=kind)
-            if not (data := await self._loop.sock_recv(self.sock, CHUNK)):
-                return None
-            self._rest += data
-
-
-async def connect(address: tuple[str, int]) -> socket.socket:
-    """A connection, to be closed by the caller. Raises OSError."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        await asyncio.get_running_loop().sock_connect(sock, address)
-    except BaseException:
-        sock.close()
-        raise
-    return sock
+    """The revision as of which a read is answered, or up to which a watch has come."""
+    commit_age_ms: int = msgspec.field(default=0, name="age_ms")
+    """By how much the answer may be behind."""
+    status: MemberStatus | None = None
+    chunk: bytes = msgspec.field(default=b"", name="data")
+    """A part of a backup."""
+    remaining_bytes: int = msgspec.field(default=0, name="left")
+    """Bytes of the backup that follow in further replies."""
