--- a/tests/store/test_raft_membership.py
+++ b/tests/store/test_raft_membership.py
@@ -18,9 +18,9 @@
     leader.change_members("cde")
     with pytest.raises(MembershipChangeRejectedError, match="under way"):
         leader.change_members("abc")
-    assert leader.configuration.outgoing_voters == frozenset("abc")
+    assert leader.log.configuration.outgoing_voters == frozenset("abc")
     for _ in range(200):
         cluster.step()
     leaders = [node for node in cluster.leaders() if node.name in "cde"]
     assert leaders, "no new voter leads"
-    assert leaders[0].configuration == Configuration(frozenset("cde")), "the change did not end"
+    assert leaders[0].log.configuration == Configuration(frozenset("cde")), "the change did not end"
--- a/tests/store/test_raft_node.py
+++ b/tests/store/test_raft_node.py
@@ -17,7 +17,7 @@
 def check_all_members_caught_up(cluster: SimulatedCluster, seed: int) -> None:
     newest = max(cluster.leaders(), key=lambda node: node.term, default=None)
     assert newest, f"seed {seed}: nobody leads after healing"
-    for name in newest.configuration.members - cluster.crashed:
+    for name in newest.log.configuration.members - cluster.crashed:
         behind = newest.log.commit_index - cluster.nodes[name].log.commit_index
         assert behind < 100, f"seed {seed}: {name} is {behind} behind after healing"
 
--- /dev/null
+++ b/wheatstile/store/applied_state.py
@@ -0,0 +1,80 @@
+"""The state machine of one member, as far as the log is applied, with the store's clock."""
+
+from __future__ import annotations
+
+import asyncio
+import zlib
+from collections.abc import Callable
+
+import msgspec
+
+from wheatstile.store.commands import Command, CommandResult
+from wheatstile.store.leader_clock import LeaderClock
+from wheatstile.store.raft.messages import Entry, EntryKind, Role, Snapshot
+from wheatstile.store.raft.node import RaftNode
+from wheatstile.store.state_machine import StateMachine
+
+
+class AppliedState:
+    """Applies the node's committed entries, beginning with the state in `snapshot`, if there is one.
+
+    `trace` takes a line for each snapshot and each entry.
+    """
+
+    def __init__(self, node: RaftNode, snapshot: Snapshot | None, trace: Callable[[str], None]) -> None:
+        self._node = node
+        self._trace = trace
+        self._leader_clock = LeaderClock()
+        self.state_machine = StateMachine.load(snapshot.data if snapshot else b"")
+        self.next_application = asyncio.Event()
+        """Set when something is applied next, and then replaced by a new event."""
+
+    @property
+    def index(self) -> int:
+        """The index of the last applied entry, which is the store's revision on this member."""
+        return self._node.log.applied_index
+
+    async def wait_for(self, index: int) -> None:
+        """Return once the entry at `index` is applied."""
+        while self.index < index:
+            await self.next_application.wait()
+
+    def clock_ms(self) -> int:
+        """Return the committed clock, as this member runs it on while it leads."""
+        committed_ms = self.state_machine.clock_ms
+        if self._leader_clock.term != self._node.term or self._node.role is not Role.LEADER:
+            return committed_ms
+        return self._leader_clock.now_ms(committed_ms)
+
+    def is_expiration_due(self) -> bool:
+        """Whether a key has expired by this leader's clock and not yet by the committed one."""
+        expires_at_ms = self.state_machine.next_expiration_ms()
+        if expires_at_ms is None or self._leader_clock.term != self._node.term:
+            return False
+        return expires_at_ms <= self.clock_ms()
+
+    def install(self, snapshot: Snapshot) -> None:
+        """Replace the state by that of a snapshot."""
+        self.state_machine = StateMachine.load(snapshot.data)
+        self._trace(f"snapshot {snapshot.index}")
+
+    def apply(self, entry: Entry) -> CommandResult:
+        """Apply a committed entry."""
+        result = CommandResult(True, entry.index)
+        if entry.kind is EntryKind.DATA:
+            command = msgspec.msgpack.decode(entry.data, type=Command)
+            result = self.state_machine.apply(entry.index, command)
+        elif self._is_first_entry_as_leader(entry):
+            self._leader_clock.start(entry.term, self.state_machine.clock_ms)
+        self._trace(f"applied {entry.index} {entry.term} {zlib.crc32(entry.data):08x} {int(result.ok)}")
+        return result
+
+    def _is_first_entry_as_leader(self, entry: Entry) -> bool:
+        is_leader = entry.term == self._node.term and self._node.role is Role.LEADER
+        return is_leader and self._leader_clock.term != entry.term
+
+    def announce_application(self) -> None:
+        """Wake all that wait for something to be applied."""
+        event = self.next_application
+        self.next_application = asyncio.Event()
+        event.set()
--- a/wheatstile/store/client_service.py
+++ b/wheatstile/store/client_service.py
@@ -128,11 +128,11 @@
         versions = self._find_versions(request)
         if len(versions) > MAX_LISTED_KEYS:
             return Reply(ErrorCode.INVALID, f"over {MAX_LISTED_KEYS} keys match {request.key}")
-        return Reply(versions=versions, revision=member.applied_index, commit_age_ms=member.commit_age_ms)
+        return Reply(versions=versions, revision=member.applied.index, commit_age_ms=member.commit_age_ms)
 
     def _find_versions(self, request: Request) -> list[KeyVersion]:
         """Return what a read asks for; one more than may be listed where there are too many keys."""
-        state_machine = self._member.state_machine
+        state_machine = self._member.applied.state_machine
         found: list[tuple[str, Version]] = []
         match request.kind:
             case RequestKind.GET:
@@ -153,8 +153,8 @@
 
     async def _send_backup(self, sock: socket.socket) -> None:
         """Send the complete state as it is now, in chunks."""
-        data = self._member.state_machine.dump()
-        revision = self._member.applied_index
+        data = self._member.applied.state_machine.dump()
+        revision = self._member.applied.index
         for start in range(0, len(data), BACKUP_CHUNK_BYTES):
             chunk = data[start : start + BACKUP_CHUNK_BYTES]
             remaining_bytes = len(data) - start - len(chunk)
--- a/wheatstile/store/framing.py
+++ b/wheatstile/store/framing.py
@@ -11,7 +11,7 @@
 
 from wheatstile.store.errors import FrameTooLargeError
 
-T = TypeVar("T")
+Decoded = TypeVar("Decoded")
 
 LOOPBACK = "127.0.0.1"
 LENGTH_PREFIX = struct.Struct(">I")
@@ -38,7 +38,7 @@
         self._buffer = bytearray()
         self._loop = asyncio.get_running_loop()
 
-    async def read(self, kind: type[T]) -> T | None:
+    async def read(self, kind: type[Decoded]) -> Decoded | None:
         """Return the next frame as a `kind`; None at the end of the stream.
 
         Raises `FrameTooLargeError`, `msgspec.DecodeError` where the body is no `kind`, OSError.
--- /dev/null
+++ b/wheatstile/store/pending_reads.py
@@ -0,0 +1,53 @@
+"""Linearizable reads of one member that wait for their read index."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import time
+from collections.abc import Callable
+
+from wheatstile.store.errors import NotLeaderError
+from wheatstile.store.raft.messages import Ready
+from wheatstile.store.raft.node import RaftNode
+
+
+class PendingReads:
+    """Reads by request identifier; `schedule_flush` has the node's `Ready` processed soon."""
+
+    def __init__(self, node: RaftNode, schedule_flush: Callable[[], None]) -> None:
+        self._node = node
+        self._schedule_flush = schedule_flush
+        self._reads: dict[int, asyncio.Future[int]] = {}
+        # An answer to a read of this member's previous incarnation may still arrive: no identifier repeats.
+        self._request_ids = itertools.count(time.monotonic_ns())
+
+    async def read_index(self) -> int:
+        """Return the index that has to be applied before a read that begins now is answered.
+
+        Raises `NotLeaderError` where nobody leads; without a quorum it does not return.
+        """
+        request_id = next(self._request_ids)
+        read: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+        self._reads[request_id] = read
+        try:
+            self._node.read(request_id)
+            self._schedule_flush()
+            return await read
+        finally:
+            del self._reads[request_id]
+            self._node.cancel_read(request_id)
+
+    def on_ready(self, ready: Ready) -> None:
+        """Resolve the reads that `ready` answers or rejects."""
+        for read_state in ready.read_states:
+            if read := self._unfinished(read_state.request_id):
+                read.set_result(read_state.index)
+        for request_id in ready.rejected_reads:
+            if read := self._unfinished(request_id):
+                read.set_exception(NotLeaderError(self._node.leader))
+
+    def _unfinished(self, request_id: int) -> asyncio.Future[int] | None:
+        """Return the read that waits under this identifier, unless its client has given up."""
+        read = self._reads.get(request_id)
+        return None if read is None or read.done() else read
--- a/wheatstile/store/raft/follower.py
+++ b/wheatstile/store/raft/follower.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from wheatstile.store.raft.log import RaftLog
-from wheatstile.store.raft.messages import Entry, Message, MessageKind
+from wheatstile.store.raft.messages import Entry, Message, MessageKind, Snapshot
 from wheatstile.store.raft.state import IncomingSnapshot, RaftState
 
 
@@ -77,22 +77,17 @@
     chunk = message.snapshot
     assert chunk is not None
     if chunk.index > state.log.commit_index:
-        incoming = state.incoming_snapshot
-        if incoming is None or (incoming.index, incoming.term) != (chunk.index, chunk.term):
-            incoming = IncomingSnapshot(chunk.index, chunk.term)
-            state.incoming_snapshot = incoming
-        if message.snapshot_offset == len(incoming.data):
-            incoming.data += chunk.data
-        if len(incoming.data) < message.snapshot_size:
+        data = _collect_chunk(state, chunk, message.snapshot_offset)
+        if len(data) < message.snapshot_size:
             state.send(
                 MessageKind.SNAPSHOT_REPLY,
                 message.sender,
                 index=chunk.index,
-                resume_from=len(incoming.data),
+                resume_from=len(data),
                 context=message.context,
             )
             return
-        state.log.install(msgspec.structs.replace(chunk, data=bytes(incoming.data)))
+        state.log.install(msgspec.structs.replace(chunk, data=bytes(data)))
     state.incoming_snapshot = None
     state.send(
         MessageKind.SNAPSHOT_REPLY,
@@ -101,3 +96,14 @@
         granted=True,
         context=message.context,
     )
+
+
+def _collect_chunk(state: RaftState, chunk: Snapshot, offset: int) -> bytearray:
+    """Add a chunk, if it is the next one of its snapshot; returns all data of that snapshot so far."""
+    incoming = state.incoming_snapshot
+    if incoming is None or (incoming.index, incoming.term) != (chunk.index, chunk.term):
+        incoming = IncomingSnapshot(chunk.index, chunk.term)
+        state.incoming_snapshot = incoming
+    if offset == len(incoming.data):
+        incoming.data += chunk.data
+    return incoming.data
--- a/wheatstile/store/raft/node.py
+++ b/wheatstile/store/raft/node.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Callable, Iterable
 
-from wheatstile.store.raft import election, follower, membership, read_index, replication, transfer
+from wheatstile.store.raft import election, follower, membership, read_index, replication, terms, transfer
 from wheatstile.store.raft.log import RaftLog
 from wheatstile.store.raft.messages import (
     Configuration,
@@ -24,9 +24,6 @@
 )
 from wheatstile.store.raft.state import RaftState, Timing
 
-LEADER_MESSAGES = (MessageKind.APPEND, MessageKind.SNAPSHOT)
-"""Messages that only the leader of their term sends."""
-
 
 class RaftNode:
     """One member of the cluster; `step`, `tick` and the requests change `state`, `ready` gives the work.
@@ -59,7 +56,7 @@
 
     @property
     def name(self) -> str:
-        """This member's name."""
+        """The member's name."""
         return self.state.name
 
     @property
@@ -82,11 +79,6 @@
         """The log, with the commit index and the applied index."""
         return self.state.log
 
-    @property
-    def configuration(self) -> Configuration:
-        """The configuration in force."""
-        return self.state.configuration
-
     @property
     def hard_state(self) -> HardState:
         """Term, vote and commit index as they stand."""
@@ -163,29 +155,10 @@
         if message.recipient != self.name:
             raise ValueError(f"a message for {message.recipient} reached {self.name}")
         if message.term < self.term:
-            self._reply_to_stale(message)
-        elif message.term == self.term or self._accept_later_term(message):
+            terms.reply_to_earlier_term(self.state, message)
+        elif message.term == self.term or terms.accept_later_term(self.state, message):
             self._dispatch(message)
 
-    def _reply_to_stale(self, message: Message) -> None:
-        """Tell a leader or a pre-candidate of an earlier term that its term is over."""
-        if message.kind is MessageKind.PRE_VOTE:
-            self.state.send(MessageKind.PRE_VOTE_REPLY, message.sender)
-        elif message.kind in LEADER_MESSAGES:
-            self.state.send(MessageKind.APPEND_REPLY, message.sender)
-
-    def _accept_later_term(self, message: Message) -> bool:
-        """Take over the message's later term, where its kind calls for it; False to ignore the message."""
-        state = self.state
-        if message.kind is MessageKind.PRE_VOTE:
-            return True  # asks about a term that nobody has begun
-        if message.kind is MessageKind.PRE_VOTE_REPLY and message.granted:
-            return True
-        if message.kind is MessageKind.VOTE and state.is_leader_recent and not message.is_transfer:
-            return False  # §4.2.3: nobody replaces a leader that is heard from
-        state.become_follower(message.term, message.sender if message.kind in LEADER_MESSAGES else None)
-        return True
-
     def _dispatch(self, message: Message) -> None:
         match message.kind:
             case MessageKind.PRE_VOTE | MessageKind.VOTE:
--- a/wheatstile/store/record_file.py
+++ b/wheatstile/store/record_file.py
@@ -18,7 +18,7 @@
 
 from wheatstile.store.errors import CorruptStorageError
 
-T = TypeVar("T")
+Decoded = TypeVar("Decoded")
 
 HEADER = struct.Struct(">III")
 MAX_RECORD_BYTES = 256 * 1024 * 1024
@@ -38,7 +38,7 @@
         """The offset of the first byte after the record."""
         return self.offset + HEADER.size + len(self.body)
 
-    def decode(self, kind: type[T]) -> T:
+    def decode(self, kind: type[Decoded]) -> Decoded:
         """Decode the body. Raises `CorruptStorageError` where it is no `kind`."""
         try:
             return msgspec.msgpack.decode(self.body, type=kind)
--- a/wheatstile/store/server.py
+++ b/wheatstile/store/server.py
@@ -11,7 +11,9 @@
 
 import msgspec
 import structlog
+import uvloop
 
+from wheatstile import logs
 from wheatstile.store.client_service import ClientService
 from wheatstile.store.errors import CorruptStorageError, StorageFailedError
 from wheatstile.store.framing import LOOPBACK
@@ -74,7 +76,7 @@
         await self._transport.receive(sock, self._member.on_message)
 
     def _stored_address(self, key: str) -> bytes | None:
-        version = self._member.state_machine.get(key)
+        version = self._member.applied.state_machine.get(key)
         return version.value if version else None
 
 
@@ -128,10 +130,6 @@
     `EXIT_STOPPED` then; `EXIT_CANNOT_START` where a port cannot be had or the directory is not usable;
     `EXIT_STORAGE_FAILED` when writing fails, since nothing may be answered that might not be on the disk.
     """
-    import uvloop
-
-    from wheatstile import logs
-
     logs.configure()
     status = EXIT_STOPPED
     try:
--- a/wheatstile/store/watch_stream.py
+++ b/wheatstile/store/watch_stream.py
@@ -27,6 +27,7 @@
         self, member: Member, send: Callable[[Reply], Awaitable[None]], pattern: str, revision: int
     ) -> None:
         self._member = member
+        self._applied = member.applied
         self._send = send
         self._pattern = pattern
         self._revision = revision
@@ -35,13 +36,13 @@
 
     async def run(self) -> None:
         """Send events until `send` fails or the watch is too far behind."""
-        if self._member.applied_index < self._revision:
+        if self._applied.index < self._revision:
             await self._send(Reply(revision=self._revision))  # this member is behind: its events follow
         while True:
             # Taken before the events are read, so that none in between is missed.
-            next_application = self._member.next_application
+            next_application = self._applied.next_application
             try:
-                events = self._member.state_machine.events.after(self._revision)
+                events = self._applied.state_machine.events.after(self._revision)
             except WatchCompactedError as error:
                 await self._send(
                     Reply(ErrorCode.WATCH_COMPACTED, str(error), revision=error.compacted_revision)
