--- a/tests/store/test_backup.py
+++ b/tests/store/test_backup.py
@@ -103,8 +103,8 @@
     shutil.copytree(Path(__file__).parent / "format-1", tmp_path / "a")
 
     async def use(client: StoreClient) -> None:
-        _, found = await client.list_matching(">")
-        assert [(version.key, version.value, version.revision) for version in found] == [
+        listing = await client.list_matching(">")
+        assert [(version.key, version.value, version.revision) for version in listing.versions] == [
             ("k/0", b"21", 23),
             ("k/1", b"19", 21),
             ("k/2", b"20", 22),
@@ -152,7 +152,7 @@
     assert 10 < len(acknowledged) < 100
 
     async def use(client: StoreClient) -> None:
-        _, found = await client.list_matching("k/>")
-        assert {version.key for version in found}.issuperset(acknowledged)
+        listing = await client.list_matching("k/>")
+        assert {version.key for version in listing.versions}.issuperset(acknowledged)
 
     use_member(tmp_path / "a", "wheatstile", use, "store")
--- a/wheatstile/cli/store.py
+++ b/wheatstile/cli/store.py
@@ -172,7 +172,7 @@
     """Prints changes of matching keys, none left out, until it is ended."""
 
     async def work(client: Any) -> int:
-        start = (await client.list_matching(pattern))[0] if after is None else after
+        start = (await client.list_matching(pattern)).revision if after is None else after
         async for event in client.watch(pattern, start):
             value = event.value.decode("utf-8", "replace")
             row = {"revision": event.revision, "op": event.change, "key": event.key, "value": value}
@@ -280,9 +280,9 @@
         leader = await client.find_leader()
         if leader is None:
             return refuse(["no leader is reached"])
-        revision, data = await client.download_backup()
-        write_backup(file, leader.cluster, revision, data)
-        print(f"revision {revision}, {len(data)} bytes")
+        state = await client.download_state()
+        write_backup(file, leader.cluster, state.revision, state.data)
+        print(f"revision {state.revision}, {len(state.data)} bytes")
         return 0
 
     return asked(members, within, work)
--- a/wheatstile/store/backup.py
+++ b/wheatstile/store/backup.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import os
+from dataclasses import dataclass
 from pathlib import Path
 
 import msgspec
@@ -29,6 +30,14 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class Backup:
+    """What a backup holds; `data` is the state machine's, as in a snapshot."""
+
+    header: BackupHeader
+    data: bytes
+
+
 def write_backup(path: Path, cluster: str, revision: int, data: bytes) -> None:
     """Write a backup, completely or not at all. Raises OSError."""
     temporary = path.with_name(f".{path.name}.new")
@@ -39,8 +48,8 @@
     os.replace(temporary, path)
 
 
-def read_backup(path: Path) -> tuple[BackupHeader, bytes]:
-    """Return the header and the state machine's data. Raises `CorruptStorageError`, OSError."""
+def read_backup(path: Path) -> Backup:
+    """Read a backup. Raises `CorruptStorageError`, OSError."""
     if not path.exists():
         raise CorruptStorageError(str(path), None, "not there")
     records = list(read_records(path))
@@ -51,7 +60,7 @@
     if header.format != FORMAT:
         reason = f"format {header.format}, and this program reads {FORMAT}"
         raise CorruptStorageError(str(path), 0, reason)
-    return header, data
+    return Backup(header, data)
 
 
 def restore_backup(path: Path, directory: Path, cluster: str, name: str) -> BackupHeader:
@@ -60,7 +69,8 @@
     Revisions go on from the backup's. Clients' sessions are left out, since what they did after the backup is
     not known. Raises `CorruptStorageError`, `RestoreRejectedError`, OSError.
     """
-    header, data = read_backup(path)
+    backup = read_backup(path)
+    header = backup.header
     if cluster == header.cluster:
         raise RestoreRejectedError(
             f"the backup is of cluster {cluster!r}: a restored one needs another name, or "
@@ -68,7 +78,7 @@
         )
     if directory.exists() and any(directory.iterdir()):
         raise RestoreRejectedError(f"{directory} is not empty")
-    state = msgspec.structs.replace(msgspec.msgpack.decode(data, type=SnapshotData), sessions={})
+    state = msgspec.structs.replace(msgspec.msgpack.decode(backup.data, type=SnapshotData), sessions={})
     configuration = Configuration(frozenset({name}))
     snapshot = Snapshot(header.revision, RESTORED_TERM, configuration, msgspec.msgpack.encode(state))
     with Storage(directory, cluster, name) as storage:
--- a/wheatstile/store/client.py
+++ b/wheatstile/store/client.py
@@ -10,6 +10,7 @@
 import uuid
 from collections.abc import AsyncGenerator, AsyncIterator, Iterable, Mapping
 from contextlib import aclosing, suppress
+from dataclasses import dataclass
 
 import msgspec
 
@@ -51,6 +52,22 @@
 """What a connection to a member may raise; protocol errors and decoding errors are ValueErrors."""
 
 
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """Keys with their latest versions, as of `revision`."""
+
+    revision: int
+    versions: list[KeyVersion]
+
+
+@dataclass(frozen=True, slots=True)
+class DownloadedState:
+    """The state machine's data, complete as of `revision`."""
+
+    revision: int
+    data: bytes
+
+
 class StoreClient:
     """A client of the members at these loopback ports, NAME to port.
 
@@ -109,13 +126,11 @@
         reply = await self.request(Request(RequestKind.GET, key=key, max_staleness_ms=max_staleness_ms))
         return reply.versions[0] if reply.versions else None
 
-    async def list_matching(
-        self, pattern: str, max_staleness_ms: int = LINEARIZABLE
-    ) -> tuple[int, list[KeyVersion]]:
-        """Return all keys that match `pattern`, and the revision as of which they do."""
+    async def list_matching(self, pattern: str, max_staleness_ms: int = LINEARIZABLE) -> Listing:
+        """Return all keys that match `pattern`; linearizable unless `max_staleness_ms` is given."""
         request = Request(RequestKind.LIST, key=pattern, max_staleness_ms=max_staleness_ms)
         reply = await self.request(request)
-        return reply.revision, reply.versions
+        return Listing(reply.revision, reply.versions)
 
     async def status(self, name: str) -> MemberStatus:
         """Return what this member reports of itself. Raises OSError, TimeoutError, ValueError."""
@@ -152,8 +167,8 @@
         """Hand leadership to `target`; returns once a new term has begun."""
         await self.request(Request(RequestKind.TRANSFER_LEADERSHIP, key=target))
 
-    async def download_backup(self) -> tuple[int, bytes]:
-        """Return a revision and the complete state at it, which is linearizable."""
+    async def download_state(self) -> DownloadedState:
+        """Return the complete state, for a backup; it is linearizable."""
         reply = await self.request(Request(RequestKind.BACKUP))
         name = self._target
         data = bytearray(reply.chunk)
@@ -165,7 +180,7 @@
         except CONNECTION_ERRORS as error:
             reason = f"{name}: {str(error) or 'silent'} before the backup's end"
             raise OutcomeUnknownError(reason) from error
-        return reply.revision, bytes(data)
+        return DownloadedState(reply.revision, bytes(data))
 
     async def request(self, request: Request) -> Reply:
         """Ask one member after another until one of them gives a final answer."""
