Test each module of the store's Raft by itself, and record files and framing

Cause: the split modules had tests over whole histories alone.

Change: test_raft_election, _terms, _replication, _follower, _read_index, _transfer, _record_file and _framing, more in test_raft_log and test_raft_membership; raft_nodes.py makes single nodes in a wanted role.

--- /dev/null
+++ b/tests/store/raft_nodes.py
@@ -0,0 +1,58 @@
+"""Single Raft nodes in a wanted role, for tests of one rule."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+
+from wheatstile.store.raft.messages import Entry, HardState, Message, MessageKind, Role
+from wheatstile.store.raft.node import RaftNode
+
+
+def make_node(
+    name: str = "a",
+    voters: str = "abc",
+    hard_state: HardState | None = None,
+    entries: Iterable[Entry] = (),
+) -> RaftNode:
+    """Return a follower with an empty log, or with what is given."""
+    return RaftNode(name, voters, random.Random(1).randrange, hard_state=hard_state, entries=entries)
+
+
+def elect(node: RaftNode, voters: str) -> None:
+    """Let `node` win the election of the next term with the votes of `voters`; its messages are discarded."""
+    term = node.term + 1
+    while node.role is Role.FOLLOWER:
+        node.tick()
+    for kind in (MessageKind.PRE_VOTE_REPLY, MessageKind.VOTE_REPLY):
+        for voter in voters:
+            node.step(Message(kind, voter, node.name, term, granted=True))
+    assert node.role is Role.LEADER
+    assert node.term == term
+    node.ready()
+
+
+def make_leader(followers: str = "bc") -> RaftNode:
+    """Return node `a` of `abc` as a leader whose first entry is committed; `followers` have it."""
+    node = make_node()
+    elect(node, followers)
+    acknowledge_all(node, followers)
+    assert node.log.commit_index == node.log.last_index
+    node.ready()
+    return node
+
+
+def acknowledge_all(leader: RaftNode, followers: str) -> None:
+    """Let `followers` answer that they have the leader's complete log, and its latest heartbeat."""
+    for follower in followers:
+        leader.step(
+            Message(
+                MessageKind.APPEND_REPLY,
+                follower,
+                leader.name,
+                leader.term,
+                index=leader.log.last_index,
+                granted=True,
+                context=leader.state.leadership.round,
+            )
+        )
--- /dev/null
+++ b/tests/store/test_framing.py
@@ -0,0 +1,53 @@
+"""Frames on connections."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Iterator
+
+import msgspec
+import pytest
+
+from wheatstile.store.errors import FrameTooLargeError
+from wheatstile.store.framing import FrameReader, encode_frame
+
+
+@pytest.fixture
+def sockets() -> Iterator[tuple[socket.socket, socket.socket]]:
+    sender, receiver = socket.socketpair()
+    receiver.setblocking(False)
+    with sender, receiver:
+        yield sender, receiver
+
+
+async def read_all(receiver: socket.socket, max_frame_bytes: int = 1024) -> list[str]:
+    frames = FrameReader(receiver, max_frame_bytes)
+    values = []
+    while (value := await frames.read(str)) is not None:
+        values.append(value)
+    return values
+
+
+def test_frames_that_arrive_together_are_read_one_by_one(
+    sockets: tuple[socket.socket, socket.socket],
+) -> None:
+    sender, receiver = sockets
+    sender.sendall(encode_frame("first") + encode_frame("second"))
+    sender.shutdown(socket.SHUT_WR)
+    assert asyncio.run(read_all(receiver)) == ["first", "second"]
+
+
+def test_a_frame_above_the_bound_is_an_error(sockets: tuple[socket.socket, socket.socket]) -> None:
+    sender, receiver = sockets
+    sender.sendall(encode_frame("x" * 100))
+    with pytest.raises(FrameTooLargeError) as caught:
+        asyncio.run(read_all(receiver, max_frame_bytes=100))
+    assert (caught.value.length_bytes, caught.value.max_bytes) == (102, 100)
+
+
+def test_a_frame_of_another_type_is_an_error(sockets: tuple[socket.socket, socket.socket]) -> None:
+    sender, receiver = sockets
+    sender.sendall(encode_frame(1))
+    with pytest.raises(msgspec.DecodeError):
+        asyncio.run(read_all(receiver))
--- a/tests/store/test_raft_mutations.py
+++ b/tests/store/test_raft_mutations.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from types import ModuleType
@@ -10,6 +9,7 @@
 import msgspec
 import pytest
 from raft_cluster import InvariantError, PersistedState, SimulatedCluster, run_history
+from raft_nodes import elect, make_node
 
 from wheatstile.store.raft import election, follower, read_index, replication
 from wheatstile.store.raft.log import RaftLog
@@ -22,10 +22,8 @@
     MessageKind,
     ReadState,
     Ready,
-    Role,
     Snapshot,
 )
-from wheatstile.store.raft.node import RaftNode
 from wheatstile.store.raft.state import PendingRead, RaftState
 
 HISTORIES = 400
@@ -110,27 +108,14 @@
         raise InvariantError("a majority of both sides decides nothing")
 
 
-def elect(node: RaftNode, voters: str, term: int) -> None:
-    """Let `node` win the election of `term` with the votes of `voters`."""
-    while node.role is Role.FOLLOWER:
-        node.tick()
-    for kind in (MessageKind.PRE_VOTE_REPLY, MessageKind.VOTE_REPLY):
-        for voter in voters:
-            node.step(Message(kind, voter, node.name, term, granted=True))
-    assert node.role is Role.LEADER
-    assert node.term == term
-
-
 def check_earlier_terms_entry_is_not_counted() -> None:
     """Figure 8 of the paper: a majority holds entry 2, of term 2, and it may still be overwritten."""
-    node = RaftNode(
-        "a",
-        "abcde",
-        random.Random(1).randrange,
+    node = make_node(
+        voters="abcde",
         hard_state=HardState(3, None, 0),
         entries=[Entry(1, 1, EntryKind.DATA), Entry(2, 2, EntryKind.DATA)],
     )
-    elect(node, "bc", term=4)
+    elect(node, "bc")
     for index, expected_commit in ((2, 0), (3, 3)):
         for voter in "bc":
             node.step(Message(MessageKind.APPEND_REPLY, voter, "a", 4, index=index, granted=True))
@@ -142,7 +127,7 @@
 def check_vote_outlives_crash() -> None:
     disk = PersistedState()
     for candidate, granted in (("b", True), ("c", False)):
-        node = RaftNode("a", "abc", random.Random(1).randrange, hard_state=disk.hard_state)
+        node = make_node(hard_state=disk.hard_state)
         node.step(Message(MessageKind.VOTE, candidate, "a", 5))
         ready = node.ready()
         SimulatedCluster.persist(disk, ready)
