Name the fault link the fault proxy and give each of its jobs a module

It is now `fault_proxy`: errors with one base, commands, the fault table with `LinkConditions` (`blocked` in place of `held`, units in the names), frames, the delivery schedule (the draws, pure), routes, live faults, the relay of one direction, the connection, and the proxy. The command `wheatstile link`, its options, its commands, its output and the order of its draws stay. The tests move with it, mirrored by module. Log events: `link rule` -> `fault_command_applied`, `link ended` -> `proxied_connection_ended`.

A port in use ended the program with the trace of an exception group, since it was opened inside the task group; listeners are opened before it now, so that the line and the status 1 that `main` states come true. A test holds it.

--- /dev/null
+++ b/tests/fault_proxy/test_fault_commands.py
@@ -0,0 +1,47 @@
+"""The command language: a bad command names its word, a script every line at fault."""
+
+from __future__ import annotations
+
+import pytest
+
+from wheatstile.fault_proxy.commands import (
+    Command,
+    CommandName,
+    ScheduledCommand,
+    parse_command,
+    parse_script,
+)
+from wheatstile.fault_proxy.errors import CommandError, ScriptError
+
+
+@pytest.mark.parametrize(
+    ("line", "reason"),
+    [
+        ("drop a b", "word 1: 'drop'"),
+        ("cut a", "cut takes 2 arguments, not 1"),
+        ("delay a b 31", "word 4: 31 lies"),
+        ("delay a b 1 x", "word 5: 'x' is not a number"),
+        ("lose a b nan", "word 4: nan lies"),
+        ("", "an empty"),
+        ("delay a b", "delay takes 3 or 4 arguments, not 2"),
+        ("rate a b 0", "word 4: 0 lies outside 1 to 1e"),
+    ],
+)
+def test_bad_command_is_rejected_with_its_position(line: str, reason: str) -> None:
+    with pytest.raises(CommandError, match=f"^{reason}"):
+        parse_command(line)
+
+
+def test_script_is_sorted_by_time() -> None:
+    assert parse_script("# a day\nat 2 heal\n\nat 0.5 cut a b  # one way\n") == [
+        ScheduledCommand(0.5, Command(CommandName.CUT, "a", "b")),
+        ScheduledCommand(2.0, Command(CommandName.HEAL)),
+    ]
+
+
+def test_bad_script_is_rejected_with_every_line_at_fault() -> None:
+    with pytest.raises(ScriptError) as rejected:
+        parse_script("cut a b\nat 1 cut\nat x heal")
+    lines = str(rejected.value).splitlines()
+    assert [line.split(":")[0] for line in lines] == ["line 1", "line 2", "line 3"]
+    assert rejected.value.violations == lines
