--- a/tests/store/cluster.py
+++ b/tests/store/cluster.py
@@ -1,4 +1,4 @@
-"""Members of the store as processes, the fault proxy between them, and what each wrote over its restarts."""
+"""Members of the store as processes, the fault link between them, and what each wrote over its restarts."""
 
 from __future__ import annotations
 
