--- a/wheatstile/net/client_listener.py
+++ b/wheatstile/net/client_listener.py
@@ -13,6 +13,7 @@
 from wheatstile.config.platform import ChannelLimits
 from wheatstile.net.client_connection import DRAIN, SILENT, STAY_AWAY, ClientConnection
 from wheatstile.net.decision_loop import DecisionLoop
+from wheatstile.net.line_stream import LINE_LIMIT
 from wheatstile.net.open_request import OpenRequest
 from wheatstile.net.upstream_pool import UpstreamPool
 
@@ -76,10 +77,12 @@
         """End the oldest channel without an RPC when there are too many, however they fell silent.
 
         A usual client writes its first line at once and is soon served; the crowd may not take its place.
+        Nor may one that has written in this very turn be closed over what it wrote, unless all have.
         """
         most = max(self._left(), int(self.limits.descriptors * UNSERVED))
         if self._unserved and len(self._unserved) >= most:
-            channel = next(iter(self._unserved))
+            oldest = next(iter(self._unserved))
+            channel = next((it for it in self._unserved if not it.lines.unread()), oldest)
             self._unserved.pop(channel).cancel()
             self.decisions.counters["crowded out"] += 1
 
@@ -125,6 +128,7 @@
         with sock, suppress(OSError):
             sock.setblocking(False)
             sock.send(self.unavailable(STAY_AWAY))
+            sock.recv(LINE_LIMIT)  # a close over an unread request would reset the connection
 
     def _refuse_one(self, listener: socket.socket) -> None:
         """With no descriptor left, a spare one is given up for as long as it takes to refuse one client.
