Lock the stored form of the last-known-good file by a file written today

The package is about to be renamed throughout; the copy in the state directory must not notice. A file written by the present code from a fixed input is read back and has to give the same servers; the same input has to give the same bytes, and the keys are named one by one.

--- /dev/null
+++ b/tests/resolvers/test_last_known_good.py
@@ -0,0 +1,57 @@
+"""The copy in the state directory: what an older version wrote is read back as it was written."""
+
+from pathlib import Path
+
+import msgspec
+
+from wheatstile import interface as api
+from wheatstile.config.endpoints import ResolvedEndpoint
+from wheatstile.config.operator import Servers
+from wheatstile.resolvers import last_good
+from wheatstile.resolvers.document import Document, Rules
+
+FORMAT_1 = Path(__file__).parent / "format-1"
+RULES = Rules.of(Servers(file="servers.json"))
+SAVED_AT_MS = 1764600000000
+SAVED = Document(
+    servers={
+        "a": ResolvedEndpoint(
+            api.Endpoint("a", api.EndpointState.READY, "north", 0, 2.5, 1760000000123000), ("10.0.0.1", 9001)
+        ),
+        "b": ResolvedEndpoint(
+            api.Endpoint("b", api.EndpointState.READY, "south", 0, 1.0, 0), ("10.0.0.2", 9002)
+        ),
+        "c": ResolvedEndpoint(
+            api.Endpoint("c", api.EndpointState.DRAINING, "north", 0, 3.0, 0), ("10.0.0.3", 9003)
+        ),
+        'ü "d"': ResolvedEndpoint(
+            api.Endpoint('ü "d"', api.EndpointState.READY, "", 0, 0.5, 0), ("10.0.0.4", 9004)
+        ),
+    },
+    sites=("north", "south"),
+    generation=7,
+    digest="xxh3-128:43891a85144bdc2a728763829d494aac",
+    sealed=False,
+)
+
+
+def test_a_file_of_format_1_is_read_back() -> None:
+    restored = last_good.restore(FORMAT_1, RULES)
+    assert restored
+    assert restored.taken_at_ms == SAVED_AT_MS
+    assert restored.document == SAVED
+
+
+def test_what_is_saved_today_is_byte_for_byte_a_file_of_format_1(tmp_path: Path) -> None:
+    last_good.save(tmp_path, SAVED, SAVED_AT_MS)
+    written = (tmp_path / "servers-last-good.json").read_bytes()
+    assert written == (FORMAT_1 / "servers-last-good.json").read_bytes()
+
+
+def test_the_keys_of_format_1_stay() -> None:
+    path = FORMAT_1 / "servers-last-good.json"
+    saved = msgspec.json.decode(path.read_bytes())
+    assert set(saved) == {"form", "taken_at_ms", "digest", "document", "seal"}
+    assert set(saved["document"]) == {"servers", "sites", "generation"}
+    for row in saved["document"]["servers"]:
+        assert set(row) == {"id", "address", "site", "weight", "state", "started"}
