--- a/benchmarks/servers_file.py
+++ b/benchmarks/servers_file.py
@@ -25,8 +25,8 @@
 from fleet import Fleet  # noqa: E402
 from peers import NodeTest  # noqa: E402
 
-from wheatstile.resolvers.document import digest_of  # noqa: E402
-from wheatstile.resolvers.files import write_atomic  # noqa: E402
+from wheatstile.resolvers.atomic_write import write_atomic  # noqa: E402
+from wheatstile.resolvers.endpoint_file import digest_of  # noqa: E402
 
 FORK = multiprocessing.get_context("fork")  # a writer that takes no time of this process's
 TAKEN, TOLD = "servers file taken", "the module was told"
--- a/tests/descriptions/test_obeyed.py
+++ b/tests/descriptions/test_obeyed.py
@@ -8,7 +8,7 @@
 
 from peers import PATIENCE, Listener, NodeTest
 
-from wheatstile.resolvers.files import write_atomic
+from wheatstile.resolvers.atomic_write import write_atomic
 
 CLASS = {"aimUs": 300000, "deadlineUs": 2000000, "repeat": "retryable"}
 HEAD = "openapi: 3.1.0\ninfo: {title: t, version: '1'}\npaths:\n"
--- a/tests/resolvers/test_document.py
+++ b/tests/resolvers/test_endpoint_file.py
@@ -12,9 +12,15 @@
 from wheatstile import interface as api
 from wheatstile.config.operator import Servers
 from wheatstile.config.violations import ConfigurationError
-from wheatstile.resolvers.document import Document, Rules, canonical, digest_of, read
+from wheatstile.resolvers.endpoint_file import (
+    EndpointFile,
+    EndpointFileRules,
+    canonical,
+    digest_of,
+    parse_endpoint_file,
+)
 
-RULES = Rules.of(Servers(networks=["127.0.0.0/8", "10.0.0.1-10.0.0.9"], most=50, most_bytes=5000))
+RULES = EndpointFileRules.of(Servers(networks=["127.0.0.0/8", "10.0.0.1-10.0.0.9"], most=50, most_bytes=5000))
 
 
 def rows(*names: str, **changes: Any) -> list[dict[str, Any]]:
@@ -28,10 +34,10 @@
     return json.dumps(value | {"seal": digest_of(value)}).encode()
 
 
-def refused(value: Any, rules: Rules = RULES) -> list[str]:
+def refused(value: Any, rules: EndpointFileRules = RULES) -> list[str]:
     data = value if isinstance(value, bytes) else json.dumps(value, indent=1).encode()
     with pytest.raises(ConfigurationError) as error:
-        read("f", data, rules)
+        parse_endpoint_file("f", data, rules)
     return error.value.lines()
 
 
@@ -87,9 +93,9 @@
 
 def test_a_seal_can_be_demanded_and_a_site_excepted() -> None:
     value = {"servers": rows("x"), "sites": ["a", "b"]}
-    strict = Rules.of(Servers(require_seal=True, may_be_empty=["b"]))
+    strict = EndpointFileRules.of(Servers(require_seal=True, may_be_empty=["b"]))
     assert "/seal: is missing" in refused(value, strict)[0]
-    found = read("f", sealed(value), strict)
+    found = parse_endpoint_file("f", sealed(value), strict)
     assert found.sealed and found.digest == digest_of(value)
 
 
@@ -113,7 +119,7 @@
     cut = data.draw(st.integers(0, max(len(before), len(after))))
     mixed = after[:cut] + before[cut:]
     with contextlib.suppress(ConfigurationError):
-        assert read("f", mixed, RULES).digest in (digest_of(old), digest_of(new))
+        assert parse_endpoint_file("f", mixed, RULES).digest in (digest_of(old), digest_of(new))
 
 
 @given(GOOD, st.data())
@@ -125,17 +131,17 @@
             st.binary(max_size=3) | st.sampled_from([b"[", b"1e9", b"null"])
         )
     try:
-        found = read("f", bytes(text), RULES)
+        found = parse_endpoint_file("f", bytes(text), RULES)
     except ConfigurationError as error:
         assert all(line.startswith("f:") for line in error.lines())
     else:
-        assert isinstance(found, Document) and found.servers
+        assert isinstance(found, EndpointFile) and found.servers
 
 
 def test_the_digest_does_not_depend_on_how_the_file_is_written() -> None:
     value = {"generation": 3, "servers": rows("x")}
     turned = {key: value[key] for key in reversed(value)}
-    assert read("f", json.dumps(turned, indent=3).encode(), RULES).digest == digest_of(value)
+    assert parse_endpoint_file("f", json.dumps(turned, indent=3).encode(), RULES).digest == digest_of(value)
 
 
 TEXT = st.text(st.characters(exclude_categories=["Cs"]), max_size=4)
--- a/tests/resolvers/test_files.py
+++ b/tests/resolvers/test_endpoint_file_reader.py
@@ -10,10 +10,11 @@
 
 import pytest
 from peers import ROOT
-from test_document import RULES, rows, sealed
+from test_endpoint_file import RULES, rows, sealed
 
-from wheatstile.resolvers.files import FileReader, write_atomic
-from wheatstile.resolvers.notices import chain
+from wheatstile.resolvers.atomic_write import write_atomic
+from wheatstile.resolvers.endpoint_file_reader import EndpointFileReader
+from wheatstile.resolvers.file_watcher import watched_paths
 
 
 class Clock:
@@ -29,52 +30,54 @@
 
 
 @pytest.fixture
-def reader(tmp_path: Path, clock: Clock) -> FileReader:
-    return FileReader(tmp_path / "s.json", RULES, 1.0, clock)
+def reader(tmp_path: Path, clock: Clock) -> EndpointFileReader:
+    return EndpointFileReader(tmp_path / "s.json", RULES, 1.0, clock)
 
 
 def plain(*names: str) -> str:
     return json.dumps({"servers": rows(*names)})
 
 
-def test_an_unsealed_file_is_taken_once_it_has_stood_unchanged(reader: FileReader, clock: Clock) -> None:
+def test_an_unsealed_file_is_taken_once_it_has_stood_unchanged(
+    reader: EndpointFileReader, clock: Clock
+) -> None:
     reader.path.write_text(plain("x"))
-    assert reader.look().outcome == "unsettled"
+    assert reader.poll().outcome == "unsettled"
     clock.now = 0.9
-    assert reader.look().outcome == "unsettled"
+    assert reader.poll().outcome == "unsettled"
     reader.path.write_text(plain("x", "y"))  # in place: it has to settle anew
     clock.now = 1.1
-    assert reader.look().outcome == "unsettled"
+    assert reader.poll().outcome == "unsettled"
     clock.now = 2.1
-    found = reader.look()
+    found = reader.poll()
     assert found.document and set(found.document.servers) == {"x", "y"}
-    assert reader.look().outcome == "same"
+    assert reader.poll().outcome == "same"
 
 
-def test_a_file_replaced_for_ever_is_still_taken(reader: FileReader, clock: Clock) -> None:
+def test_a_file_replaced_for_ever_is_still_taken(reader: EndpointFileReader, clock: Clock) -> None:
     taken = []
     for number in range(20):
         write_atomic(reader.path, plain(f"x{number}").encode())
         clock.now += 0.3
-        if (reading := reader.look()).document:
+        if (reading := reader.poll()).document:
             taken += list(reading.document.servers)
     assert len(taken) >= 3 and taken == sorted(taken, key=lambda name: int(name[1:]))
 
 
 def test_a_sealed_file_is_taken_at_once_and_a_broken_one_told_once_settled(
-    reader: FileReader, clock: Clock
+    reader: EndpointFileReader, clock: Clock
 ) -> None:
     data = sealed({"servers": rows("x")})
     reader.path.write_bytes(data[:-9])
-    assert reader.look().outcome == "unsettled"
+    assert reader.poll().outcome == "unsettled"
     clock.now = 1.1
-    assert reader.look().outcome == "refused"
+    assert reader.poll().outcome == "refused"
     reader.path.write_bytes(data)
-    assert reader.look().outcome == "whole"
+    assert reader.poll().outcome == "whole"
 
 
 def test_a_file_that_grows_while_it_is_read_is_not_believed(
-    reader: FileReader, monkeypatch: pytest.MonkeyPatch
+    reader: EndpointFileReader, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     reader.path.write_text(plain("x"))
     real = os.pread
@@ -85,27 +88,29 @@
         return real(descriptor, count, offset)
 
     monkeypatch.setattr(os, "pread", pread)
-    assert [reader.look().outcome for _ in range(3)] == ["unsettled"] * 3
+    assert [reader.poll().outcome for _ in range(3)] == ["unsettled"] * 3
 
 
 @pytest.mark.parametrize(
     ("make", "told"), [(os.mkdir, "a directory"), (os.mkfifo, "a FIFO"), (None, "No such file")]
 )
-def test_what_is_no_file_is_told_and_never_waited_for(reader: FileReader, make: object, told: str) -> None:
+def test_what_is_no_file_is_told_and_never_waited_for(
+    reader: EndpointFileReader, make: object, told: str
+) -> None:
     if callable(make):
         make(reader.path)
-    reading = reader.look()
+    reading = reader.poll()
     assert reading.outcome == "problem" and told in reading.reasons[0]
 
 
-def test_a_device_and_a_file_without_permission_are_told(reader: FileReader) -> None:
+def test_a_device_and_a_file_without_permission_are_told(reader: EndpointFileReader) -> None:
     os.symlink("/dev/null", reader.path)
-    assert "a device" in reader.look().reasons[0]
+    assert "a device" in reader.poll().reasons[0]
     reader.path.unlink()
     reader.path.write_text(plain("x"))
     reader.path.chmod(0)
     if os.geteuid():  # root reads all
-        assert "denied" in reader.look().reasons[0]
+        assert "denied" in reader.poll().reasons[0]
 
 
 def test_a_folder_swapped_by_its_link_is_followed_whole(tmp_path: Path, clock: Clock) -> None:
@@ -114,32 +119,32 @@
         (tmp_path / name / "s.json").write_bytes(sealed({"servers": rows(name)}))
     link = tmp_path / "current"
     link.symlink_to("one")
-    reader = FileReader(link / "s.json", RULES, 1.0, clock)
-    folders, names = chain(link / "s.json")
+    reader = EndpointFileReader(link / "s.json", RULES, 1.0, clock)
+    folders, names = watched_paths(link / "s.json")
     assert {str(tmp_path), str(tmp_path / "one")} <= folders and {"current", "s.json"} <= names
-    assert set(reader.look().document.servers) == {"one"}  # type: ignore[union-attr]
+    assert set(reader.poll().document.servers) == {"one"}  # type: ignore[union-attr]
     (tmp_path / "new").symlink_to("two")
     os.replace(tmp_path / "new", link)
-    assert set(reader.look().document.servers) == {"two"}  # type: ignore[union-attr]
+    assert set(reader.poll().document.servers) == {"two"}  # type: ignore[union-attr]
     (tmp_path / "ring").symlink_to("ring")
-    assert FileReader(tmp_path / "ring", RULES, 1.0, clock).look().outcome == "problem"
-    assert chain(tmp_path / "ring")  # and ends
+    assert EndpointFileReader(tmp_path / "ring", RULES, 1.0, clock).poll().outcome == "problem"
+    assert watched_paths(tmp_path / "ring")  # and ends
 
 
 KILLED = """
 import os, signal, sys
 from pathlib import Path
-from wheatstile.resolvers import files
+from wheatstile.resolvers.atomic_write import write_atomic
 os.replace = lambda *_: os.kill(os.getpid(), signal.SIGKILL)
-files.write_atomic(Path(sys.argv[1]), b"new")
+write_atomic(Path(sys.argv[1]), b"new")
 """
 LIMITED = """
 import resource, sys
 from pathlib import Path
-from wheatstile.resolvers import files
+from wheatstile.resolvers.atomic_write import write_atomic
 resource.setrlimit(resource.RLIMIT_FSIZE, (100, 100))
 try:
-    files.write_atomic(Path(sys.argv[1]), b"x" * 1000)
+    write_atomic(Path(sys.argv[1]), b"x" * 1000)
 except OSError as error:
     sys.exit(error.strerror)
 """
--- a/tests/resolvers/test_last_known_good.py
+++ b/tests/resolvers/test_last_known_good.py
@@ -7,13 +7,13 @@
 from wheatstile import interface as api
 from wheatstile.config.endpoints import ResolvedEndpoint
 from wheatstile.config.operator import Servers
-from wheatstile.resolvers import last_good
-from wheatstile.resolvers.document import Document, Rules
+from wheatstile.resolvers import last_known_good
+from wheatstile.resolvers.endpoint_file import EndpointFile, EndpointFileRules
 
 FORMAT_1 = Path(__file__).parent / "format-1"
-RULES = Rules.of(Servers(file="servers.json"))
+RULES = EndpointFileRules.of(Servers(file="servers.json"))
 SAVED_AT_MS = 1764600000000
-SAVED = Document(
+SAVED = EndpointFile(
     servers={
         "a": ResolvedEndpoint(
             api.Endpoint("a", api.EndpointState.READY, "north", 0, 2.5, 1760000000123000), ("10.0.0.1", 9001)
@@ -36,14 +36,14 @@
 
 
 def test_a_file_of_format_1_is_read_back() -> None:
-    restored = last_good.restore(FORMAT_1, RULES)
+    restored = last_known_good.restore(FORMAT_1, RULES)
     assert restored
     assert restored.taken_at_ms == SAVED_AT_MS
     assert restored.document == SAVED
 
 
 def test_what_is_saved_today_is_byte_for_byte_a_file_of_format_1(tmp_path: Path) -> None:
-    last_good.save(tmp_path, SAVED, SAVED_AT_MS)
+    last_known_good.save(tmp_path, SAVED, SAVED_AT_MS)
     written = (tmp_path / "servers-last-good.json").read_bytes()
     assert written == (FORMAT_1 / "servers-last-good.json").read_bytes()
 
--- a/tests/resolvers/test_merge.py
+++ b/tests/resolvers/test_merge.py
@@ -8,7 +8,14 @@
 from wheatstile import interface as api
 from wheatstile.config.endpoints import ResolvedEndpoint
 from wheatstile.resolvers import merge
-from wheatstile.resolvers.merge import HOLD_MOST, SECOND, Choice, Discovery, Line, Policy
+from wheatstile.resolvers.merge import (
+    HOLD_MOST,
+    SECOND,
+    DiscoveryState,
+    MergedEndpoint,
+    MergePolicy,
+    SourceSelection,
+)
 
 NAMES = "abcde"
 MODES = ("fallback", "override", "merge")
@@ -21,19 +28,19 @@
     return ResolvedEndpoint(api.Endpoint(name, api.EndpointState(state), "here", **changes), address)
 
 
-def policy(mode: Any = "fallback", hold: int = 30) -> Policy:
-    return Policy(mode, 10 * SECOND, hold * SECOND)
+def policy(mode: Any = "fallback", hold: int = 30) -> MergePolicy:
+    return MergePolicy(mode, 10 * SECOND, hold * SECOND)
 
 
 class World:
-    """Discovery, a file and the list that holds, driven by a script."""
+    """DiscoveryState, a file and the list that holds, driven by a script."""
 
-    def __init__(self, policy: Policy, cached: str = "") -> None:
+    def __init__(self, policy: MergePolicy, cached: str = "") -> None:
         self.now, self.policy = 1000 * SECOND, policy
-        self.discovery = Discovery.at(self.now)
+        self.discovery = DiscoveryState.at(self.now)
         self.file: dict[str, ResolvedEndpoint] = {}
-        self.lines: dict[str, Line] = {}
-        self.choice: Choice | None = None
+        self.lines: dict[str, MergedEndpoint] = {}
+        self.choice: SourceSelection | None = None
         self.stopped: set[str] = set()  # that discovery has told to get nothing new
         self.steady = 0  # since when discovery has answered without a break
         if cached:
--- a/tests/resolvers/test_served.py
+++ b/tests/resolvers/test_served.py
@@ -13,8 +13,8 @@
 from fleet import Fleet
 from peers import PATIENCE, NodeTest
 
-from wheatstile.resolvers.document import digest_of
-from wheatstile.resolvers.files import write_atomic
+from wheatstile.resolvers.atomic_write import write_atomic
+from wheatstile.resolvers.endpoint_file import digest_of
 
 TAKEN = "servers file taken"
 
@@ -224,7 +224,7 @@
             self.assertEqual(self.served_by(), {name})
 
 
-class LastGood(ServersFileTest):
+class LastKnownGood(ServersFileTest):
     section = {"state_dir": "state"}  # noqa: RUF012
     known: tuple[str, ...] = ()
 
--- a/tests/resolvers/test_source.py
+++ b/tests/resolvers/test_source.py
@@ -7,7 +7,7 @@
 
 import pytest
 from peers import PATIENCE
-from test_document import rows, sealed
+from test_endpoint_file import rows, sealed
 from world import settings
 
 from wheatstile import interface as api
@@ -17,8 +17,8 @@
 from wheatstile.net.decision_loop import DecisionLoop
 from wheatstile.net.discovery_watcher import DiscoveryOnlyObserver, DiscoveryWatcher
 from wheatstile.net.upstream_pool import UpstreamPool
-from wheatstile.resolvers import combined
-from wheatstile.resolvers.notices import Notices
+from wheatstile.resolvers import endpoint_merger
+from wheatstile.resolvers.file_watcher import FileWatcher
 from wheatstile.resolvers.section import ServersSection
 
 
@@ -48,7 +48,7 @@
 def test_a_change_that_no_notice_tells_of_is_found_in_turn(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    async def silent(_: Notices) -> None:
+    async def silent(_: FileWatcher) -> None:
         await asyncio.Event().wait()
 
     async def check() -> None:
@@ -58,7 +58,7 @@
             await parts.until(name)
         parts.section.close()
 
-    monkeypatch.setattr(Notices, "run", silent)
+    monkeypatch.setattr(FileWatcher, "run", silent)
     asyncio.run(check())
 
 
@@ -70,7 +70,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """The merge in the thread began before the drain, and must not bring the server back."""
-    monkeypatch.setattr(combined, "AT_ONCE", 0)  # every list counts as long
+    monkeypatch.setattr(endpoint_merger, "AT_ONCE", 0)  # every list counts as long
     sent: list[api.Endpoint] = []
 
     async def check() -> None:
--- a/tests/resolvers/test_intake.py
+++ b/tests/resolvers/test_update_guard.py
@@ -3,21 +3,21 @@
 import json
 
 import pytest
-from test_document import RULES, rows
+from test_endpoint_file import RULES, rows
 
-from wheatstile.resolvers.document import Document, read
-from wheatstile.resolvers.intake import Held, InForce, admit
+from wheatstile.resolvers.endpoint_file import EndpointFile, parse_endpoint_file
+from wheatstile.resolvers.update_guard import ActiveEndpoints, PendingApproval, evaluate
 
 NONE: frozenset[str] = frozenset()
 
 
-def doc(names: str, generation: int | None = None, site: str = "a") -> Document:
+def doc(names: str, generation: int | None = None, site: str = "a") -> EndpointFile:
     value = {"servers": rows(*names, site=site)} | ({} if generation is None else {"generation": generation})
-    return read("f", json.dumps(value).encode(), RULES)
+    return parse_endpoint_file("f", json.dumps(value).encode(), RULES)
 
 
-def force(document: Document | None, *sites: str) -> InForce:
-    return InForce(document, sites, frozenset(document.ready()) if document else NONE)
+def force(document: EndpointFile | None, *sites: str) -> ActiveEndpoints:
+    return ActiveEndpoints(document, sites, frozenset(document.ready()) if document else NONE)
 
 
 @pytest.mark.parametrize(
@@ -35,20 +35,22 @@
         (doc("abcd", 2, "b"), doc("abcd", 1), "refused", 'site "a" would keep 0'),
     ],
 )
-def test_a_document_against_the_list_in_force(new: Document, old: Document, outcome: str, told: str) -> None:
-    admission = admit(new, force(old, "a"), None, NONE, RULES)
+def test_a_document_against_the_list_in_force(
+    new: EndpointFile, old: EndpointFile, outcome: str, told: str
+) -> None:
+    admission = evaluate(new, force(old, "a"), None, NONE, RULES)
     assert (admission.outcome, told in " ".join(admission.reasons)) == (outcome, True)
 
 
 def test_a_first_document_is_held_against_the_sites_that_are_served() -> None:
-    assert admit(doc("a"), force(None, "a"), None, NONE, RULES).outcome == "taken"
-    assert admit(doc("a"), force(None, "a", "b"), None, NONE, RULES).outcome == "refused"
+    assert evaluate(doc("a"), force(None, "a"), None, NONE, RULES).outcome == "taken"
+    assert evaluate(doc("a"), force(None, "a", "b"), None, NONE, RULES).outcome == "refused"
 
 
 def test_a_held_change_is_taken_when_a_newer_generation_repeats_it_or_it_is_accepted() -> None:
     old = doc("abcd", 1)
-    held = admit(doc("a", 2), force(old, "a"), None, NONE, RULES).held
-    assert held == Held(doc("a", 2).digest, 2, frozenset("bcd"))
+    held = evaluate(doc("a", 2), force(old, "a"), None, NONE, RULES).held
+    assert held == PendingApproval(doc("a", 2).digest, 2, frozenset("bcd"))
     again = [
         (doc("a", 2), NONE, "held"),  # the same once more
         (doc("a", 3), NONE, "taken"),
@@ -57,4 +59,4 @@
         (doc("b", 3), frozenset([doc("a", 2).digest]), "held"),
     ]
     for new, accepted, outcome in again:
-        assert admit(new, force(old, "a"), held, accepted, RULES).outcome == outcome
+        assert evaluate(new, force(old, "a"), held, accepted, RULES).outcome == outcome
--- a/wheatstile/cli/check.py
+++ b/wheatstile/cli/check.py
@@ -11,10 +11,10 @@
 from wheatstile.config.operator import OperatorFile
 from wheatstile.config.platform import Config, ConfigError
 from wheatstile.config.violations import ConfigurationError, Violation, load, locate
-from wheatstile.resolvers import document, intake
-from wheatstile.resolvers.document import Rules
-from wheatstile.resolvers.files import read_all
-from wheatstile.resolvers.intake import InForce
+from wheatstile.resolvers import update_guard
+from wheatstile.resolvers.endpoint_file import EndpointFileRules, parse_endpoint_file
+from wheatstile.resolvers.regular_file import read_all
+from wheatstile.resolvers.update_guard import ActiveEndpoints
 
 
 @click.command("check")
@@ -57,11 +57,11 @@
         folder = found.near(servers.state_dir)
         if not (folder.is_dir() and os.access(folder, os.W_OK)):
             reasons.append(_at(found, "/servers/state_dir", f"{folder} is no folder that can be written"))
-    path, rules = found.near(servers.file), Rules.of(servers)
+    path, rules = found.near(servers.file), EndpointFileRules.of(servers)
     if not path.exists():
         return [*reasons, _at(found, "/servers/file", f"there is no {path}")]
     try:
-        whole = document.read(str(path), read_all(path, rules.most_bytes), rules)
+        whole = parse_endpoint_file(str(path), read_all(path, rules.most_bytes), rules)
     except ConfigurationError as refused:
         return reasons + refused.lines()
     if platform is None:
@@ -69,7 +69,7 @@
     known = [entry for entry in platform.known.endpoints if entry.state == api.EndpointState.READY]
     sites = tuple(sorted({entry.zone for entry in known} - {""}))
     ready = frozenset(entry.name for entry in known) if servers.mode == "override" else frozenset()
-    admission = intake.admit(whole, InForce(None, sites, ready), None, frozenset(), rules)
+    admission = update_guard.evaluate(whole, ActiveEndpoints(None, sites, ready), None, frozenset(), rules)
     if admission.outcome in ("refused", "held"):
         reasons += [f"{path}:1: /: {reason}" for reason in admission.reasons]
     own = platform.settings.zone
--- a/wheatstile/cli/servers.py
+++ b/wheatstile/cli/servers.py
@@ -12,12 +12,13 @@
 from wheatstile.cli.common import operator_option, refuse, servers_section
 from wheatstile.config.endpoints import EndpointSnapshot, ResolvedEndpoint
 from wheatstile.config.violations import ConfigurationError, Violation, load
-from wheatstile.resolvers import document, intake, merge
-from wheatstile.resolvers.document import Document, Rules, digest_of
-from wheatstile.resolvers.files import read_all, write_atomic
-from wheatstile.resolvers.intake import InForce
-from wheatstile.resolvers.merge import SECOND, Choice, Discovery
-from wheatstile.resolvers.source import accept_path, policy_of
+from wheatstile.resolvers import merge, update_guard
+from wheatstile.resolvers.atomic_write import write_atomic
+from wheatstile.resolvers.endpoint_file import EndpointFile, EndpointFileRules, digest_of, parse_endpoint_file
+from wheatstile.resolvers.merge import SECOND, DiscoveryState, MergePolicy, SourceSelection
+from wheatstile.resolvers.regular_file import read_all
+from wheatstile.resolvers.source import approval_path
+from wheatstile.resolvers.update_guard import ActiveEndpoints
 
 
 class _Commands(click.Group):
@@ -35,22 +36,24 @@
     """Files of servers: check, compare, seal, publish, accept, explain."""
 
 
-def _read(path: str, rules: Rules) -> Document:
-    return document.read(path, read_all(Path(path), rules.most_bytes), rules)
+def _read(path: str, rules: EndpointFileRules) -> EndpointFile:
+    return parse_endpoint_file(path, read_all(Path(path), rules.most_bytes), rules)
 
 
-def _value(path: str, rules: Rules) -> dict[str, Any]:
+def _value(path: str, rules: EndpointFileRules) -> dict[str, Any]:
     """The file's JSON as it stands, once it has been found to hold. Raises ConfigurationError."""
     data = read_all(Path(path), rules.most_bytes)
-    document.read(path, data, rules, check_seal=False)
+    parse_endpoint_file(path, data, rules, check_seal=False)
     _, value = load(path, data, rules.most_bytes)
     return {key: element for key, element in value.items() if key != "seal"}
 
 
-def _against(new: Document, old: Document, rules: Rules, accepted: bool = False) -> list[str]:
+def _against(
+    new: EndpointFile, old: EndpointFile, rules: EndpointFileRules, accepted: bool = False
+) -> list[str]:
     """Why a balancer that holds the old document would not take the new one."""
     digests = frozenset([new.digest]) if accepted else frozenset()
-    admission = intake.admit(new, InForce.of(old), None, digests, rules)
+    admission = update_guard.evaluate(new, ActiveEndpoints.of(old), None, digests, rules)
     return list(admission.reasons) if admission.outcome in ("refused", "held") else []
 
 
@@ -82,7 +85,7 @@
 @operator_option
 def check(file: str, against: str | None, operator_file: str | None) -> int:
     """Check FILE, a file of servers."""
-    rules = Rules.of(servers_section(operator_file))
+    rules = EndpointFileRules.of(servers_section(operator_file))
     found = _read(file, rules)
     if against and (reasons := _against(found, _read(against, rules), rules)):
         return refuse(f"{file}:1: /: {reason} (against {against})" for reason in reasons)
@@ -95,7 +98,7 @@
     return 0
 
 
-def _differences(old: Document, new: Document) -> Iterator[dict[str, Any]]:
+def _differences(old: EndpointFile, new: EndpointFile) -> Iterator[dict[str, Any]]:
     for name in sorted(old.servers.keys() | new.servers.keys()):
         before, after = old.servers.get(name), new.servers.get(name)
         if before is None and after:
@@ -116,7 +119,7 @@
 @operator_option
 def diff(old: str, new: str, as_json: bool, operator_file: str | None) -> int:
     """Tell what NEW changes of OLD: a table for people, or JSON."""
-    rules = Rules.of(servers_section(operator_file))
+    rules = EndpointFileRules.of(servers_section(operator_file))
     first, second = _read(old, rules), _read(new, rules)
     found = list(_differences(first, second))
     if as_json:
@@ -143,7 +146,7 @@
 @operator_option
 def seal(file: str, operator_file: str | None) -> int:
     """Seal FILE in place, so that a damaged copy of it can be told from a whole one."""
-    rules = Rules.of(servers_section(operator_file))
+    rules = EndpointFileRules.of(servers_section(operator_file))
     value = _value(file, rules)
     _write(Path(file), _text(value))
     click.echo(f"{file}: sealed, {digest_of(value)}")
@@ -158,17 +161,17 @@
 @operator_option
 def publish(new: str, dest: str, bump: bool, accepted: bool, operator_file: str | None) -> int:
     """Check NEW, hold it against DEST, seal it, and put it in DEST's place as a whole."""
-    rules = Rules.of(servers_section(operator_file))
+    rules = EndpointFileRules.of(servers_section(operator_file))
     value, target = _value(new, rules), Path(dest)
     old = _read(dest, rules) if target.exists() else None
     if bump:
         value["generation"] = 1 + ((old.generation if old else None) or 0)
     data = _text(value)
-    fresh = document.read(new, data, rules)
+    fresh = parse_endpoint_file(new, data, rules)
     if old and (reasons := _against(fresh, old, rules, accepted)):
         return refuse(f"{new}:1: /: {reason} (against {dest})" for reason in reasons)
     if accepted:
-        _write(accept_path(target), json.dumps({"digest": fresh.digest}).encode())
+        _write(approval_path(target), json.dumps({"digest": fresh.digest}).encode())
     _write(target, data)
     click.echo(f"{dest}: published generation {fresh.generation}, {fresh.digest}")
     return 0
@@ -182,8 +185,8 @@
 
     A balancer that holds it back takes it then; nothing else is let in by this.
     """
-    found = _read(file, Rules.of(servers_section(operator_file)))
-    _write(accept_path(Path(file)), json.dumps({"digest": found.digest}).encode())
+    found = _read(file, EndpointFileRules.of(servers_section(operator_file)))
+    _write(approval_path(Path(file)), json.dumps({"digest": found.digest}).encode())
     click.echo(f"{file}: generation {found.generation}, {found.digest} is accepted")
     return 0
 
@@ -203,7 +206,7 @@
 def explain(file: str, discovery: str, silent_s: float, operator_file: str | None) -> int:
     """Tell which list would hold, and for each server why it stands in it as it does."""
     servers = servers_section(operator_file)
-    rules = Rules.of(servers)
+    rules = EndpointFileRules.of(servers)
     found = _read(file, rules)
     data = read_all(Path(discovery), rules.most_bytes)
     _, value = load(discovery, data, rules.most_bytes)
@@ -213,14 +216,14 @@
         raise ConfigurationError(
             discovery, [Violation("", f"is not in discovery's form: {error!r}")]
         ) from None
-    told = Discovery.at(0)
+    told = DiscoveryState.at(0)
     told.take(
         0,
         {entry.name: ResolvedEndpoint(entry, result.addresses[entry.name]) for entry in result.endpoints},
         api.EndpointUpdateKind.FULL,
     )
     now = int(silent_s * SECOND)
-    choice: Choice = merge.choose(now, policy_of(servers), told, True, None)
+    choice: SourceSelection = merge.choose(now, MergePolicy.from_settings(servers), told, True, None)
     lines = merge.merge(now, choice, told, found.servers, {})
     click.echo(f"{choice.source} holds: {choice.reason}")
     rows = [
--- a/wheatstile/descriptions/reader.py
+++ b/wheatstile/descriptions/reader.py
@@ -17,7 +17,7 @@
 from wheatstile.descriptions.model import Description, DescriptionError, Finding, Place
 from wheatstile.descriptions.refs import Library, reference_findings
 from wheatstile.descriptions.text import Text
-from wheatstile.resolvers.files import open_regular, snapshot
+from wheatstile.resolvers.regular_file import open_regular, snapshot
 
 MOST_FILES = 1000  # of all descriptions and what they refer to
 ENDINGS = (".yaml", ".yml", ".json")
--- a/wheatstile/descriptions/section.py
+++ b/wheatstile/descriptions/section.py
@@ -19,7 +19,7 @@
 from wheatstile.config.platform import Config
 from wheatstile.descriptions.model import NARROWER, TIGHTER
 from wheatstile.net.decision_loop import DecisionLoop
-from wheatstile.resolvers.notices import Notices
+from wheatstile.resolvers.file_watcher import FileWatcher
 
 log = structlog.get_logger()
 
@@ -146,7 +146,7 @@
 
     async def _run(self, section: Descriptions) -> None:
         paths = [self._operator.near(path) for path in section.paths]
-        notices = [Notices(path, section.recheck_s) for path in paths]
+        notices = [FileWatcher(path, section.recheck_s) for path in paths]
         tasks = [asyncio.create_task(one.run()) for one in notices]
         try:
             while True:
--- a/wheatstile/resolvers/document.py
+++ b/wheatstile/resolvers/endpoint_file.py
@@ -26,7 +26,7 @@
 MOST_PLACED = 100  # faults that are worth their places: one cause may put a fault on every server
 
 
-class Row(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+class EndpointRow(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """One server as the file has it."""
 
     id: Annotated[str, Meta(min_length=1, max_length=255)]
@@ -37,7 +37,7 @@
     started: Annotated[int, Meta(ge=0, le=1 << 53)] | None = None  # Unix time in milliseconds
 
 
-class Head(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+class FileHeader(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """The document but for its servers' rows, which are held against their type one by one."""
 
     servers: list[Any]
@@ -47,7 +47,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Rules:
+class EndpointFileRules:
     """What a document has to keep to, beside its form."""
 
     networks: Networks
@@ -59,7 +59,7 @@
     most_removed: float
 
     @classmethod
-    def of(cls, servers: Servers) -> "Rules":
+    def of(cls, servers: Servers) -> "EndpointFileRules":
         return cls(
             Networks(servers.networks),
             servers.most,
@@ -72,7 +72,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Document:
+class EndpointFile:
     """A whole file of servers that keeps to the rules."""
 
     servers: Mapping[str, ResolvedEndpoint]
@@ -136,7 +136,9 @@
     return SEAL + xxhash.xxh3_128_hexdigest(canonical(rest))
 
 
-def read(file: str, data: bytes, rules: Rules, check_seal: bool = True) -> Document:
+def parse_endpoint_file(
+    file: str, data: bytes, rules: EndpointFileRules, check_seal: bool = True
+) -> EndpointFile:
     """The document in these bytes. Raises ConfigurationError with every violation; file is for their places.
 
     check_seal: not where the document is about to be sealed anew, or stands inside a sealed one.
@@ -144,7 +146,7 @@
     text, value = load(file, data, rules.most_bytes)
     if not isinstance(value, dict):
         raise ConfigurationError(file, [Violation("", "is no object", 1)])
-    found = list(shape.faults(value, Head))
+    found = list(shape.faults(value, FileHeader))
     rows = value.get("servers")
     if isinstance(rows, list) and len(rows) > rules.most:
         found.append(Violation("/servers", f"{len(rows)} servers; {rules.most} at most (servers.most)"))
@@ -157,7 +159,7 @@
     if not found and check_seal:
         found += _seal_faults(value, digest, rules)
     if not found:
-        document = Document(
+        document = EndpointFile(
             named,
             None if value.get("sites") is None else tuple(value["sites"]),
             value.get("generation"),
@@ -174,7 +176,7 @@
 
 
 def site_faults(
-    document: Document, sites: tuple[str, ...], rules: Rules, placed: bool = False
+    document: EndpointFile, sites: tuple[str, ...], rules: EndpointFileRules, placed: bool = False
 ) -> list[Violation]:
     """The sites that this document would leave with too few ready servers."""
     counts = dict.fromkeys(sites, 0)
@@ -192,7 +194,7 @@
     ]
 
 
-def _rows(rows: list[Any], rules: Rules) -> tuple[dict[str, ResolvedEndpoint], list[Violation]]:
+def _rows(rows: list[Any], rules: EndpointFileRules) -> tuple[dict[str, ResolvedEndpoint], list[Violation]]:
     """Each row on its own and against the others. Raises nothing: every fault is returned."""
     named: dict[str, ResolvedEndpoint] = {}
     found: list[Violation] = []
@@ -200,15 +202,15 @@
     places: dict[tuple[str, int], int] = {}
     weights: list[tuple[float, int]] = []
     for index, value in enumerate(rows):
-        row: Row | None = None
+        row: EndpointRow | None = None
         name: Any
         text: Any
         weight: Any
         try:
-            row = msgspec.convert(value, Row)
+            row = msgspec.convert(value, EndpointRow)
             name, text, weight = row.id, row.address, row.weight
         except msgspec.ValidationError:
-            found += shape.faults(value, Row, ("servers", index))
+            found += shape.faults(value, EndpointRow, ("servers", index))
             parts = value if isinstance(value, dict) else {}
             name, text, weight = (parts.get(key) for key in ("id", "address", "weight"))
         address = None
@@ -259,7 +261,7 @@
     return host, int(port)
 
 
-def _seal_faults(value: dict[str, Any], digest: str, rules: Rules) -> Iterator[Violation]:
+def _seal_faults(value: dict[str, Any], digest: str, rules: EndpointFileRules) -> Iterator[Violation]:
     seal = value.get("seal")
     if seal is None:
         if rules.require_seal:
--- a/wheatstile/resolvers/combined.py
+++ b/wheatstile/resolvers/endpoint_merger.py
@@ -10,9 +10,9 @@
 from wheatstile.net.decision_loop import DecisionLoop
 from wheatstile.net.upstream_pool import UpstreamPool
 from wheatstile.resolvers import merge
-from wheatstile.resolvers.document import Document
-from wheatstile.resolvers.garbage import uncollected
-from wheatstile.resolvers.merge import Choice, Discovery, Line, Policy
+from wheatstile.resolvers.endpoint_file import EndpointFile
+from wheatstile.resolvers.gc_pause import gc_paused
+from wheatstile.resolvers.merge import DiscoveryState, MergedEndpoint, MergePolicy, SourceSelection
 
 log = structlog.get_logger()
 
@@ -21,15 +21,15 @@
 PORTION = 1000  # addresses that the upstreams take between two turns of the loop
 
 
-class Combined:
+class EndpointMerger:
     """Discovery's observer where a file of servers is on. Owns the list that holds."""
 
-    def __init__(self, decisions: DecisionLoop, upstreams: UpstreamPool, policy: Policy) -> None:
+    def __init__(self, decisions: DecisionLoop, upstreams: UpstreamPool, policy: MergePolicy) -> None:
         self.decisions, self.upstreams, self.policy = decisions, upstreams, policy
-        self.discovery = Discovery.at(decisions.now())
+        self.discovery = DiscoveryState.at(decisions.now())
         self.file: Mapping[str, ResolvedEndpoint] = {}
-        self.lines: dict[str, Line] = {}
-        self.choice: Choice | None = None
+        self.lines: dict[str, MergedEndpoint] = {}
+        self.choice: SourceSelection | None = None
         self._version = 0  # of what the list is made of
         self._large: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -40,9 +40,9 @@
         for name, upstream in self.upstreams.by_name.items():
             if name in known:
                 self.discovery.entries[name] = ResolvedEndpoint(known[name].endpoint, upstream.address)
-                self.lines[name] = Line(self.discovery.entries[name], "discovery")
+                self.lines[name] = MergedEndpoint(self.discovery.entries[name], "discovery")
 
-    def configure(self, policy: Policy) -> None:
+    def configure(self, policy: MergePolicy) -> None:
         """This policy holds from now on."""
         if policy != self.policy:
             self.policy, self.choice = policy, None
@@ -61,7 +61,7 @@
                 if one.address is None:
                     del self.lines[name]
                 else:
-                    self.lines[name] = Line(one, "discovery tells it to drain")
+                    self.lines[name] = MergedEndpoint(one, "discovery tells it to drain")
             self._tell(stopped)
         self._changed()
 
@@ -73,7 +73,7 @@
     def on_failure(self) -> None:
         self.discovery.failed()
 
-    def take_file(self, document: Document | None) -> None:
+    def take_file(self, document: EndpointFile | None) -> None:
         """The file's list from now on; none: it has left."""
         self.file = document.servers if document else {}
         self._changed()
@@ -88,10 +88,10 @@
         """Discovery alone holds from now on; what only the file named gets nothing new."""
         self.file = {}
         self.close()
-        choice = Choice("discovery", "the file is switched off")
+        choice = SourceSelection("discovery", "the file is switched off")
         self._apply(choice, merge.merge(self.decisions.now(), choice, self.discovery, {}, self.lines))
 
-    def _choose(self) -> Choice:
+    def _choose(self) -> SourceSelection:
         return merge.choose(self.decisions.now(), self.policy, self.discovery, bool(self.file), self.choice)
 
     def _look(self) -> None:
@@ -103,7 +103,7 @@
             self.choice = choice
             self._look_again(choice)
 
-    def _look_again(self, choice: Choice) -> None:
+    def _look_again(self, choice: SourceSelection) -> None:
         if self._timer:
             self._timer.cancel()
             self._timer = None
@@ -133,7 +133,7 @@
         while applied != self._version:
             for race in range(RACES + 1):
                 version, choice, now = self._version, self._choose(), self.decisions.now()
-                told = Discovery(
+                told = DiscoveryState(
                     self.discovery.started, dict(self.discovery.entries), dict(self.discovery.gone)
                 )
                 if race < RACES:
@@ -154,7 +154,10 @@
             self._apply(choice, lines, delta)
 
     def _apply(
-        self, choice: Choice, lines: dict[str, Line], delta: list[ResolvedEndpoint] | None = None
+        self,
+        choice: SourceSelection,
+        lines: dict[str, MergedEndpoint],
+        delta: list[ResolvedEndpoint] | None = None,
     ) -> None:
         changes = merge.changes(self.lines, lines) if delta is None else delta
         before, self.choice, self.lines = self.choice, choice, lines
@@ -175,7 +178,7 @@
         """One event for all that has changed: the module never sees a part of a list."""
         if addresses:
             self.upstreams.update([one for one in changes if one.address], False)
-        with uncollected():
+        with gc_paused():
             self.decisions.dispatch(
                 api.EndpointUpdate(api.EndpointUpdateKind.DELTA, [one.endpoint for one in changes])
             )
--- a/wheatstile/resolvers/notices.py
+++ b/wheatstile/resolvers/file_watcher.py
@@ -1,4 +1,4 @@
-"""Notices that something near a path has changed, by the file system's own where it gives them."""
+"""FileWatcher that something near a path has changed, by the file system's own where it gives them."""
 
 import asyncio
 import os
@@ -16,7 +16,7 @@
 LINKS = 40  # symbolic links that a path may lead through
 
 
-def chain(path: Path) -> tuple[set[str], set[str]]:
+def watched_paths(path: Path) -> tuple[set[str], set[str]]:
     """The folders in which a change may lead the path elsewhere, and the names in them that matter."""
     folders, names = set(), set()
     todo, left = [Path(os.path.abspath(path))], LINKS
@@ -34,7 +34,7 @@
     return {folder for folder in folders if os.path.isdir(folder)}, names
 
 
-class Notices:
+class FileWatcher:
     """Sets an event for each change near the path. Where nothing tells, looking in turn finds it."""
 
     def __init__(self, path: Path, recheck: float) -> None:
@@ -44,7 +44,7 @@
     async def run(self) -> None:
         told = False
         while True:
-            folders, names = await asyncio.to_thread(chain, self.path)
+            folders, names = await asyncio.to_thread(watched_paths, self.path)
 
             def concerns(_: Change, path: str, names: set[str] = names) -> bool:
                 return os.path.basename(path) in names
@@ -61,7 +61,7 @@
                     recursive=False,
                 ):
                     self.changed.set()
-                    if await asyncio.to_thread(chain, self.path) != (folders, names):
+                    if await asyncio.to_thread(watched_paths, self.path) != (folders, names):
                         break  # a link leads elsewhere now
                 else:
                     return
--- a/wheatstile/resolvers/garbage.py
+++ b/wheatstile/resolvers/gc_pause.py
@@ -6,7 +6,7 @@
 
 
 @contextmanager
-def uncollected() -> Iterator[None]:
+def gc_paused() -> Iterator[None]:
     """Collect nothing meanwhile, and put what was made with the oldest objects at its end.
 
     Lists are freed by their counts, so they are only a cost to the collector: it stopped the loop for up to
--- a/wheatstile/resolvers/last_good.py
+++ b/wheatstile/resolvers/last_known_good.py
@@ -11,17 +11,17 @@
 
 from wheatstile.config.endpoints import ResolvedEndpoint
 from wheatstile.config.violations import ConfigurationError, Violation, load
-from wheatstile.resolvers import document
-from wheatstile.resolvers.document import Document, Rules, digest_of
-from wheatstile.resolvers.files import read_all, write_atomic
+from wheatstile.resolvers.atomic_write import write_atomic
+from wheatstile.resolvers.endpoint_file import EndpointFile, EndpointFileRules, digest_of, parse_endpoint_file
+from wheatstile.resolvers.regular_file import read_all
 
 NAME = "servers-last-good.json"
 FORM = 1
 
 
 @dataclass(frozen=True, slots=True)
-class LastGood:
-    document: Document
+class LastKnownGood:
+    document: EndpointFile
     taken_at_ms: int  # Unix time
 
 
@@ -40,7 +40,7 @@
     return found
 
 
-def save(folder: Path, kept: Document, taken_at_ms: int) -> None:
+def save(folder: Path, kept: EndpointFile, taken_at_ms: int) -> None:
     """Write the document, sealed. Raises OSError; what was there before then stands."""
     inner: dict[str, Any] = {"servers": rows(dict(kept.servers))}
     if kept.sites is not None:
@@ -52,7 +52,7 @@
     write_atomic(folder / NAME, msgspec.json.encode(whole))
 
 
-def restore(folder: Path, rules: Rules) -> LastGood | None:
+def restore(folder: Path, rules: EndpointFileRules) -> LastKnownGood | None:
     """What was saved, held against the rules of today; None if nothing was. Raises ConfigurationError."""
     path = folder / NAME
     if not path.exists():
@@ -65,6 +65,6 @@
         raise ConfigurationError(str(path), [Violation("/seal", "is not what this program wrote")])
     inner = msgspec.json.encode(value["document"])
     roomy = replace(rules, most_bytes=most)
-    found = document.read(str(path), inner, roomy, check_seal=False)
-    sealed = Document(found.servers, found.sites, found.generation, value["digest"], found.sealed)
-    return LastGood(sealed, int(value["taken_at_ms"]))
+    found = parse_endpoint_file(str(path), inner, roomy, check_seal=False)
+    sealed = EndpointFile(found.servers, found.sites, found.generation, value["digest"], found.sealed)
+    return LastKnownGood(sealed, int(value["taken_at_ms"]))
--- a/wheatstile/resolvers/merge.py
+++ b/wheatstile/resolvers/merge.py
@@ -11,6 +11,7 @@
 
 from wheatstile import interface as api
 from wheatstile.config.endpoints import ResolvedEndpoint
+from wheatstile.config.operator import Servers
 
 Source = Literal["discovery", "file", "both"]
 SECOND = 1_000_000
@@ -21,16 +22,20 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Policy:
+class MergePolicy:
     """The operator's word on which list holds; times in microseconds."""
 
     mode: Literal["fallback", "override", "merge"]
     after: int  # of silence until the file holds
     hold_down: int  # of steady answers that a discovery which has flapped must show
 
+    @classmethod
+    def from_settings(cls, servers: Servers) -> "MergePolicy":
+        return cls(servers.mode, int(servers.after_s * 1e6), int(servers.hold_down_s * 1e6))
+
 
 @dataclass(slots=True)
-class Discovery:
+class DiscoveryState:
     """What discovery has told so far."""
 
     started: int  # when this balancer began to listen
@@ -40,7 +45,7 @@
     steady_since: int | None = None  # it has answered without a break since
 
     @classmethod
-    def at(cls, now: int) -> "Discovery":
+    def at(cls, now: int) -> "DiscoveryState":
         return cls(now, {}, {})
 
     def take(
@@ -80,7 +85,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Choice:
+class SourceSelection:
     """Which source holds, why, and when to look again though nothing has happened (None: never)."""
 
     source: Source
@@ -89,50 +94,54 @@
     losses: tuple[int, ...] = ()  # when the file took over from a silent discovery, of late
 
 
-def hold_down(losses: int, policy: Policy) -> int:
+def hold_down(losses: int, policy: MergePolicy) -> int:
     """Steady answers asked of discovery: none after one loss, then doubling up to HOLD_MOST hold-downs."""
     return 0 if losses < 2 else min(1 << (losses - 2), HOLD_MOST) * policy.hold_down
 
 
-def choose(now: int, policy: Policy, discovery: Discovery, has_file: bool, last: Choice | None) -> Choice:
+def choose(
+    now: int, policy: MergePolicy, discovery: DiscoveryState, has_file: bool, last: SourceSelection | None
+) -> SourceSelection:
     """Which source holds from now on, given what held last."""
     losses = tuple(at for at in last.losses if now - at < FLAPS_WITHIN * policy.hold_down) if last else ()
     if not has_file:
-        return Choice("discovery", "no file has been taken yet", None, losses)
+        return SourceSelection("discovery", "no file has been taken yet", None, losses)
     if policy.mode == "override":
-        return Choice("file", "the mode is override", None, losses)
+        return SourceSelection("file", "the mode is override", None, losses)
     if policy.mode == "merge":
-        return Choice("both", "the mode is merge", None, losses)
+        return SourceSelection("both", "the mode is merge", None, losses)
     if last is None or last.source != "file":
         return _while_discovery_holds(now, policy, discovery, losses)
     return _while_file_holds(now, policy, discovery, last, losses)
 
 
-def _while_discovery_holds(now: int, policy: Policy, discovery: Discovery, losses: tuple[int, ...]) -> Choice:
+def _while_discovery_holds(
+    now: int, policy: MergePolicy, discovery: DiscoveryState, losses: tuple[int, ...]
+) -> SourceSelection:
     if discovery.told_at is None and not discovery.entries:
-        return Choice("file", "discovery has never told anything", None, losses)
+        return SourceSelection("file", "discovery has never told anything", None, losses)
     since = discovery.started if discovery.told_at is None else discovery.told_at
     if now - since < policy.after:
-        return Choice("discovery", "discovery answers", since + policy.after, losses)
+        return SourceSelection("discovery", "discovery answers", since + policy.after, losses)
     silent = f"discovery has told nothing for {(now - since) / SECOND:.1f} s"
-    return Choice("file", silent, None, (*losses, now)[-16:])
+    return SourceSelection("file", silent, None, (*losses, now)[-16:])
 
 
 def _while_file_holds(
-    now: int, policy: Policy, discovery: Discovery, last: Choice, losses: tuple[int, ...]
-) -> Choice:
+    now: int, policy: MergePolicy, discovery: DiscoveryState, last: SourceSelection, losses: tuple[int, ...]
+) -> SourceSelection:
     steady, told = discovery.steady_since, discovery.told_at
     if steady is None or told is None or now - told > max(policy.after, SECOND):
-        return Choice("file", last.reason, None, losses)
+        return SourceSelection("file", last.reason, None, losses)
     ready_at = steady + hold_down(len(losses), policy)
     if now >= ready_at:
-        return Choice("discovery", "discovery answers again", told + policy.after, losses)
+        return SourceSelection("discovery", "discovery answers again", told + policy.after, losses)
     flapped = f"discovery answers, but was lost {len(losses)} times of late: held down"
-    return Choice("file", flapped, ready_at, losses)
+    return SourceSelection("file", flapped, ready_at, losses)
 
 
 @dataclass(frozen=True, slots=True)
-class Line:
+class MergedEndpoint:
     """One server of the list that holds, and why it stands there as it does."""
 
     named: ResolvedEndpoint
@@ -142,16 +151,16 @@
 
 def merge(
     now: int,
-    choice: Choice,
-    discovery: Discovery,
+    choice: SourceSelection,
+    discovery: DiscoveryState,
     file: Mapping[str, ResolvedEndpoint],
-    last: Mapping[str, Line],
-) -> dict[str, Line]:
+    last: Mapping[str, MergedEndpoint],
+) -> dict[str, MergedEndpoint]:
     """The list that holds, by server. last: what this returned before, for whom it no longer names."""
-    lines: dict[str, Line] = {}
+    lines: dict[str, MergedEndpoint] = {}
     if choice.source != "file":
         for name, named in discovery.entries.items():
-            lines[name] = Line(named, "discovery")
+            lines[name] = MergedEndpoint(named, "discovery")
     if choice.source != "discovery":
         for name, named in file.items():
             if name not in discovery.gone:
@@ -165,13 +174,13 @@
     return lines
 
 
-def _from_file(named: ResolvedEndpoint, told: ResolvedEndpoint | None) -> Line:
+def _from_file(named: ResolvedEndpoint, told: ResolvedEndpoint | None) -> MergedEndpoint:
     """The file's word on weight and address; discovery's on a drain, and the later word on the start.
 
     A server that started within the warm-up is protected as cold whoever tells of it.
     """
     if told is None:
-        return Line(named, "file")
+        return MergedEndpoint(named, "file")
     entry, other = named.endpoint, told.endpoint
     draining = other.state != api.EndpointState.READY and entry.state == api.EndpointState.READY
     entry = replace(
@@ -181,17 +190,21 @@
         zone=entry.zone or other.zone,
         cell=other.cell,
     )
-    return Line(
+    return MergedEndpoint(
         ResolvedEndpoint(entry, named.address), "file; discovery tells it to drain" if draining else "file"
     )
 
 
-def _retired(line: Line, choice: Choice, until: int) -> Line:
+def _retired(line: MergedEndpoint, choice: SourceSelection, until: int) -> MergedEndpoint:
     entry = replace(line.named.endpoint, state=api.EndpointState.DRAINING)
-    return Line(ResolvedEndpoint(entry, line.named.address), f"no longer named; {choice.source} holds", until)
+    return MergedEndpoint(
+        ResolvedEndpoint(entry, line.named.address), f"no longer named; {choice.source} holds", until
+    )
 
 
-def changes(last: Mapping[str, Line], lines: Mapping[str, Line]) -> list[ResolvedEndpoint]:
+def changes(
+    last: Mapping[str, MergedEndpoint], lines: Mapping[str, MergedEndpoint]
+) -> list[ResolvedEndpoint]:
     """What has changed between two lists, as a delta tells it."""
     found = [line.named for name, line in lines.items() if name not in last or last[name].named != line.named]
     for name in last.keys() - lines.keys():
@@ -199,7 +212,7 @@
     return found
 
 
-def stopped(lines: Mapping[str, Line], told: Iterable[ResolvedEndpoint]) -> list[ResolvedEndpoint]:
+def stopped(lines: Mapping[str, MergedEndpoint], told: Iterable[ResolvedEndpoint]) -> list[ResolvedEndpoint]:
     """Of the servers that discovery told to get nothing new, those that still would; in any mode."""
     found = []
     for named in told:
@@ -213,13 +226,13 @@
     return found
 
 
-def ready_of(lines: Mapping[str, Line]) -> frozenset[str]:
+def ready_of(lines: Mapping[str, MergedEndpoint]) -> frozenset[str]:
     return frozenset(
         name for name, line in lines.items() if line.named.endpoint.state == api.EndpointState.READY
     )
 
 
-def sites_of(lines: Mapping[str, Line]) -> tuple[str, ...]:
+def sites_of(lines: Mapping[str, MergedEndpoint]) -> tuple[str, ...]:
     """The sites with a ready server, those without a name left out, in order of name."""
     return tuple(
         sorted(
--- a/wheatstile/resolvers/section.py
+++ b/wheatstile/resolvers/section.py
@@ -9,8 +9,9 @@
 from wheatstile.net.decision_loop import DecisionLoop
 from wheatstile.net.discovery_watcher import DiscoveryOnlyObserver, DiscoveryWatcher
 from wheatstile.net.upstream_pool import UpstreamPool
-from wheatstile.resolvers.combined import Combined
-from wheatstile.resolvers.source import ServersFile, policy_of
+from wheatstile.resolvers.endpoint_merger import EndpointMerger
+from wheatstile.resolvers.merge import MergePolicy
+from wheatstile.resolvers.source import EndpointFileSource
 
 log = structlog.get_logger()
 
@@ -27,8 +28,8 @@
         self, decisions: DecisionLoop, upstreams: UpstreamPool, discovery_watcher: DiscoveryWatcher
     ) -> None:
         self.decisions, self.upstreams, self.discovery_watcher = decisions, upstreams, discovery_watcher
-        self._combined: Combined | None = None
-        self._file: ServersFile | None = None
+        self._combined: EndpointMerger | None = None
+        self._file: EndpointFileSource | None = None
         self._task: asyncio.Task[None] | None = None
         self._followed: tuple[str, Servers] | None = None
 
@@ -42,17 +43,19 @@
             return self._switch_off()
         if self._combined is None:
             sys.setswitchinterval(GIVE_WAY)
-            self._combined = Combined(self.decisions, self.upstreams, policy_of(servers))
+            self._combined = EndpointMerger(
+                self.decisions, self.upstreams, MergePolicy.from_settings(servers)
+            )
             self._combined.adopt()
             self.discovery_watcher.observer = self._combined
-        self._combined.configure(policy_of(servers))
+        self._combined.configure(MergePolicy.from_settings(servers))
         old = self._stop()
-        self._file = ServersFile(operator, self._combined)
+        self._file = EndpointFileSource(operator, self._combined)
         if old and old.path == self._file.path:
             self._file.document = old.document  # else the new file is held against nothing, as at a start
         self._task = asyncio.create_task(self._run(self._file))
 
-    async def _run(self, file: ServersFile) -> None:
+    async def _run(self, file: EndpointFileSource) -> None:
         while True:
             try:
                 await file.run()
@@ -60,7 +63,7 @@
                 log.exception("a part failed and starts again", part="servers file")
             await asyncio.sleep(START_AGAIN)
 
-    def _stop(self) -> ServersFile | None:
+    def _stop(self) -> EndpointFileSource | None:
         if self._task:
             self._task.cancel()
             self._task = None
--- a/wheatstile/resolvers/source.py
+++ b/wheatstile/resolvers/source.py
@@ -10,16 +10,16 @@
 
 import structlog
 
-from wheatstile.config.operator import OperatorFile, Servers
+from wheatstile.config.operator import OperatorFile
 from wheatstile.config.violations import ConfigurationError, load
-from wheatstile.resolvers import intake, last_good, merge
-from wheatstile.resolvers.combined import Combined
-from wheatstile.resolvers.document import Document, Rules
-from wheatstile.resolvers.files import FileReader, Reading, read_all
-from wheatstile.resolvers.garbage import uncollected
-from wheatstile.resolvers.intake import Admission, Held, InForce
-from wheatstile.resolvers.merge import Policy
-from wheatstile.resolvers.notices import Notices
+from wheatstile.resolvers import last_known_good, merge, update_guard
+from wheatstile.resolvers.endpoint_file import EndpointFile, EndpointFileRules
+from wheatstile.resolvers.endpoint_file_reader import EndpointFileReader, ReadResult
+from wheatstile.resolvers.endpoint_merger import EndpointMerger
+from wheatstile.resolvers.file_watcher import FileWatcher
+from wheatstile.resolvers.gc_pause import gc_paused
+from wheatstile.resolvers.regular_file import read_all
+from wheatstile.resolvers.update_guard import ActiveEndpoints, Evaluation, PendingApproval
 
 log = structlog.get_logger()
 
@@ -29,33 +29,29 @@
 SAME_AGAIN = 60.0  # seconds for which the same trouble with a file is not told again
 
 
-def policy_of(servers: Servers) -> Policy:
-    return Policy(servers.mode, int(servers.after_s * 1e6), int(servers.hold_down_s * 1e6))
+def _look(reader: EndpointFileReader) -> ReadResult:
+    with gc_paused():
+        return reader.poll()
 
 
-def _look(reader: FileReader) -> Reading:
-    with uncollected():
-        return reader.look()
-
-
-def accept_path(file: Path) -> Path:
+def approval_path(file: Path) -> Path:
     """Where `servers accept` names the digest of a held document, beside the file that holds it."""
     return file.with_name(f"{file.name}.accept")
 
 
-class ServersFile:
+class EndpointFileSource:
     """Owns the file's reader, its thread, its notices and its last good copy."""
 
-    def __init__(self, operator: OperatorFile, combined: Combined) -> None:
+    def __init__(self, operator: OperatorFile, combined: EndpointMerger) -> None:
         servers = operator.settings.servers
         assert servers.file
         self.settings, self.combined = servers, combined
         self.path = operator.near(servers.file)
         self.folder = operator.near(servers.state_dir) if servers.state_dir else None
-        self.rules = Rules.of(servers)
-        self.document: Document | None = None  # in force for the file
-        self._held: Held | None = None  # a newer generation may repeat it
-        self._waiting: Document | None = None  # the file's content, if it is what is held
+        self.rules = EndpointFileRules.of(servers)
+        self.document: EndpointFile | None = None  # in force for the file
+        self._held: PendingApproval | None = None  # a newer generation may repeat it
+        self._waiting: EndpointFile | None = None  # the file's content, if it is what is held
         self._thread: ThreadPoolExecutor
         self._told: tuple[tuple[str, ...], float] = ((), 0.0)
 
@@ -65,8 +61,8 @@
     async def run(self) -> None:
         """Follow the file until cancelled. Gives back the thread and the descriptor at its end."""
         self._thread = ThreadPoolExecutor(1, "servers-file")
-        reader = FileReader(self.path, self.rules, self.settings.settle_s)
-        notices = Notices(self.path, self.settings.recheck_s)
+        reader = EndpointFileReader(self.path, self.rules, self.settings.settle_s)
+        notices = FileWatcher(self.path, self.settings.recheck_s)
         noticing = asyncio.create_task(notices.run())
         try:
             if self.document is None:
@@ -74,7 +70,7 @@
             while True:
                 notices.changed.clear()
                 begin = time.monotonic()
-                reading: Reading = await self._off_loop(_look, reader)
+                reading: ReadResult = await self._off_loop(_look, reader)
                 cost = time.monotonic() - begin
                 wait = await self._take(reading)
                 if reading.outcome == "unsettled":  # what goes on meanwhile does not hurry it
@@ -95,7 +91,7 @@
         if self.folder is None:
             return
         try:
-            kept = await self._off_loop(last_good.restore, self.folder, self.rules)
+            kept = await self._off_loop(last_known_good.restore, self.folder, self.rules)
         except ConfigurationError as refused:
             log.warning("last good list passed over", reasons=refused.lines()[:MOST_TOLD])
             return
@@ -106,7 +102,7 @@
             age = time.time() - kept.taken_at_ms / 1000
             self._hold(kept.document, "last good", age_s=round(age, 1), clock_went_back=age < 0)
 
-    async def _take(self, reading: Reading) -> float:
+    async def _take(self, reading: ReadResult) -> float:
         """Do as the reading says; the seconds until the next look, if nothing is noticed before."""
         if reading.outcome == "unsettled":
             return reading.wait
@@ -125,11 +121,11 @@
             self._trouble("servers file unreadable", reading.reasons)
         return self.settings.recheck_s
 
-    async def _admit(self, document: Document) -> None:
+    async def _admit(self, document: EndpointFile) -> None:
         force = self._in_force()
         accepted: frozenset[str] = await self._off_loop(self._accepted) if self._held else frozenset()
         work = (document, force, self._held, accepted, self.rules)
-        admission: Admission = await self._off_loop(intake.admit, *work)
+        admission: Evaluation = await self._off_loop(update_guard.evaluate, *work)
         self._waiting = document if admission.outcome == "held" else None
         if admission.outcome == "taken":
             self._held = None
@@ -145,17 +141,17 @@
             reasons = tuple(f"{self.path}:1: /: {reason}" for reason in admission.reasons)
             self._trouble("servers file refused", reasons, digest=document.digest)
 
-    def _in_force(self) -> InForce:
+    def _in_force(self) -> ActiveEndpoints:
         """What the next document is held against."""
         if self.document:
-            return InForce.of(self.document)
+            return ActiveEndpoints.of(self.document)
         lines = self.combined.lines
         # In fallback and merge a first file takes nothing away: discovery's servers stay.
         ready = merge.ready_of(lines) if self.settings.mode == "override" else frozenset()
-        return InForce(None, merge.sites_of(lines), ready)
+        return ActiveEndpoints(None, merge.sites_of(lines), ready)
 
     def _accepted(self) -> frozenset[str]:
-        path = accept_path(self.path)
+        path = approval_path(self.path)
         if not path.exists():
             return frozenset()
         try:
@@ -164,7 +160,7 @@
             return frozenset()
         return frozenset([value["digest"]]) if isinstance(value, dict) and "digest" in value else frozenset()
 
-    def _hold(self, document: Document, origin: str, **more: Any) -> None:
+    def _hold(self, document: EndpointFile, origin: str, **more: Any) -> None:
         self.document, self._told = document, ((), 0.0)
         self.combined.decisions.counters[f"servers file taken, {origin}"] += 1
         log.info(
@@ -178,11 +174,11 @@
         )
         self.combined.take_file(document)
 
-    async def _keep(self, document: Document) -> None:
+    async def _keep(self, document: EndpointFile) -> None:
         if self.folder is None:
             return
         try:
-            await self._off_loop(last_good.save, self.folder, document, int(time.time() * 1000))
+            await self._off_loop(last_known_good.save, self.folder, document, int(time.time() * 1000))
         except OSError as error:
             self.combined.decisions.counters["last good not written"] += 1
             log.error(
--- a/wheatstile/resolvers/intake.py
+++ b/wheatstile/resolvers/update_guard.py
@@ -7,19 +7,19 @@
 from typing import Literal
 
 from wheatstile import interface as api
-from wheatstile.resolvers.document import Document, Rules, site_faults
+from wheatstile.resolvers.endpoint_file import EndpointFile, EndpointFileRules, site_faults
 
 
 @dataclass(frozen=True, slots=True)
-class InForce:
+class ActiveEndpoints:
     """What a new document is held against."""
 
-    document: Document | None  # the file's last, which may be from before a restart
+    document: EndpointFile | None  # the file's last, which may be from before a restart
     sites: tuple[str, ...]  # that the list in force serves
     ready: frozenset[str]  # servers that a change may not take away too many of at once
 
     @classmethod
-    def of(cls, document: Document) -> "InForce":
+    def of(cls, document: EndpointFile) -> "ActiveEndpoints":
         """A document in force: its sites are those it names, else those it serves."""
         zones = {
             named.endpoint.zone
@@ -30,7 +30,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Held:
+class PendingApproval:
     """A document that takes too much away, and waits to be repeated by a newer one or to be accepted."""
 
     digest: str
@@ -39,47 +39,53 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Admission:
+class Evaluation:
     """What becomes of a document, and why."""
 
     outcome: Literal["taken", "unchanged", "held", "refused"]
     reasons: tuple[str, ...] = ()
-    held: Held | None = None  # what waits from now on
+    held: PendingApproval | None = None  # what waits from now on
 
 
-def admit(
-    document: Document, force: InForce, held: Held | None, accepted: frozenset[str], rules: Rules
-) -> Admission:
+def evaluate(
+    document: EndpointFile,
+    force: ActiveEndpoints,
+    held: PendingApproval | None,
+    accepted: frozenset[str],
+    rules: EndpointFileRules,
+) -> Evaluation:
     """Hold a whole document against the list in force.
 
     accepted: digests that an operator has accepted by name; they let a held document in, nothing else.
     """
     old = force.document
     if old and old.digest == document.digest:
-        return Admission("unchanged", ("the list in force says the same",), held)
+        return Evaluation("unchanged", ("the list in force says the same",), held)
     reasons = _generation_faults(document, old)
     if document.sites is None:
         reasons += [fault.reason for fault in site_faults(document, force.sites, rules)]
     if reasons:
-        return Admission("refused", tuple(reasons), held)
+        return Evaluation("refused", tuple(reasons), held)
     removed = force.ready - document.ready()
     if len(removed) <= rules.most_removed * len(force.ready):
-        return Admission("taken")
+        return Evaluation("taken")
     change = f"takes {len(removed)} of {len(force.ready)} ready servers away"
     if document.digest in accepted:
-        return Admission("taken", (f"{change}, as accepted",))
+        return Evaluation("taken", (f"{change}, as accepted",))
     if held and _repeats(document, removed, held):
-        return Admission("taken", (f"{change}, as generation {held.generation} did before it",))
+        return Evaluation("taken", (f"{change}, as generation {held.generation} did before it",))
     if held and held.digest == document.digest:
-        return Admission("held", (f"{change}; still held",), held)
+        return Evaluation("held", (f"{change}; still held",), held)
     reason = (
         f"{change}, more than servers.most_removed ({rules.most_removed:g}) allows: held until a newer "
         f"generation repeats it or `wheatstile servers accept` names {document.digest}"
     )
-    return Admission("held", (reason,), Held(document.digest, document.generation, frozenset(removed)))
+    return Evaluation(
+        "held", (reason,), PendingApproval(document.digest, document.generation, frozenset(removed))
+    )
 
 
-def _generation_faults(document: Document, old: Document | None) -> list[str]:
+def _generation_faults(document: EndpointFile, old: EndpointFile | None) -> list[str]:
     if old is None or old.generation is None:
         return []
     if document.generation is None:
@@ -91,7 +97,7 @@
     return []
 
 
-def _repeats(document: Document, removed: set[str] | frozenset[str], held: Held) -> bool:
+def _repeats(document: EndpointFile, removed: set[str] | frozenset[str], held: PendingApproval) -> bool:
     """Whether a newer generation takes away what the held one did, and nobody beside."""
     newer = None not in (document.generation, held.generation) and document.generation > held.generation  # type: ignore[operator]
     return newer and removed <= held.removed
