--- a/benchmarks/servers_file.py
+++ b/benchmarks/servers_file.py
@@ -26,10 +26,11 @@
 from peers import NodeTest  # noqa: E402
 
 from wheatstile.resolvers.atomic_write import write_atomic  # noqa: E402
-from wheatstile.resolvers.endpoint_file import digest_of  # noqa: E402
+from wheatstile.resolvers.canonical_json import digest_of  # noqa: E402
 
 FORK = multiprocessing.get_context("fork")  # a writer that takes no time of this process's
-TAKEN, TOLD = "servers file taken", "the module was told"
+TAKEN = "endpoint_file_accepted"
+TOLD = "endpoint_update_dispatched"
 
 
 def histogram() -> HdrHistogram:
--- a/tests/resolvers/test_endpoint_file.py
+++ b/tests/resolvers/test_endpoint_file.py
@@ -1,79 +1,69 @@
-"""Files of servers as bytes: what is a whole document, and what is refused, with its place."""
+"""Endpoint files as bytes: what is accepted, and what is rejected with its place."""
 
 import contextlib
 import json
-from typing import Any
 
 import pytest
-import rfc8785
 from hypothesis import given
 from hypothesis import strategies as st
+from support.endpoint_files import RULES, JsonObject, endpoint_rows, sealed_document
 
 from wheatstile import interface as api
 from wheatstile.config.operator import Servers
 from wheatstile.config.violations import ConfigurationError
-from wheatstile.resolvers.endpoint_file import (
-    EndpointFile,
-    EndpointFileRules,
-    canonical,
-    digest_of,
-    parse_endpoint_file,
-)
-
-RULES = EndpointFileRules.of(Servers(networks=["127.0.0.0/8", "10.0.0.1-10.0.0.9"], most=50, most_bytes=5000))
-
-
-def rows(*names: str, **changes: Any) -> list[dict[str, Any]]:
-    return [
-        {"id": name, "address": f"127.0.0.1:{9000 + index}", "site": "a"} | changes
-        for index, name in enumerate(names)
-    ]
-
+from wheatstile.resolvers.canonical_json import digest_of
+from wheatstile.resolvers.endpoint_file import EndpointFile, EndpointFileRules, parse_endpoint_file
 
-def sealed(value: dict[str, Any]) -> bytes:
-    return json.dumps(value | {"seal": digest_of(value)}).encode()
 
-
-def refused(value: Any, rules: EndpointFileRules = RULES) -> list[str]:
-    data = value if isinstance(value, bytes) else json.dumps(value, indent=1).encode()
+def rejection(document: JsonObject | bytes, rules: EndpointFileRules = RULES) -> list[str]:
+    """The violations for which this document is rejected, as lines with their places."""
+    data = document if isinstance(document, bytes) else json.dumps(document, indent=1).encode()
     with pytest.raises(ConfigurationError) as error:
         parse_endpoint_file("f", data, rules)
     return error.value.lines()
 
 
-def one(**changes: Any) -> dict[str, Any]:
-    return {"servers": [rows("x")[0] | changes, *rows("y", address="127.0.0.1:1")]}
+def two_servers(**changes: object) -> JsonObject:
+    """A document of two servers, with these changes to the first one."""
+    first = endpoint_rows("x")[0] | changes
+    return {"servers": [first, *endpoint_rows("y", address="127.0.0.1:1")]}
 
 
-TABLE: list[tuple[Any, str]] = [
-    ({"servers": rows("x", "x")}, '/servers/1/id: "x" is the id of /servers/0 too'),
+REJECTED_DOCUMENTS: list[tuple[JsonObject | bytes, str]] = [
+    ({"servers": endpoint_rows("x", "x")}, '/servers/1/id: "x" is the id of /servers/0 too'),
     (
-        {"servers": rows("x", "y", address="127.0.0.1:1")},
+        {"servers": endpoint_rows("x", "y", address="127.0.0.1:1")},
         "/servers/1/address: 127.0.0.1:1 is the address of /servers/0",
     ),
-    (one(address="localhost:9000"), "f:5: /servers/0/address: "),
-    (one(address="127.0.0.1"), "HOST:PORT"),
-    (one(address="127.0.0.01:1"), "HOST:PORT"),
-    (one(address="127.0.0.1:70000"), "port from 1"),
-    (one(address="[::1]:9000"), "IPv6"),
-    (one(address="10.0.0.10:9000"), "outside servers.networks"),
-    (one(weight=0), "0.0 is no finite number over 0"),
-    (one(weight=-1), "over 0"),
-    (one(weight=float("nan")), "nan is no finite"),
-    (one(weight=float("inf")), "inf is no finite"),
-    (one(weight="1"), "/servers/0/weight: Expected `float`, got `str`"),
-    (one(weight=1001), "/servers/0/weight: 1001 is over 1000 times the least, 1"),
-    (one(wieght=1), '/servers/0/wieght: unknown key, did you mean "weight"?'),
-    (one(state="redy"), '"redy" is not known, did you mean "ready"?'),
-    (one(started_at_us=-1), "/servers/0/started"),
-    (one(id=""), "/servers/0/id"),
+    (two_servers(address="localhost:9000"), "f:5: /servers/0/address: "),
+    (two_servers(address="127.0.0.1"), "HOST:PORT"),
+    (two_servers(address="127.0.0.01:1"), "HOST:PORT"),
+    (two_servers(address="127.0.0.1:70000"), "port from 1"),
+    (two_servers(address="[::1]:9000"), "IPv6"),
+    (two_servers(address="10.0.0.10:9000"), "outside servers.networks"),
+    (two_servers(weight=0), "0.0 is no finite number over 0"),
+    (two_servers(weight=-1), "over 0"),
+    (two_servers(weight=float("nan")), "nan is no finite"),
+    (two_servers(weight=float("inf")), "inf is no finite"),
+    (two_servers(weight="1"), "/servers/0/weight: Expected `float`, got `str`"),
+    (two_servers(weight=1001), "/servers/0/weight: 1001 is over 1000 times the least, 1"),
+    (two_servers(wieght=1), '/servers/0/wieght: unknown key, did you mean "weight"?'),
+    (two_servers(state="redy"), '"redy" is not known, did you mean "ready"?'),
+    (two_servers(started_at_us=-1), "/servers/0/started"),
+    (two_servers(id=""), "/servers/0/id"),
     ({"servers": []}, "empty list"),
-    ({"servers": rows(*map(str, range(51)))}, "51 servers; 50 at most"),
-    ({"servers": rows("x"), "generation": -1}, "/generation: "),
-    ({"servers": rows("x"), "seal": "md5:1"}, "/seal: "),
-    ({"servers": rows("x"), "seal": digest_of({})}, "/seal: does not fit"),
-    ({"servers": rows("x"), "sites": ["a", "b"]}, 'f:11: /sites/1: site "b" would keep 0 ready servers'),
-    ({"servers": rows("x", state=api.EndpointState.DRAINING), "sites": ["a"]}, 'site "a" would keep 0'),
+    ({"servers": endpoint_rows(*map(str, range(51)))}, "51 servers; 50 at most"),
+    ({"servers": endpoint_rows("x"), "generation": -1}, "/generation: "),
+    ({"servers": endpoint_rows("x"), "seal": "md5:1"}, "/seal: "),
+    ({"servers": endpoint_rows("x"), "seal": digest_of({})}, "/seal: does not fit"),
+    (
+        {"servers": endpoint_rows("x"), "sites": ["a", "b"]},
+        'f:11: /sites/1: site "b" would keep 0 ready servers',
+    ),
+    (
+        {"servers": endpoint_rows("x", state=api.EndpointState.DRAINING), "sites": ["a"]},
+        'site "a" would keep 0',
+    ),
     ({}, "/servers: is missing"),
     (b"[]", "is no object"),
     (b" " * 5001, "5001 bytes; 5000 at most"),
@@ -81,86 +71,68 @@
 ]
 
 
-@pytest.mark.parametrize(("value", "told"), TABLE)
-def test_a_faulty_file_is_refused_with_place_and_reason(value: Any, told: str) -> None:
-    assert any(told in line for line in refused(value)), refused(value)
+@pytest.mark.parametrize(("document", "reason"), REJECTED_DOCUMENTS)
+def test_invalid_file_is_rejected_with_place_and_reason(document: JsonObject | bytes, reason: str) -> None:
+    lines = rejection(document)
+    assert any(reason in line for line in lines), lines
 
 
-def test_all_faults_of_all_servers_are_told() -> None:
-    value = {"servers": [*rows("x", weight="1", address="y"), *rows("x", state="z")], "generation": "7"}
-    assert len(refused(value)) == 5
+def test_all_violations_of_all_servers_are_reported() -> None:
+    servers = [*endpoint_rows("x", weight="1", address="y"), *endpoint_rows("x", state="z")]
+    assert len(rejection({"servers": servers, "generation": "7"})) == 5
 
 
-def test_a_seal_can_be_demanded_and_a_site_excepted() -> None:
-    value = {"servers": rows("x"), "sites": ["a", "b"]}
-    strict = EndpointFileRules.of(Servers(require_seal=True, may_be_empty=["b"]))
-    assert "/seal: is missing" in refused(value, strict)[0]
-    found = parse_endpoint_file("f", sealed(value), strict)
-    assert found.sealed and found.digest == digest_of(value)
+def test_seal_can_be_required_and_site_exempted() -> None:
+    document: JsonObject = {"servers": endpoint_rows("x"), "sites": ["a", "b"]}
+    strict = EndpointFileRules.from_settings(Servers(require_seal=True, may_be_empty=["b"]))
+    assert "/seal: is missing" in rejection(document, strict)[0]
+    parsed = parse_endpoint_file("f", sealed_document(document), strict)
+    assert parsed.sealed
+    assert parsed.digest == digest_of(document)
 
 
-def test_a_file_cut_off_at_any_byte_is_refused() -> None:
-    value = {"servers": rows("x", "y", weight=2.5), "sites": ["a"], "generation": 7}
-    for data in (json.dumps(value, indent=1).encode(), sealed(value)):
+def test_file_cut_off_at_any_byte_is_rejected() -> None:
+    document = {"servers": endpoint_rows("x", "y", weight=2.5), "sites": ["a"], "generation": 7}
+    for data in (json.dumps(document, indent=1).encode(), sealed_document(document)):
         for length in range(len(data)):
-            refused(data[:length])
+            assert rejection(data[:length])
 
 
-GOOD = st.lists(st.sampled_from("abcdefgh"), min_size=1, max_size=8, unique=True).map(
-    lambda names: {"servers": rows(*names, weight=len(names) / 2), "generation": len(names)}
+VALID_DOCUMENTS = st.lists(st.sampled_from("abcdefgh"), min_size=1, max_size=8, unique=True).map(
+    lambda names: {"servers": endpoint_rows(*names, weight=len(names) / 2), "generation": len(names)}
 )
 
 
-@given(GOOD, GOOD, st.data())
-def test_no_mixture_of_two_sealed_files_is_taken(
-    old: dict[str, Any], new: dict[str, Any], data: st.DataObject
+@given(VALID_DOCUMENTS, VALID_DOCUMENTS, st.data())
+def test_no_mixture_of_two_sealed_files_is_accepted(
+    old: JsonObject, new: JsonObject, data: st.DataObject
 ) -> None:
-    before, after = sealed(old), sealed(new)
+    before = sealed_document(old)
+    after = sealed_document(new)
     cut = data.draw(st.integers(0, max(len(before), len(after))))
-    mixed = after[:cut] + before[cut:]
+    mixture = after[:cut] + before[cut:]
     with contextlib.suppress(ConfigurationError):
-        assert parse_endpoint_file("f", mixed, RULES).digest in (digest_of(old), digest_of(new))
+        assert parse_endpoint_file("f", mixture, RULES).digest in (digest_of(old), digest_of(new))
 
 
-@given(GOOD, st.data())
-def test_no_bytes_bring_any_other_error(value: dict[str, Any], data: st.DataObject) -> None:
-    text = bytearray(sealed(value))
+@given(VALID_DOCUMENTS, st.data())
+def test_damaged_bytes_raise_no_other_error(document: JsonObject, data: st.DataObject) -> None:
+    damaged = bytearray(sealed_document(document))
     for _ in range(data.draw(st.integers(1, 4))):
-        at = data.draw(st.integers(0, len(text) - 1))
-        text[at : at + data.draw(st.integers(0, 3))] = data.draw(
-            st.binary(max_size=3) | st.sampled_from([b"[", b"1e9", b"null"])
-        )
+        start = data.draw(st.integers(0, len(damaged) - 1))
+        end = start + data.draw(st.integers(0, 3))
+        damaged[start:end] = data.draw(st.binary(max_size=3) | st.sampled_from([b"[", b"1e9", b"null"]))
     try:
-        found = parse_endpoint_file("f", bytes(text), RULES)
+        parsed = parse_endpoint_file("f", bytes(damaged), RULES)
     except ConfigurationError as error:
         assert all(line.startswith("f:") for line in error.lines())
     else:
-        assert isinstance(found, EndpointFile) and found.servers
-
-
-def test_the_digest_does_not_depend_on_how_the_file_is_written() -> None:
-    value = {"generation": 3, "servers": rows("x")}
-    turned = {key: value[key] for key in reversed(value)}
-    assert parse_endpoint_file("f", json.dumps(turned, indent=3).encode(), RULES).digest == digest_of(value)
-
-
-TEXT = st.text(st.characters(exclude_categories=["Cs"]), max_size=4)
-NUMBER = st.integers(1 - (1 << 53), (1 << 53) - 1) | st.floats(allow_nan=False, allow_infinity=False)
-JSON = st.recursive(
-    st.none() | st.booleans() | NUMBER | TEXT,
-    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(TEXT, inner, max_size=4),
-    max_leaves=20,
-)
-
-
-@given(JSON)
-def test_the_faster_canonical_form_is_that_of_the_rfc(value: Any) -> None:
-    assert canonical(value) == rfc8785.dumps(value)
-    assert canonical([value, {"a": 0.001, "b": 2.5, "c": 999999.25, "d": -1, "e": 1.0}]) == rfc8785.dumps(
-        [value, {"a": 0.001, "b": 2.5, "c": 999999.25, "d": -1, "e": 1.0}]
-    )
+        assert isinstance(parsed, EndpointFile)
+        assert parsed.servers
 
 
-@given(st.dictionaries(st.text("abz~é", max_size=3), st.floats(0, 1e7) | st.text('ab"\\/\x7f é', max_size=3)))
-def test_the_faster_canonical_form_of_rows_is_that_of_the_rfc(row: dict[str, Any]) -> None:
-    assert canonical([row]) == rfc8785.dumps([row])
+def test_digest_does_not_depend_on_how_the_file_is_written() -> None:
+    document: JsonObject = {"generation": 3, "servers": endpoint_rows("x")}
+    reordered = {key: document[key] for key in reversed(document)}
+    data = json.dumps(reordered, indent=3).encode()
+    assert parse_endpoint_file("f", data, RULES).digest == digest_of(document)
--- a/tests/resolvers/test_endpoint_file_reader.py
+++ b/tests/resolvers/test_endpoint_file_reader.py
@@ -1,164 +1,140 @@
-"""Files as they are found: never blocking, never half, never mixed; and how they are written."""
+"""The reader of the endpoint file: it never blocks, and never takes half a file or a mixture of two."""
 
 import json
 import os
-import signal
-import stat
-import subprocess
-import sys
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
-from peers import ROOT
-from test_endpoint_file import RULES, rows, sealed
+from support.endpoint_files import RULES, endpoint_rows, sealed_document
 
 from wheatstile.resolvers.atomic_write import write_atomic
-from wheatstile.resolvers.endpoint_file_reader import EndpointFileReader
-from wheatstile.resolvers.file_watcher import watched_paths
+from wheatstile.resolvers.endpoint_file_reader import EndpointFileReader, ReadOutcome, ReadResult
 
+SETTLE_TIME_S = 1.0
 
-class Clock:
-    now = 0.0
+
+class ManualClock:
+    """A clock that the test moves, in seconds."""
+
+    now_s = 0.0
 
     def __call__(self) -> float:
-        return self.now
+        return self.now_s
 
 
 @pytest.fixture
-def clock() -> Clock:
-    return Clock()
+def clock() -> ManualClock:
+    return ManualClock()
 
 
 @pytest.fixture
-def reader(tmp_path: Path, clock: Clock) -> EndpointFileReader:
-    return EndpointFileReader(tmp_path / "s.json", RULES, 1.0, clock)
+def reader(tmp_path: Path, clock: ManualClock) -> EndpointFileReader:
+    return EndpointFileReader(tmp_path / "s.json", RULES, SETTLE_TIME_S, clock)
+
+
+def unsealed_text(*names: str) -> str:
+    return json.dumps({"servers": endpoint_rows(*names)})
 
 
-def plain(*names: str) -> str:
-    return json.dumps({"servers": rows(*names)})
+def server_names(result: ReadResult) -> set[str]:
+    assert result.endpoint_file
+    return set(result.endpoint_file.servers)
 
 
-def test_an_unsealed_file_is_taken_once_it_has_stood_unchanged(
-    reader: EndpointFileReader, clock: Clock
+def test_unsealed_file_is_accepted_once_it_has_stayed_unchanged(
+    reader: EndpointFileReader, clock: ManualClock
 ) -> None:
-    reader.path.write_text(plain("x"))
-    assert reader.poll().outcome == "unsettled"
-    clock.now = 0.9
-    assert reader.poll().outcome == "unsettled"
-    reader.path.write_text(plain("x", "y"))  # in place: it has to settle anew
-    clock.now = 1.1
-    assert reader.poll().outcome == "unsettled"
-    clock.now = 2.1
-    found = reader.poll()
-    assert found.document and set(found.document.servers) == {"x", "y"}
-    assert reader.poll().outcome == "same"
-
-
-def test_a_file_replaced_for_ever_is_still_taken(reader: EndpointFileReader, clock: Clock) -> None:
-    taken = []
+    reader.path.write_text(unsealed_text("x"))
+    assert reader.poll().outcome is ReadOutcome.UNSETTLED
+    clock.now_s = 0.9
+    assert reader.poll().outcome is ReadOutcome.UNSETTLED
+    reader.path.write_text(unsealed_text("x", "y"))  # in place: it has to settle anew
+    clock.now_s = 1.1
+    assert reader.poll().outcome is ReadOutcome.UNSETTLED
+    clock.now_s = 2.1
+    assert server_names(reader.poll()) == {"x", "y"}
+    assert reader.poll().outcome is ReadOutcome.UNCHANGED
+
+
+def test_file_that_is_replaced_without_end_is_still_accepted(
+    reader: EndpointFileReader, clock: ManualClock
+) -> None:
+    accepted: list[str] = []
     for number in range(20):
-        write_atomic(reader.path, plain(f"x{number}").encode())
-        clock.now += 0.3
-        if (reading := reader.poll()).document:
-            taken += list(reading.document.servers)
-    assert len(taken) >= 3 and taken == sorted(taken, key=lambda name: int(name[1:]))
+        write_atomic(reader.path, unsealed_text(f"x{number}").encode())
+        clock.now_s += 0.3
+        result = reader.poll()
+        if result.endpoint_file:
+            accepted += result.endpoint_file.servers
+    assert len(accepted) >= 3
+    assert accepted == sorted(accepted, key=lambda name: int(name[1:]))
 
 
-def test_a_sealed_file_is_taken_at_once_and_a_broken_one_told_once_settled(
-    reader: EndpointFileReader, clock: Clock
+def test_sealed_file_is_accepted_at_once_and_a_broken_one_rejected_once_settled(
+    reader: EndpointFileReader, clock: ManualClock
 ) -> None:
-    data = sealed({"servers": rows("x")})
+    data = sealed_document({"servers": endpoint_rows("x")})
     reader.path.write_bytes(data[:-9])
-    assert reader.poll().outcome == "unsettled"
-    clock.now = 1.1
-    assert reader.poll().outcome == "refused"
+    assert reader.poll().outcome is ReadOutcome.UNSETTLED
+    clock.now_s = 1.1
+    assert reader.poll().outcome is ReadOutcome.INVALID
     reader.path.write_bytes(data)
-    assert reader.poll().outcome == "whole"
+    assert reader.poll().outcome is ReadOutcome.COMPLETE
 
 
-def test_a_file_that_grows_while_it_is_read_is_not_believed(
+def test_file_that_grows_while_it_is_read_is_not_accepted(
     reader: EndpointFileReader, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    reader.path.write_text(plain("x"))
-    real = os.pread
+    reader.path.write_text(unsealed_text("x"))
+    real_pread = os.pread
 
-    def pread(descriptor: int, count: int, offset: int) -> bytes:
+    def growing_pread(descriptor: int, count: int, offset: int) -> bytes:
         with open(reader.path, "a") as file:
             file.write(" ")
-        return real(descriptor, count, offset)
+        return real_pread(descriptor, count, offset)
 
-    monkeypatch.setattr(os, "pread", pread)
-    assert [reader.poll().outcome for _ in range(3)] == ["unsettled"] * 3
+    monkeypatch.setattr(os, "pread", growing_pread)
+    assert [reader.poll().outcome for _ in range(3)] == [ReadOutcome.UNSETTLED] * 3
 
 
 @pytest.mark.parametrize(
-    ("make", "told"), [(os.mkdir, "a directory"), (os.mkfifo, "a FIFO"), (None, "No such file")]
+    ("make", "reason"), [(os.mkdir, "a directory"), (os.mkfifo, "a FIFO"), (None, "No such file")]
 )
-def test_what_is_no_file_is_told_and_never_waited_for(
-    reader: EndpointFileReader, make: object, told: str
+def test_what_is_no_regular_file_is_reported_without_blocking(
+    reader: EndpointFileReader, make: Callable[[Path], None] | None, reason: str
 ) -> None:
-    if callable(make):
+    if make:
         make(reader.path)
-    reading = reader.poll()
-    assert reading.outcome == "problem" and told in reading.reasons[0]
+    result = reader.poll()
+    assert result.outcome is ReadOutcome.UNREADABLE
+    assert reason in result.reasons[0]
 
 
-def test_a_device_and_a_file_without_permission_are_told(reader: EndpointFileReader) -> None:
+def test_device_and_file_without_permission_are_reported(reader: EndpointFileReader) -> None:
     os.symlink("/dev/null", reader.path)
     assert "a device" in reader.poll().reasons[0]
     reader.path.unlink()
-    reader.path.write_text(plain("x"))
+    reader.path.write_text(unsealed_text("x"))
     reader.path.chmod(0)
     if os.geteuid():  # root reads all
         assert "denied" in reader.poll().reasons[0]
 
 
-def test_a_folder_swapped_by_its_link_is_followed_whole(tmp_path: Path, clock: Clock) -> None:
+def test_folder_swapped_by_its_link_is_followed(tmp_path: Path, clock: ManualClock) -> None:
     for name in ("one", "two"):
         (tmp_path / name).mkdir()
-        (tmp_path / name / "s.json").write_bytes(sealed({"servers": rows(name)}))
+        (tmp_path / name / "s.json").write_bytes(sealed_document({"servers": endpoint_rows(name)}))
     link = tmp_path / "current"
     link.symlink_to("one")
-    reader = EndpointFileReader(link / "s.json", RULES, 1.0, clock)
-    folders, names = watched_paths(link / "s.json")
-    assert {str(tmp_path), str(tmp_path / "one")} <= folders and {"current", "s.json"} <= names
-    assert set(reader.poll().document.servers) == {"one"}  # type: ignore[union-attr]
+    reader = EndpointFileReader(link / "s.json", RULES, SETTLE_TIME_S, clock)
+    assert server_names(reader.poll()) == {"one"}
     (tmp_path / "new").symlink_to("two")
     os.replace(tmp_path / "new", link)
-    assert set(reader.poll().document.servers) == {"two"}  # type: ignore[union-attr]
-    (tmp_path / "ring").symlink_to("ring")
-    assert EndpointFileReader(tmp_path / "ring", RULES, 1.0, clock).poll().outcome == "problem"
-    assert watched_paths(tmp_path / "ring")  # and ends
-
+    assert server_names(reader.poll()) == {"two"}
 
-KILLED = """
-import os, signal, sys
-from pathlib import Path
-from wheatstile.resolvers.atomic_write import write_atomic
-os.replace = lambda *_: os.kill(os.getpid(), signal.SIGKILL)
-write_atomic(Path(sys.argv[1]), b"new")
-"""
-LIMITED = """
-import resource, sys
-from pathlib import Path
-from wheatstile.resolvers.atomic_write import write_atomic
-resource.setrlimit(resource.RLIMIT_FSIZE, (100, 100))
-try:
-    write_atomic(Path(sys.argv[1]), b"x" * 1000)
-except OSError as error:
-    sys.exit(error.strerror)
-"""
 
-
-@pytest.mark.parametrize(("script", "status", "left"), [(KILLED, -signal.SIGKILL, 1), (LIMITED, 1, 0)])
-def test_a_write_that_ends_early_leaves_the_old_file(
-    tmp_path: Path, script: str, status: int, left: int
-) -> None:
-    path = tmp_path / "f"
-    write_atomic(path, b"old")
-    run = subprocess.run([sys.executable, "-c", script, str(path)], cwd=ROOT, capture_output=True, text=True)
-    assert run.returncode == status, run.stderr
-    assert path.read_bytes() == b"old" and len(os.listdir(tmp_path)) == 1 + left
-    write_atomic(path, b"next")  # and clears up what the dead one left
-    assert path.read_bytes() == b"next" and os.listdir(tmp_path) == ["f"]
-    assert stat.S_IMODE(path.stat().st_mode) == 0o644
+def test_ring_of_links_is_unreadable(tmp_path: Path, clock: ManualClock) -> None:
+    (tmp_path / "ring").symlink_to("ring")
+    reader = EndpointFileReader(tmp_path / "ring", RULES, SETTLE_TIME_S, clock)
+    assert reader.poll().outcome is ReadOutcome.UNREADABLE
--- a/tests/resolvers/test_last_known_good.py
+++ b/tests/resolvers/test_last_known_good.py
@@ -11,7 +11,7 @@
 from wheatstile.resolvers.endpoint_file import EndpointFile, EndpointFileRules
 
 FORMAT_1 = Path(__file__).parent / "format-1"
-RULES = EndpointFileRules.of(Servers(file="servers.json"))
+RULES = EndpointFileRules.from_settings(Servers(file="servers.json"))
 SAVED_AT_MS = 1764600000000
 SAVED = EndpointFile(
     servers={
@@ -38,8 +38,8 @@
 def test_a_file_of_format_1_is_read_back() -> None:
     restored = last_known_good.restore(FORMAT_1, RULES)
     assert restored
-    assert restored.taken_at_ms == SAVED_AT_MS
-    assert restored.document == SAVED
+    assert restored.accepted_at_ms == SAVED_AT_MS
+    assert restored.endpoint_file == SAVED
 
 
 def test_what_is_saved_today_is_byte_for_byte_a_file_of_format_1(tmp_path: Path) -> None:
--- a/tests/resolvers/test_merge.py
+++ b/tests/resolvers/test_merge.py
@@ -1,187 +1,138 @@
-"""Which list holds: the table of sources, and what must be true whatever happens in whatever order."""
+"""The merged list: what each source decides, and what must hold whatever happens in whatever order."""
 
-from typing import Any
+from dataclasses import dataclass
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from support.merge_scenario import SERVER_NAMES, MergeScenario, merge_policy, resolved_endpoint
 
 from wheatstile import interface as api
 from wheatstile.config.endpoints import ResolvedEndpoint
 from wheatstile.resolvers import merge
-from wheatstile.resolvers.merge import (
-    HOLD_MOST,
-    SECOND,
-    DiscoveryState,
-    MergedEndpoint,
-    MergePolicy,
-    SourceSelection,
-)
+from wheatstile.resolvers.merge import MergedEndpoint
+from wheatstile.resolvers.source_selection import EndpointSource, MergeMode
 
-NAMES = "abcde"
-MODES = ("fallback", "override", "merge")
-
-
-def named(name: str, state: str = "ready", **changes: Any) -> ResolvedEndpoint:
-    address = changes.pop(
-        "address", None if state == api.EndpointState.GONE else ("127.0.0.1", 9000 + ord(name))
-    )
-    return ResolvedEndpoint(api.Endpoint(name, api.EndpointState(state), "here", **changes), address)
-
-
-def policy(mode: Any = "fallback", hold: int = 30) -> MergePolicy:
-    return MergePolicy(mode, 10 * SECOND, hold * SECOND)
-
-
-class World:
-    """DiscoveryState, a file and the list that holds, driven by a script."""
-
-    def __init__(self, policy: MergePolicy, cached: str = "") -> None:
-        self.now, self.policy = 1000 * SECOND, policy
-        self.discovery = DiscoveryState.at(self.now)
-        self.file: dict[str, ResolvedEndpoint] = {}
-        self.lines: dict[str, MergedEndpoint] = {}
-        self.choice: SourceSelection | None = None
-        self.stopped: set[str] = set()  # that discovery has told to get nothing new
-        self.steady = 0  # since when discovery has answered without a break
-        if cached:
-            self.discovery.take(
-                self.now, {name: named(name) for name in cached}, api.EndpointUpdateKind.CACHED
-            )
-        self.look()
-
-    def look(self) -> list[ResolvedEndpoint]:
-        self.choice = merge.choose(self.now, self.policy, self.discovery, bool(self.file), self.choice)
-        lines = merge.merge(self.now, self.choice, self.discovery, self.file, self.lines)
-        changes = merge.changes(self.lines, lines)
-        self.lines = lines
-        return changes
-
-    def tell(self, kind: str, **states: str) -> list[ResolvedEndpoint]:
-        """What discovery tells; the servers that get nothing new from this instant on."""
-        told = self.discovery.take(
-            self.now,
-            {name: named(name, state) for name, state in states.items()},
-            api.EndpointUpdateKind(kind),
-        )
-        for name in NAMES:
-            if states.get(name) == "ready":
-                self.stopped.discard(name)
-            elif name in states or (kind == "full" and name in {one.endpoint.name for one in told}):
-                self.stopped.add(name)
-        return merge.stopped(self.lines, told)
-
-    def step(self, seconds: float, heard: bool = True) -> str:
-        """Time passes; the source that holds then."""
-        end = self.now + int(seconds * SECOND)
-        while self.now < end:
-            self.now = min(end, self.now + SECOND)
-            if heard:
-                self.discovery.heard(self.now)
-            self.look()
-        assert self.choice
-        return self.choice.source
-
-    def ready(self) -> str:
-        return "".join(sorted(merge.ready_of(self.lines)))
-
-
-def test_the_file_holds_once_discovery_is_silent_and_discovery_again_when_it_answers() -> None:
-    world = World(policy(), "ab")
-    world.file = {"c": named("c")}
-    assert (world.step(9, heard=False), world.ready()) == ("discovery", "ab")
-    assert (world.step(2, heard=False), world.ready()) == ("file", "c")
-    assert (
-        world.lines["a"].named.endpoint.state == api.EndpointState.DRAINING
-    )  # its connections stay where they are
-    assert (world.step(1), world.ready()) == ("discovery", "ab")
-
-
-def test_without_any_list_the_file_holds_at_once() -> None:
-    world = World(policy())
-    world.file = {"c": named("c")}
-    assert (world.step(0.1, heard=False), world.ready()) == ("file", "c")
-
-
-def test_a_flapping_discovery_is_held_down_longer_each_time_up_to_a_bound() -> None:
-    world = World(policy(hold=2), "a")
-    world.file = {"b": named("b")}
-    waits = []
-    for _ in range(8):
-        world.discovery.failed()
-        assert world.step(11, heard=False) == "file"
-        waited = 0
-        while world.step(1) == "file":
-            waited += 1
-        waits.append(waited)
-    assert waits[:4] == [0, 2, 4, 8] and max(waits) <= 2 * HOLD_MOST, waits
-
-
-def test_the_file_wins_on_weight_and_address_and_discovery_on_drains_and_starts() -> None:
-    world = World(policy("merge"))
-    world.file = {"a": named("a", weight=5.0, address=("127.0.0.1", 1)), "b": named("b"), "c": named("c")}
-    world.discovery.take(
-        world.now,
-        {
-            "a": named("a", started_at_us=77),
-            "b": named("b", "draining"),
-            "d": named("d"),
-        },
-        api.EndpointUpdateKind.FULL,
-    )
-    world.look()
-    assert world.lines["a"].named.endpoint == api.Endpoint("a", api.EndpointState.READY, "here", 0, 5.0, 77)
-    assert world.lines["a"].named.address == ("127.0.0.1", 1)
-    assert world.ready() == "acd" and "drain" in world.lines["b"].reason
-
-
-STATES = st.sampled_from(["ready", "ready", "draining", "gone"])
-EVENTS = st.one_of(
-    st.tuples(
-        st.just("tell"), st.sampled_from(["full", "delta"]), st.dictionaries(st.sampled_from(NAMES), STATES)
-    ),
-    st.tuples(
-        st.just("file"), st.dictionaries(st.sampled_from(NAMES), st.sampled_from(["ready", "draining"]))
+READY = api.EndpointState.READY
+DRAINING = api.EndpointState.DRAINING
+GONE = api.EndpointState.GONE
+
+
+def test_file_decides_on_weight_and_address_and_discovery_on_drains_and_starts() -> None:
+    scenario = MergeScenario(merge_policy(MergeMode.MERGE))
+    scenario.file_endpoints = {
+        "a": resolved_endpoint("a", weight=5.0, address=("127.0.0.1", 1)),
+        "b": resolved_endpoint("b"),
+        "c": resolved_endpoint("c"),
+    }
+    update = {
+        "a": resolved_endpoint("a", started_at_us=77),
+        "b": resolved_endpoint("b", DRAINING),
+        "d": resolved_endpoint("d"),
+    }
+    scenario.discovery.apply_update(scenario.now_us, update, api.EndpointUpdateKind.FULL)
+    scenario.merge()
+    assert scenario.merged["a"].resolved.endpoint == api.Endpoint("a", READY, "here", 0, 5.0, 77)
+    assert scenario.merged["a"].resolved.address == ("127.0.0.1", 1)
+    assert scenario.ready() == "acd"
+    assert "drain" in scenario.merged["b"].reason
+
+
+@dataclass(frozen=True)
+class DiscoveryUpdates:
+    kind: api.EndpointUpdateKind
+    states: dict[str, api.EndpointState]
+
+
+@dataclass(frozen=True)
+class FileChanges:
+    states: dict[str, api.EndpointState]
+
+
+@dataclass(frozen=True)
+class DiscoveryFails:
+    pass
+
+
+@dataclass(frozen=True)
+class TimePasses:
+    seconds: float
+    discovery_reports: bool
+
+
+Step = DiscoveryUpdates | FileChanges | DiscoveryFails | TimePasses
+
+NAMES = st.sampled_from(SERVER_NAMES)
+UPDATE_KINDS = st.sampled_from([api.EndpointUpdateKind.FULL, api.EndpointUpdateKind.DELTA])
+STEPS: st.SearchStrategy[Step] = st.one_of(
+    st.builds(
+        DiscoveryUpdates,
+        UPDATE_KINDS,
+        st.dictionaries(NAMES, st.sampled_from([READY, READY, DRAINING, GONE])),
     ),
-    st.tuples(st.just("failed")),
-    st.tuples(st.just("wait"), st.sampled_from([0.5, 3, 12, 40]), st.booleans()),
+    st.builds(FileChanges, st.dictionaries(NAMES, st.sampled_from([READY, DRAINING]))),
+    st.builds(DiscoveryFails),
+    st.builds(TimePasses, st.sampled_from([0.5, 3, 12, 40]), st.booleans()),
 )
 
 
-@settings(max_examples=300, deadline=None)
-@given(st.sampled_from(MODES), st.lists(EVENTS, max_size=25))
-def test_whatever_happens(mode: str, events: list[Any]) -> None:
-    world = World(policy(mode), "ab")
-    held: dict[str, ResolvedEndpoint] = {
-        name: line.named for name, line in world.lines.items()
-    }  # as the module has it
-    for event in events:
-        before = dict(world.lines)
-        if event[0] == "tell":
-            for one in world.tell(event[1], **event[2]):
-                held[one.endpoint.name] = one
-        elif event[0] == "file":
-            world.file = {name: named(name, state, weight=2.0) for name, state in event[1].items()}
-        elif event[0] == "failed":
-            world.discovery.failed()
-        else:
-            world.step(event[1], event[2])
-        # From the instant in which it is told, and whatever holds: nothing new where discovery says so.
-        assert not [
-            name
-            for name, one in held.items()
-            if one.endpoint.state == api.EndpointState.READY and name in world.stopped
-        ]
-        for one in merge.changes(before, world.lines) if event[0] == "wait" else []:
-            held[one.endpoint.name] = one
-        for one in world.look():
-            held[one.endpoint.name] = one
-        assert not set(world.ready()) & world.stopped
-        for name in before:  # nobody is cut off because the source changed: only discovery ends a server
-            assert name in world.lines or name in world.discovery.gone
-        # What the module was told in changes is the list.
-        assert {name: one for name, one in held.items() if one.endpoint.state != api.EndpointState.GONE} == {
-            name: line.named for name, line in world.lines.items()
+class DecisionModuleView:
+    """The list of servers as the decision module has it: only from the changes that it was sent."""
+
+    def __init__(self, merged: dict[str, MergedEndpoint]) -> None:
+        self.endpoints = {name: endpoint.resolved for name, endpoint in merged.items()}
+
+    def apply(self, changes: list[ResolvedEndpoint]) -> None:
+        for resolved in changes:
+            self.endpoints[resolved.endpoint.name] = resolved
+
+    def ready(self) -> set[str]:
+        return {name for name, resolved in self.endpoints.items() if resolved.endpoint.state == READY}
+
+    def present(self) -> dict[str, ResolvedEndpoint]:
+        return {
+            name: resolved for name, resolved in self.endpoints.items() if resolved.endpoint.state != GONE
         }
-        assert world.choice and world.choice.reason and all(line.reason for line in world.lines.values())
-        if world.file and mode != "fallback":
-            assert world.choice.source == {"override": "file", "merge": "both"}[mode]
+
+
+def perform(scenario: MergeScenario, view: DecisionModuleView, step: Step) -> list[ResolvedEndpoint]:
+    """Do the step; returns the changes that merges within it made, which the view does not have yet."""
+    before = dict(scenario.merged)
+    match step:
+        case DiscoveryUpdates(kind, states):
+            view.apply(scenario.update_discovery(kind, states))
+        case FileChanges(states):
+            scenario.file_endpoints = {
+                name: resolved_endpoint(name, state, weight=2.0) for name, state in states.items()
+            }
+        case DiscoveryFails():
+            scenario.discovery.record_failure()
+        case TimePasses(seconds, discovery_reports):
+            scenario.advance(seconds, discovery_reports)
+            return merge.changed_endpoints(before, scenario.merged)
+    return []
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.sampled_from(MergeMode), st.lists(STEPS, max_size=25))
+def test_invariants_hold_after_every_step(mode: MergeMode, steps: list[Step]) -> None:
+    scenario = MergeScenario(merge_policy(mode), cached="ab")
+    view = DecisionModuleView(scenario.merged)
+    for step in steps:
+        before = dict(scenario.merged)
+        changes = perform(scenario, view, step)
+        # At once, whichever source is in force: no new connections where discovery wants none.
+        assert not view.ready() & scenario.unavailable
+        view.apply(changes)
+        view.apply(scenario.merge())
+        assert not set(scenario.ready()) & scenario.unavailable
+        # No server is cut off because the source changed: only discovery ends one.
+        assert all(name in scenario.merged or name in scenario.discovery.gone for name in before)
+        # What the decision module was sent in changes is the merged list.
+        merged = {name: endpoint.resolved for name, endpoint in scenario.merged.items()}
+        assert view.present() == merged
+        assert scenario.selection
+        assert scenario.selection.reason
+        assert all(endpoint.reason for endpoint in scenario.merged.values())
+        if scenario.file_endpoints and mode is not MergeMode.FALLBACK:
+            expected = EndpointSource.FILE if mode is MergeMode.OVERRIDE else EndpointSource.BOTH
+            assert scenario.selection.source is expected
--- a/tests/resolvers/test_served.py
+++ b/tests/resolvers/test_section.py
@@ -14,9 +14,9 @@
 from peers import PATIENCE, NodeTest
 
 from wheatstile.resolvers.atomic_write import write_atomic
-from wheatstile.resolvers.endpoint_file import digest_of
+from wheatstile.resolvers.canonical_json import digest_of
 
-TAKEN = "servers file taken"
+TAKEN = "endpoint_file_accepted"
 
 
 class ServersFileTest(NodeTest):
@@ -61,7 +61,7 @@
     def served_by(self, clients: int = 12) -> set[str]:
         """The servers that new clients are sent to."""
         before = self.fleet.opened.copy()
-        self.assertEqual({self.connect() for _ in range(clients)}, {"UP"})
+        assert {self.connect() for _ in range(clients)} == {"UP"}
         return set(self.fleet.opened - before)
 
 
@@ -100,18 +100,18 @@
         while writer.is_alive():
             answers.add(self.connect())
         writer.join()
-        self.assertEqual(answers, {"UP"})
+        assert answers == {"UP"}
         last = self.document("s3", generation=9999, seal=seal)
         write_atomic(self.file, last)
         while taken[-1]["generation"] != 9999:
             taken.append(self.logged(TAKEN))
-        self.assertEqual(self.served_by(), {"s3"})
+        assert self.served_by() == {"s3"}
         digests = {
             digest_of({k: v for k, v in json.loads(data).items() if k != "seal"}) for data in [*whole, last]
         }
-        self.assertLessEqual({entry["digest"] for entry in taken[1:]}, digests)
+        assert {entry["digest"] for entry in taken[1:]} <= digests
         generations = [entry["generation"] for entry in taken]
-        self.assertEqual(generations, sorted(set(generations)))
+        assert generations == sorted(set(generations))
 
     def test_five_thousand_rewritings_in_place_of_sealed_files_apply_whole_ones_alone(self) -> None:
         self.check(seal=True)
@@ -129,52 +129,52 @@
         self.logged(TAKEN)
         good = self.document("s1", generation=2)
         cases = [
-            (good[:40], "servers file refused", "no JSON"),
+            (good[:40], "endpoint_file_rejected", "no JSON"),
             (
                 self.document("s1", "s2", "s3", generation=2, site="there"),
-                "servers file refused",
+                "endpoint_file_rejected",
                 'site "here"',
             ),
-            (good, "servers file held", "2 of 3 ready"),
+            (good, "endpoint_file_approval_required", "2 of 3 ready"),
         ]
         for data, event, reason in cases:
             write_atomic(self.file, data)
-            self.assertIn(reason, " ".join(self.logged(event)["reasons"]))
-            self.assertEqual(self.served_by(30), {"s1", "s2", "s3"})
+            assert reason in " ".join(self.logged(event)["reasons"])
+            assert self.served_by(30) == {"s1", "s2", "s3"}
         self.file.unlink()
-        self.logged("servers file unreadable")
+        self.logged("endpoint_file_unreadable")
         os.mkfifo(self.file)
-        self.assertIn("a FIFO", self.logged("servers file unreadable")["reasons"][0])
-        self.assertEqual(self.served_by(30), {"s1", "s2", "s3"})
+        assert "a FIFO" in self.logged("endpoint_file_unreadable")["reasons"][0]
+        assert self.served_by(30) == {"s1", "s2", "s3"}
 
     def test_a_held_change_is_taken_once_it_is_accepted_by_name(self) -> None:
         self.file.write_bytes(self.document("s1", "s2", "s3"))
         self.begin()
         self.logged(TAKEN)
         write_atomic(self.file, self.document("s2", generation=2))
-        digest = self.logged("servers file held")["digest"]
+        digest = self.logged("endpoint_file_approval_required")["digest"]
         write_atomic(self.here / "servers.json.accept", json.dumps({"digest": digest}).encode())
-        self.assertEqual(self.logged(TAKEN)["generation"], 2)
-        self.assertEqual(self.served_by(), {"s2"})
+        assert self.logged(TAKEN)["generation"] == 2
+        assert self.served_by() == {"s2"}
 
     def test_what_discovery_drains_gets_nothing_new_though_the_file_says_ready(self) -> None:
         self.file.write_bytes(self.document("s1", "s2", "s3"))
         self.begin()
         self.logged(TAKEN)
         stays = self.open(next(self.ids), group="stays")
-        self.assertEqual(stays.line(), "UP r")
+        assert stays.line() == "UP r"
         watch, _ = self.discovery.watch()
         watch.begin_watch()
         members = [self.member(name, host_port=self.fleet.addresses[name]) for name in ("s1", "s2")]
         watch.chunk(2, members[0] | {"phase": "draining"}, members[1] | {"phase": "gone"})
-        end = time.monotonic() + PATIENCE
+        deadline_s = time.monotonic() + PATIENCE
         while self.served_by(6) != {"s3"}:
-            self.assertLess(time.monotonic(), end)
+            assert time.monotonic() < deadline_s
         write_atomic(self.file, self.document("s1", "s2", "s3", generation=2, weight=3.0))
         self.logged(TAKEN)
-        self.assertEqual(self.served_by(), {"s3"})
+        assert self.served_by() == {"s3"}
         stays.send("still")
-        self.assertEqual(stays.line(), "still")
+        assert stays.line() == "still"
 
     def test_a_sighup_and_a_change_of_the_file_in_the_same_moment(self) -> None:
         self.file.write_bytes(self.document("s1", "s2"))
@@ -188,15 +188,15 @@
             self.node.send_signal(signal.SIGHUP)
             while self.logged(TAKEN)["generation"] != generation:
                 pass
-            self.assertEqual(self.served_by(20), set(names))
+            assert self.served_by(20) == set(names)
         self.operator.write_text('{"servers": {"mode": "overide"}}')
         self.node.send_signal(signal.SIGHUP)
-        self.assertIn("did you mean", self.logged("the old operator's file goes on")["reasons"][0])
-        self.assertEqual(self.served_by(20), {"s1", "s3"})
+        assert "did you mean" in self.logged("the old operator's file goes on")["reasons"][0]
+        assert self.served_by(20) == {"s1", "s3"}
         self.operator.write_text("{}")  # switched off: discovery's list alone
         self.node.send_signal(signal.SIGHUP)
         self.logged("operator's file read again")
-        self.assertEqual(self.served_by(20), {"s1", "s2"})
+        assert self.served_by(20) == {"s1", "s2"}
 
 
 class Fallback(ServersFileTest):
@@ -205,23 +205,23 @@
     def test_discovery_down_and_back_and_down_again_with_the_file_changing(self) -> None:
         self.file.write_bytes(self.document("s3"))
         self.begin()
-        self.assertEqual(self.served_by(), {"s1", "s2"})  # it has a second to be heard of
-        source = self.logged("the list's source")
+        assert self.served_by() == {"s1", "s2"}  # it has a second to be heard of
+        source = self.logged("endpoint_source_selected")
         while source["source"] != "file":
-            source = self.logged("the list's source")
-        self.assertEqual(self.served_by(), {"s3"})
+            source = self.logged("endpoint_source_selected")
+        assert self.served_by() == {"s3"}
         for generation, name in ((2, "s2"), (3, "s3")):
             watch, _ = self.discovery.watch()
             watch.begin_watch()
             members = [self.member(one, host_port=self.fleet.addresses[one]) for one in ("s1", "s2")]
             watch.chunk(10 * generation, *members, complete=True)
-            self.assertEqual(self.logged("the list's source")["source"], "discovery")
-            self.assertEqual(self.served_by(20), {"s1", "s2"})
+            assert self.logged("endpoint_source_selected")["source"] == "discovery"
+            assert self.served_by(20) == {"s1", "s2"}
             write_atomic(self.file, self.document(name, generation=generation))
             self.logged(TAKEN)
             watch.close()
-            self.assertEqual(self.logged("the list's source")["source"], "file")
-            self.assertEqual(self.served_by(), {name})
+            assert self.logged("endpoint_source_selected")["source"] == "file"
+            assert self.served_by() == {name}
 
 
 class LastKnownGood(ServersFileTest):
@@ -233,9 +233,9 @@
         self.begin()
         self.logged(TAKEN)
         kept = self.here / "state" / "servers-last-good.json"
-        end = time.monotonic() + PATIENCE
+        deadline_s = time.monotonic() + PATIENCE
         while not kept.exists():
-            self.assertLess(time.monotonic(), end)
+            assert time.monotonic() < deadline_s
             time.sleep(0.01)
         self.stop()
         self.file.write_bytes(b'{"servers": [{"id"')
@@ -245,21 +245,21 @@
         kept.write_text(json.dumps(value | {"seal": digest_of(value)}))
         self.begin()
         entry = self.logged(TAKEN)
-        self.assertEqual((entry["origin"], entry["clock_went_back"]), ("last good", True))
-        self.logged("servers file refused")
-        self.assertEqual(self.served_by(), {"s1", "s3"})
+        assert (entry["origin"], entry["clock_went_back"]) == ("last_known_good", True)
+        self.logged("endpoint_file_rejected")
+        assert self.served_by() == {"s1", "s3"}
         self.stop()
         kept.write_bytes(kept.read_bytes()[:-20])  # itself broken: passed over, with a word
         self.file.write_bytes(self.document("s2"))
         self.begin()
-        self.logged("last good list passed over")
-        self.assertEqual(self.logged(TAKEN)["origin"], "file")
-        self.assertEqual(self.served_by(), {"s2"})
+        self.logged("last_known_good_rejected")
+        assert self.logged(TAKEN)["origin"] == "file"
+        assert self.served_by() == {"s2"}
 
     def test_a_full_disk_costs_the_last_good_list_and_nothing_else(self) -> None:
         self.file.write_bytes(self.document("s1", "s2"))
         self.file_size = 100
         self.begin()
-        self.assertEqual(self.logged("last good list not written")["reason"], "File too large")
-        self.assertEqual(os.listdir(self.here / "state"), [])
-        self.assertEqual(self.served_by(), {"s1", "s2"})
+        assert self.logged("last_known_good_write_failed")["reason"] == "File too large"
+        assert os.listdir(self.here / "state") == []
+        assert self.served_by() == {"s1", "s2"}
--- a/tests/resolvers/test_update_guard.py
+++ b/tests/resolvers/test_update_guard.py
@@ -1,62 +1,83 @@
-"""Whether a whole document takes the place of the list in force."""
+"""Whether a valid endpoint file replaces the active endpoints."""
 
 import json
 
 import pytest
-from test_endpoint_file import RULES, rows
+from support.endpoint_files import RULES, endpoint_rows
 
 from wheatstile.resolvers.endpoint_file import EndpointFile, parse_endpoint_file
-from wheatstile.resolvers.update_guard import ActiveEndpoints, PendingApproval, evaluate
+from wheatstile.resolvers.update_guard import ActiveEndpoints, EvaluationOutcome, PendingApproval, evaluate
 
-NONE: frozenset[str] = frozenset()
+NOTHING_ACCEPTED: frozenset[str] = frozenset()
+ACCEPTED = EvaluationOutcome.ACCEPTED
+UNCHANGED = EvaluationOutcome.UNCHANGED
+AWAITING_APPROVAL = EvaluationOutcome.AWAITING_APPROVAL
+REJECTED = EvaluationOutcome.REJECTED
 
 
-def doc(names: str, generation: int | None = None, site: str = "a") -> EndpointFile:
-    value = {"servers": rows(*names, site=site)} | ({} if generation is None else {"generation": generation})
+def endpoint_file(names: str, generation: int | None = None, site: str = "a") -> EndpointFile:
+    value: dict[str, object] = {"servers": endpoint_rows(*names, site=site)}
+    if generation is not None:
+        value["generation"] = generation
     return parse_endpoint_file("f", json.dumps(value).encode(), RULES)
 
 
-def force(document: EndpointFile | None, *sites: str) -> ActiveEndpoints:
-    return ActiveEndpoints(document, sites, frozenset(document.ready()) if document else NONE)
+def active_endpoints(active_file: EndpointFile | None, *sites: str) -> ActiveEndpoints:
+    ready = active_file.ready_names() if active_file else frozenset()
+    return ActiveEndpoints(active_file, sites, ready)
 
 
 @pytest.mark.parametrize(
-    ("new", "old", "outcome", "told"),
+    ("candidate", "active", "outcome", "reason"),
     [
-        (doc("abcd", 2), doc("abcd", 1), "taken", ""),
-        (doc("abcd"), doc("abc"), "taken", ""),
-        (doc("abcd", 1), doc("abcd", 1), "unchanged", ""),
-        (doc("abcd", 1), doc("abc", 2), "refused", "goes back behind 2"),
-        (doc("abcd", 1), doc("abc", 1), "refused", "another content"),
-        (doc("abcd"), doc("abc", 1), "refused", "has no generation"),
-        (doc("ab", 2), doc("abcd", 1), "taken", ""),
-        (doc("a", 2), doc("abcd", 1), "held", "3 of 4 ready"),
-        (doc("efgh", 2), doc("abcd", 1), "held", "4 of 4 ready"),
-        (doc("abcd", 2, "b"), doc("abcd", 1), "refused", 'site "a" would keep 0'),
+        (endpoint_file("abcd", 2), endpoint_file("abcd", 1), ACCEPTED, ""),
+        (endpoint_file("abcd"), endpoint_file("abc"), ACCEPTED, ""),
+        (endpoint_file("abcd", 1), endpoint_file("abcd", 1), UNCHANGED, ""),
+        (endpoint_file("abcd", 1), endpoint_file("abc", 2), REJECTED, "goes back behind 2"),
+        (endpoint_file("abcd", 1), endpoint_file("abc", 1), REJECTED, "another content"),
+        (endpoint_file("abcd"), endpoint_file("abc", 1), REJECTED, "has no generation"),
+        (endpoint_file("ab", 2), endpoint_file("abcd", 1), ACCEPTED, ""),
+        (endpoint_file("a", 2), endpoint_file("abcd", 1), AWAITING_APPROVAL, "3 of 4 ready"),
+        (endpoint_file("efgh", 2), endpoint_file("abcd", 1), AWAITING_APPROVAL, "4 of 4 ready"),
+        (endpoint_file("abcd", 2, "b"), endpoint_file("abcd", 1), REJECTED, 'site "a" would keep 0'),
     ],
 )
-def test_a_document_against_the_list_in_force(
-    new: EndpointFile, old: EndpointFile, outcome: str, told: str
+def test_file_is_compared_with_the_active_file(
+    candidate: EndpointFile, active: EndpointFile, outcome: EvaluationOutcome, reason: str
 ) -> None:
-    admission = evaluate(new, force(old, "a"), None, NONE, RULES)
-    assert (admission.outcome, told in " ".join(admission.reasons)) == (outcome, True)
-
-
-def test_a_first_document_is_held_against_the_sites_that_are_served() -> None:
-    assert evaluate(doc("a"), force(None, "a"), None, NONE, RULES).outcome == "taken"
-    assert evaluate(doc("a"), force(None, "a", "b"), None, NONE, RULES).outcome == "refused"
-
-
-def test_a_held_change_is_taken_when_a_newer_generation_repeats_it_or_it_is_accepted() -> None:
-    old = doc("abcd", 1)
-    held = evaluate(doc("a", 2), force(old, "a"), None, NONE, RULES).held
-    assert held == PendingApproval(doc("a", 2).digest, 2, frozenset("bcd"))
-    again = [
-        (doc("a", 2), NONE, "held"),  # the same once more
-        (doc("a", 3), NONE, "taken"),
-        (doc("b", 3), NONE, "held"),  # another change
-        (doc("a", 2), frozenset([doc("a", 2).digest]), "taken"),
-        (doc("b", 3), frozenset([doc("a", 2).digest]), "held"),
-    ]
-    for new, accepted, outcome in again:
-        assert evaluate(new, force(old, "a"), held, accepted, RULES).outcome == outcome
+    evaluation = evaluate(candidate, active_endpoints(active, "a"), None, NOTHING_ACCEPTED, RULES)
+    assert evaluation.outcome is outcome
+    assert reason in " ".join(evaluation.reasons)
+    assert evaluation.is_blocked == (outcome in (AWAITING_APPROVAL, REJECTED))
+
+
+@pytest.mark.parametrize(("served_sites", "outcome"), [(("a",), ACCEPTED), (("a", "b"), REJECTED)])
+def test_first_file_has_to_keep_the_served_sites(
+    served_sites: tuple[str, ...], outcome: EvaluationOutcome
+) -> None:
+    active = active_endpoints(None, *served_sites)
+    assert evaluate(endpoint_file("a"), active, None, NOTHING_ACCEPTED, RULES).outcome is outcome
+
+
+PENDING_DIGEST = endpoint_file("a", 2).digest
+
+
+@pytest.mark.parametrize(
+    ("candidate", "accepted_digests", "outcome"),
+    [
+        pytest.param(endpoint_file("a", 2), NOTHING_ACCEPTED, AWAITING_APPROVAL, id="the same once more"),
+        pytest.param(endpoint_file("a", 3), NOTHING_ACCEPTED, ACCEPTED, id="repeated by a newer generation"),
+        pytest.param(endpoint_file("b", 3), NOTHING_ACCEPTED, AWAITING_APPROVAL, id="another change"),
+        pytest.param(endpoint_file("a", 2), frozenset([PENDING_DIGEST]), ACCEPTED, id="accepted by name"),
+        pytest.param(
+            endpoint_file("b", 3), frozenset([PENDING_DIGEST]), AWAITING_APPROVAL, id="another is accepted"
+        ),
+    ],
+)
+def test_pending_removal_is_approved_by_a_newer_generation_or_by_name(
+    candidate: EndpointFile, accepted_digests: frozenset[str], outcome: EvaluationOutcome
+) -> None:
+    active = active_endpoints(endpoint_file("abcd", 1), "a")
+    pending = evaluate(endpoint_file("a", 2), active, None, NOTHING_ACCEPTED, RULES).pending
+    assert pending == PendingApproval(PENDING_DIGEST, 2, frozenset("bcd"))
+    assert evaluate(candidate, active, pending, accepted_digests, RULES).outcome is outcome
--- /dev/null
+++ b/tests/support/merge_scenario.py
@@ -0,0 +1,91 @@
+"""Discovery, an endpoint file and the merged list, driven by a test step by step."""
+
+from typing import Any
+
+from wheatstile import interface as api
+from wheatstile.config.endpoints import ResolvedEndpoint
+from wheatstile.resolvers import merge
+from wheatstile.resolvers.discovery_state import DiscoveryState
+from wheatstile.resolvers.merge import MergedEndpoint
+from wheatstile.resolvers.source_selection import (
+    MICROSECONDS_PER_SECOND,
+    EndpointSource,
+    MergeMode,
+    MergePolicy,
+    SourceSelection,
+    select_source,
+)
+
+SERVER_NAMES = "abcde"
+
+
+def resolved_endpoint(
+    name: str, state: api.EndpointState = api.EndpointState.READY, **changes: Any
+) -> ResolvedEndpoint:
+    """A server in site "here", at a port of its own; without an address if it is gone."""
+    default_address = None if state == api.EndpointState.GONE else ("127.0.0.1", 9000 + ord(name))
+    address = changes.pop("address", default_address)
+    return ResolvedEndpoint(api.Endpoint(name, state, "here", **changes), address)
+
+
+def merge_policy(mode: MergeMode = MergeMode.FALLBACK, recovery_delay_s: int = 30) -> MergePolicy:
+    """A policy by which discovery is lost after 10 s of silence."""
+    return MergePolicy(mode, 10 * MICROSECONDS_PER_SECOND, recovery_delay_s * MICROSECONDS_PER_SECOND)
+
+
+class MergeScenario:
+    """A merge whose sources and time are set by the test."""
+
+    def __init__(self, policy: MergePolicy, cached: str = "") -> None:
+        self.now_us = 1000 * MICROSECONDS_PER_SECOND
+        self.policy = policy
+        self.discovery = DiscoveryState(self.now_us)
+        self.file_endpoints: dict[str, ResolvedEndpoint] = {}
+        self.merged: dict[str, MergedEndpoint] = {}
+        self.selection: SourceSelection | None = None
+        self.unavailable: set[str] = set()  # servers that discovery wants no new connections for
+        if cached:
+            update = {name: resolved_endpoint(name) for name in cached}
+            self.discovery.apply_update(self.now_us, update, api.EndpointUpdateKind.CACHED)
+        self.merge()
+
+    def merge(self) -> list[ResolvedEndpoint]:
+        """Select and merge; returns what changed."""
+        self.selection = select_source(
+            self.now_us, self.policy, self.discovery, bool(self.file_endpoints), self.selection
+        )
+        merged = merge.merge_endpoints(
+            self.now_us, self.selection, self.discovery, self.file_endpoints, self.merged
+        )
+        changes = merge.changed_endpoints(self.merged, merged)
+        self.merged = merged
+        return changes
+
+    def update_discovery(
+        self, kind: api.EndpointUpdateKind, states: dict[str, api.EndpointState]
+    ) -> list[ResolvedEndpoint]:
+        """Discovery reports these states; returns the servers to withdraw from this instant on."""
+        update = {name: resolved_endpoint(name, state) for name, state in states.items()}
+        reported = self.discovery.apply_update(self.now_us, update, kind)
+        reported_names = {resolved.endpoint.name for resolved in reported}
+        for name in SERVER_NAMES:
+            if states.get(name) == api.EndpointState.READY:
+                self.unavailable.discard(name)
+            elif name in states or (kind is api.EndpointUpdateKind.FULL and name in reported_names):
+                self.unavailable.add(name)
+        return merge.withdrawn_endpoints(self.merged, reported)
+
+    def advance(self, seconds: float, discovery_reports: bool = True) -> EndpointSource:
+        """Let time pass, a merge each second; returns the source in force at the end."""
+        end_us = self.now_us + int(seconds * MICROSECONDS_PER_SECOND)
+        while self.now_us < end_us:
+            self.now_us = min(end_us, self.now_us + MICROSECONDS_PER_SECOND)
+            if discovery_reports:
+                self.discovery.record_report(self.now_us)
+            self.merge()
+        assert self.selection
+        return self.selection.source
+
+    def ready(self) -> str:
+        """The names of the ready servers, sorted and joined."""
+        return "".join(sorted(merge.ready_names(self.merged)))
--- /dev/null
+++ b/tests/support/servers_section.py
@@ -0,0 +1,42 @@
+"""A decision loop with the `servers` section on, in the test's process and without sockets."""
+
+import asyncio
+import json
+from pathlib import Path
+
+from peers import PATIENCE
+from world import settings
+
+from wheatstile.config.operator import OperatorFile, parse
+from wheatstile.config.platform import ServerLimits
+from wheatstile.net.decision_loop import DecisionLoop
+from wheatstile.net.discovery_watcher import DiscoveryOnlyObserver, DiscoveryWatcher
+from wheatstile.net.upstream_pool import UpstreamPool
+from wheatstile.resolvers.section import ServersSection
+
+UNUSED_ADDRESS = ("127.0.0.1", 1)
+
+
+class ServersSectionHarness:
+    """Follows the endpoint file s.json in a folder; every removal is allowed."""
+
+    def __init__(self, folder: Path) -> None:
+        self.decisions = DecisionLoop(settings(), 1)
+        self.upstreams = UpstreamPool(self.decisions, ServerLimits(1.0, 1.0, False, 0.0, 100))
+        observer = DiscoveryOnlyObserver(self.decisions, self.upstreams)
+        self.discovery_watcher = DiscoveryWatcher(self.decisions, observer, UNUSED_ADDRESS)
+        self.decisions.start(self.upstreams, self.discovery_watcher)
+        self.section = ServersSection(self.decisions, self.upstreams, self.discovery_watcher)
+        section = {"file": "s.json", "mode": "merge", "recheck_s": 0.1, "most_removed": 1.0}
+        operator = parse("op", json.dumps({"servers": section}).encode())
+        self.section.follow(OperatorFile(folder / "op", operator))
+
+    def ready(self) -> set[str]:
+        """The servers that the decision module may pick."""
+        return {server.endpoint.name for server in self.decisions.balancer.ready}
+
+    async def wait_until_ready(self, *names: str) -> None:
+        """Wait until these servers and no others are ready. Raises TimeoutError after PATIENCE."""
+        async with asyncio.timeout(PATIENCE):
+            while self.ready() != set(names):
+                await asyncio.sleep(0.01)
--- a/wheatstile/cli/check.py
+++ b/wheatstile/cli/check.py
@@ -11,10 +11,9 @@
 from wheatstile.config.operator import OperatorFile
 from wheatstile.config.platform import Config, ConfigError
 from wheatstile.config.violations import ConfigurationError, Violation, load, locate
-from wheatstile.resolvers import update_guard
 from wheatstile.resolvers.endpoint_file import EndpointFileRules, parse_endpoint_file
 from wheatstile.resolvers.regular_file import read_all
-from wheatstile.resolvers.update_guard import ActiveEndpoints
+from wheatstile.resolvers.update_guard import ActiveEndpoints, evaluate
 
 
 @click.command("check")
@@ -57,11 +56,11 @@
         folder = found.near(servers.state_dir)
         if not (folder.is_dir() and os.access(folder, os.W_OK)):
             reasons.append(_at(found, "/servers/state_dir", f"{folder} is no folder that can be written"))
-    path, rules = found.near(servers.file), EndpointFileRules.of(servers)
+    path, rules = found.near(servers.file), EndpointFileRules.from_settings(servers)
     if not path.exists():
         return [*reasons, _at(found, "/servers/file", f"there is no {path}")]
     try:
-        whole = parse_endpoint_file(str(path), read_all(path, rules.most_bytes), rules)
+        whole = parse_endpoint_file(str(path), read_all(path, rules.max_bytes), rules)
     except ConfigurationError as refused:
         return reasons + refused.lines()
     if platform is None:
@@ -69,9 +68,9 @@
     known = [entry for entry in platform.known.endpoints if entry.state == api.EndpointState.READY]
     sites = tuple(sorted({entry.zone for entry in known} - {""}))
     ready = frozenset(entry.name for entry in known) if servers.mode == "override" else frozenset()
-    admission = update_guard.evaluate(whole, ActiveEndpoints(None, sites, ready), None, frozenset(), rules)
-    if admission.outcome in ("refused", "held"):
-        reasons += [f"{path}:1: /: {reason}" for reason in admission.reasons]
+    evaluation = evaluate(whole, ActiveEndpoints(None, sites, ready), None, frozenset(), rules)
+    if evaluation.is_blocked:
+        reasons += [f"{path}:1: /: {reason}" for reason in evaluation.reasons]
     own = platform.settings.zone
     if not any(named.endpoint.zone == own for named in whole.servers.values()):
         notes.append(
--- a/wheatstile/cli/servers.py
+++ b/wheatstile/cli/servers.py
@@ -12,13 +12,15 @@
 from wheatstile.cli.common import operator_option, refuse, servers_section
 from wheatstile.config.endpoints import EndpointSnapshot, ResolvedEndpoint
 from wheatstile.config.violations import ConfigurationError, Violation, load
-from wheatstile.resolvers import merge, update_guard
+from wheatstile.resolvers import merge
+from wheatstile.resolvers.approval import approval_path
 from wheatstile.resolvers.atomic_write import write_atomic
-from wheatstile.resolvers.endpoint_file import EndpointFile, EndpointFileRules, digest_of, parse_endpoint_file
-from wheatstile.resolvers.merge import SECOND, DiscoveryState, MergePolicy, SourceSelection
+from wheatstile.resolvers.canonical_json import digest_of
+from wheatstile.resolvers.discovery_state import DiscoveryState
+from wheatstile.resolvers.endpoint_file import EndpointFile, EndpointFileRules, parse_endpoint_file
 from wheatstile.resolvers.regular_file import read_all
-from wheatstile.resolvers.source import approval_path
-from wheatstile.resolvers.update_guard import ActiveEndpoints
+from wheatstile.resolvers.source_selection import MICROSECONDS_PER_SECOND, MergePolicy, select_source
+from wheatstile.resolvers.update_guard import ActiveEndpoints, evaluate
 
 
 class _Commands(click.Group):
@@ -37,14 +39,14 @@
 
 
 def _read(path: str, rules: EndpointFileRules) -> EndpointFile:
-    return parse_endpoint_file(path, read_all(Path(path), rules.most_bytes), rules)
+    return parse_endpoint_file(path, read_all(Path(path), rules.max_bytes), rules)
 
 
 def _value(path: str, rules: EndpointFileRules) -> dict[str, Any]:
     """The file's JSON as it stands, once it has been found to hold. Raises ConfigurationError."""
-    data = read_all(Path(path), rules.most_bytes)
+    data = read_all(Path(path), rules.max_bytes)
     parse_endpoint_file(path, data, rules, check_seal=False)
-    _, value = load(path, data, rules.most_bytes)
+    _, value = load(path, data, rules.max_bytes)
     return {key: element for key, element in value.items() if key != "seal"}
 
 
@@ -53,8 +55,8 @@
 ) -> list[str]:
     """Why a balancer that holds the old document would not take the new one."""
     digests = frozenset([new.digest]) if accepted else frozenset()
-    admission = update_guard.evaluate(new, ActiveEndpoints.of(old), None, digests, rules)
-    return list(admission.reasons) if admission.outcome in ("refused", "held") else []
+    evaluation = evaluate(new, ActiveEndpoints.from_file(old), None, digests, rules)
+    return list(evaluation.reasons) if evaluation.is_blocked else []
 
 
 def _text(value: dict[str, Any]) -> bytes:
@@ -85,14 +87,13 @@
 @operator_option
 def check(file: str, against: str | None, operator_file: str | None) -> int:
     """Check FILE, a file of servers."""
-    rules = EndpointFileRules.of(servers_section(operator_file))
+    rules = EndpointFileRules.from_settings(servers_section(operator_file))
     found = _read(file, rules)
     if against and (reasons := _against(found, _read(against, rules), rules)):
         return refuse(f"{file}:1: /: {reason} (against {against})" for reason in reasons)
     sealed = "sealed" if found.sealed else "not sealed"
-    click.echo(
-        f"{file}: holds; {len(found.ready())} of {len(found.servers)} servers ready, {sealed}, {found.digest}"
-    )
+    ready = f"{len(found.ready_names())} of {len(found.servers)} servers ready"
+    click.echo(f"{file}: holds; {ready}, {sealed}, {found.digest}")
     if not against and found.sites is None:
         click.echo("not checked: sites, as the file names none and no --against does")
     return 0
@@ -119,7 +120,7 @@
 @operator_option
 def diff(old: str, new: str, as_json: bool, operator_file: str | None) -> int:
     """Tell what NEW changes of OLD: a table for people, or JSON."""
-    rules = EndpointFileRules.of(servers_section(operator_file))
+    rules = EndpointFileRules.from_settings(servers_section(operator_file))
     first, second = _read(old, rules), _read(new, rules)
     found = list(_differences(first, second))
     if as_json:
@@ -146,7 +147,7 @@
 @operator_option
 def seal(file: str, operator_file: str | None) -> int:
     """Seal FILE in place, so that a damaged copy of it can be told from a whole one."""
-    rules = EndpointFileRules.of(servers_section(operator_file))
+    rules = EndpointFileRules.from_settings(servers_section(operator_file))
     value = _value(file, rules)
     _write(Path(file), _text(value))
     click.echo(f"{file}: sealed, {digest_of(value)}")
@@ -161,7 +162,7 @@
 @operator_option
 def publish(new: str, dest: str, bump: bool, accepted: bool, operator_file: str | None) -> int:
     """Check NEW, hold it against DEST, seal it, and put it in DEST's place as a whole."""
-    rules = EndpointFileRules.of(servers_section(operator_file))
+    rules = EndpointFileRules.from_settings(servers_section(operator_file))
     value, target = _value(new, rules), Path(dest)
     old = _read(dest, rules) if target.exists() else None
     if bump:
@@ -185,7 +186,7 @@
 
     A balancer that holds it back takes it then; nothing else is let in by this.
     """
-    found = _read(file, EndpointFileRules.of(servers_section(operator_file)))
+    found = _read(file, EndpointFileRules.from_settings(servers_section(operator_file)))
     _write(approval_path(Path(file)), json.dumps({"digest": found.digest}).encode())
     click.echo(f"{file}: generation {found.generation}, {found.digest} is accepted")
     return 0
@@ -206,28 +207,28 @@
 def explain(file: str, discovery: str, silent_s: float, operator_file: str | None) -> int:
     """Tell which list would hold, and for each server why it stands in it as it does."""
     servers = servers_section(operator_file)
-    rules = EndpointFileRules.of(servers)
+    rules = EndpointFileRules.from_settings(servers)
     found = _read(file, rules)
-    data = read_all(Path(discovery), rules.most_bytes)
-    _, value = load(discovery, data, rules.most_bytes)
+    data = read_all(Path(discovery), rules.max_bytes)
+    _, value = load(discovery, data, rules.max_bytes)
     try:
         result = EndpointSnapshot.read(value)
     except (ValueError, KeyError, TypeError, OSError) as error:
         raise ConfigurationError(
             discovery, [Violation("", f"is not in discovery's form: {error!r}")]
         ) from None
-    told = DiscoveryState.at(0)
-    told.take(
+    told = DiscoveryState(0)
+    told.apply_update(
         0,
         {entry.name: ResolvedEndpoint(entry, result.addresses[entry.name]) for entry in result.endpoints},
         api.EndpointUpdateKind.FULL,
     )
-    now = int(silent_s * SECOND)
-    choice: SourceSelection = merge.choose(now, MergePolicy.from_settings(servers), told, True, None)
-    lines = merge.merge(now, choice, told, found.servers, {})
+    now = int(silent_s * MICROSECONDS_PER_SECOND)
+    choice = select_source(now, MergePolicy.from_settings(servers), told, True, None)
+    lines = merge.merge_endpoints(now, choice, told, found.servers, {})
     click.echo(f"{choice.source} holds: {choice.reason}")
     rows = [
-        [name, *(str(part) for part in list(_row(line.named).values())[:4]), line.reason]
+        [name, *(str(part) for part in list(_row(line.resolved).values())[:4]), line.reason]
         for name, line in sorted(lines.items())
     ]
     rows += [
--- a/wheatstile/resolvers/__init__.py
+++ b/wheatstile/resolvers/__init__.py
@@ -1,3 +1,4 @@
-"""Servers named in a watched file: read whole or not at all, held against the list in force, and merged
-with what discovery tells. Off unless the operator's file names one; nothing of it is imported then.
+"""Servers named in a watched endpoint file: read, compared with the active endpoints, merged with discovery.
+
+Off unless the operator's file names an endpoint file; nothing of it is imported then.
 """
--- a/wheatstile/resolvers/atomic_write.py
+++ b/wheatstile/resolvers/atomic_write.py
@@ -1,51 +1,67 @@
-"""Files replaced as a whole or not at all. May block: call it off the loop."""
+"""Replaces files as a whole or not at all. May block: call it off the event loop."""
 
 import contextlib
 import fcntl
 import glob
 import os
 import tempfile
+from collections.abc import Iterator
 from pathlib import Path
 
+TEMPORARY_SUFFIX = ".new"
+FILE_MODE = 0o644
+
 
 def write_atomic(path: Path, data: bytes) -> None:
-    """Replace a file as a whole: a temporary one beside it, fsync, rename, fsync of the folder.
+    """Replace a file as a whole: write a temporary one beside it, fsync, rename, and fsync the folder.
+
+    After a crash at any point the name has the old bytes or the new ones; a temporary file may stay, which
+    the next call removes. Two writers at once do not mix their bytes.
 
-    Raises OSError; the old file stands then. After a crash at any point the name has the old bytes or the new
-    ones; a temporary file may be left, which the next call removes. Two writers at once do not mix.
+    Raises:
+        OSError: the file could not be replaced; the old one stays.
     """
     prefix = f".{path.name}."
-    for left in path.parent.glob(f"{glob.escape(prefix)}*.new"):
-        _remove_if_left(left)
-    descriptor, name = tempfile.mkstemp(".new", prefix, path.parent)
+    for leftover in path.parent.glob(f"{glob.escape(prefix)}*{TEMPORARY_SUFFIX}"):
+        _remove_abandoned(leftover)
+    descriptor, temporary_name = tempfile.mkstemp(TEMPORARY_SUFFIX, prefix, path.parent)
     try:
-        try:
-            fcntl.flock(descriptor, fcntl.LOCK_EX)  # it is somebody's, for as long as they live
-            os.fchmod(descriptor, 0o644)
-            view = memoryview(data)
-            while view:
-                view = view[os.write(descriptor, view) :]
+        with _closing(descriptor):
+            # Locked for as long as its writer lives, so that no other writer takes it for abandoned.
+            fcntl.flock(descriptor, fcntl.LOCK_EX)
+            os.fchmod(descriptor, FILE_MODE)
+            _write_all(descriptor, data)
             os.fsync(descriptor)
-            os.replace(name, path)
-        finally:
-            os.close(descriptor)
+            os.replace(temporary_name, path)
     except BaseException:
         with contextlib.suppress(OSError):
-            os.unlink(name)
+            os.unlink(temporary_name)
         raise
-    folder = os.open(path.parent, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
-    try:
+    with _closing(os.open(path.parent, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)) as folder:
         os.fsync(folder)
+
+
+@contextlib.contextmanager
+def _closing(descriptor: int) -> Iterator[int]:
+    try:
+        yield descriptor
     finally:
-        os.close(folder)
+        os.close(descriptor)
+
+
+def _write_all(descriptor: int, data: bytes) -> None:
+    remaining = memoryview(data)
+    while remaining:
+        written = os.write(descriptor, remaining)
+        remaining = remaining[written:]
+
+
+def _open_to_lock(path: Path) -> int:
+    return os.open(path, os.O_RDONLY | os.O_NONBLOCK | os.O_CLOEXEC)
 
 
-def _remove_if_left(path: Path) -> None:
+def _remove_abandoned(path: Path) -> None:
     """Remove a temporary file whose writer has died: its lock went with it."""
-    with contextlib.suppress(OSError):
-        descriptor = os.open(path, os.O_RDONLY | os.O_NONBLOCK | os.O_CLOEXEC)
-        try:
-            fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
-            path.unlink()
-        finally:
-            os.close(descriptor)
+    with contextlib.suppress(OSError), _closing(_open_to_lock(path)) as descriptor:
+        fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        path.unlink()
--- /dev/null
+++ b/wheatstile/resolvers/discovery_state.py
@@ -0,0 +1,68 @@
+"""What discovery has reported so far. Pure: the time is an argument, in microseconds."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+
+from wheatstile import interface as api
+from wheatstile.config.endpoints import ResolvedEndpoint
+
+MAX_REMEMBERED_GONE = 50_000  # servers reported gone that are remembered; the oldest are forgotten first
+
+
+@dataclass(slots=True)
+class DiscoveryState:
+    """The servers that discovery has reported, and when it last reported anything."""
+
+    listening_since_us: int  # when this balancer began to listen
+    endpoints: dict[str, ResolvedEndpoint] = field(default_factory=dict)  # ready or draining, by name
+    gone: dict[str, None] = field(default_factory=dict)  # an ordered set of names, the oldest first
+    last_report_at_us: int | None = None  # the last update or keepalive
+    steady_since_us: int | None = None  # reports have come without a failed call since then
+
+    def copy(self) -> "DiscoveryState":
+        """A copy of the servers for a merge in another thread; it does not know when they were reported."""
+        return DiscoveryState(self.listening_since_us, dict(self.endpoints), dict(self.gone))
+
+    def apply_update(
+        self, now_us: int, update: Mapping[str, ResolvedEndpoint], kind: api.EndpointUpdateKind
+    ) -> list[ResolvedEndpoint]:
+        """Record a list of servers, or the changes to one.
+
+        A cached list does not count as a report: it comes from the platform's file.
+
+        Returns:
+            The servers that discovery wants no new connections for: those draining and those gone.
+        """
+        unavailable = []
+        for name, resolved in update.items():
+            if resolved.endpoint.state == api.EndpointState.GONE:
+                unavailable.append(self._remove(name, resolved))
+                continue
+            if resolved.endpoint.state != api.EndpointState.READY:
+                unavailable.append(resolved)
+            self.endpoints[name] = resolved
+            self.gone.pop(name, None)
+        if kind is not api.EndpointUpdateKind.DELTA:
+            missing = [name for name in self.endpoints if name not in update]
+            unavailable += [self._remove(name, self.endpoints[name]) for name in missing]
+        if kind is not api.EndpointUpdateKind.CACHED:
+            self.record_report(now_us)
+        return unavailable
+
+    def record_report(self, now_us: int) -> None:
+        """Discovery has answered, be it only that nothing has changed."""
+        self.last_report_at_us = now_us
+        if self.steady_since_us is None:
+            self.steady_since_us = now_us
+
+    def record_failure(self) -> None:
+        """A call to discovery has failed or ended."""
+        self.steady_since_us = None
+
+    def _remove(self, name: str, resolved: ResolvedEndpoint) -> ResolvedEndpoint:
+        self.endpoints.pop(name, None)
+        self.gone[name] = None
+        while len(self.gone) > MAX_REMEMBERED_GONE:
+            oldest = next(iter(self.gone))
+            del self.gone[oldest]
+        return ResolvedEndpoint(replace(resolved.endpoint, state=api.EndpointState.GONE), None)
--- a/wheatstile/resolvers/endpoint_file_reader.py
+++ b/wheatstile/resolvers/endpoint_file_reader.py
@@ -1,113 +1,140 @@
-"""The endpoint file, read whole or not at all. May block: call it off the loop.
+"""Reads the endpoint file complete or not at all. May block: call it off the event loop.
 
-What it can promise: a sealed document is taken only as its writer made it, however it was written. An
-unsealed one is taken once its file has stood unchanged, by its bytes and by what the file system says of it,
-for the settle time; a writer that rewrites it in place and rests longer than that in the middle can still be
-believed, where the middle happens to be a whole document.
+What it guarantees: a sealed file is accepted only as its writer made it, however it was written. An unsealed
+one is accepted once it has stayed unchanged, by its bytes and by what the file system says of it, for the
+settle time. A writer that rewrites an unsealed file in place and pauses for longer than that in the middle
+can still be believed, if what stands there by then happens to be a valid file.
 """
 
 import os
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum, auto
 from pathlib import Path
-from typing import Literal
 
 from wheatstile.config.violations import ConfigurationError
 from wheatstile.resolvers.endpoint_file import EndpointFile, EndpointFileRules, parse_endpoint_file
-from wheatstile.resolvers.regular_file import Snapshot, open_regular, snapshot
+from wheatstile.resolvers.regular_file import FileSignature, Snapshot, open_regular, snapshot
+
+TORN_RETRIES_PER_SETTLE_TIME = 4  # reads within the settle time of a file that changes while it is read
+
+
+class ReadOutcome(Enum):
+    """What one poll of the file came to."""
+
+    UNSETTLED = auto()  # it may still be being written
+    UNCHANGED = auto()  # its content has been reported before
+    COMPLETE = auto()  # it holds a valid endpoint file
+    INVALID = auto()  # its content cannot be used
+    UNREADABLE = auto()  # it is missing, is no regular file, or cannot be read
 
 
 @dataclass(frozen=True, slots=True)
 class ReadResult:
-    """What one look at the file came to."""
+    """What one poll of the file came to, and why."""
 
-    outcome: Literal["unsettled", "same", "whole", "refused", "problem"]
-    reasons: tuple[str, ...] = ()
-    document: EndpointFile | None = None
-    wait: float = 0.0  # seconds after which to look again, where it is unsettled
+    outcome: ReadOutcome
+    reasons: tuple[str, ...] = ()  # of INVALID and UNREADABLE
+    endpoint_file: EndpointFile | None = None  # of COMPLETE
+    retry_after_s: float = 0.0  # of UNSETTLED: when the next poll is due
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class _Candidate:
-    """A file under observation, kept open: it settles even when its name goes to another file meanwhile."""
+    """A file that has to settle. It is kept open, and settles even if its name moves to another file."""
 
     descriptor: int
     snapshot: Snapshot
-    since: float
-    verdict: EndpointFile | ConfigurationError
+    first_seen_s: float  # by the reader's clock
+    parsed: EndpointFile | ConfigurationError
 
 
 class EndpointFileReader:
-    """Reads one file of servers. Owns the descriptor of the file that it watches settle."""
+    """Polls one endpoint file. Owns the descriptor of the file that it watches settle.
+
+    Args:
+        path: the file's path.
+        rules: the limits that the file has to keep to.
+        settle_time_s: for how long an unsealed file has to stay unchanged.
+        clock: seconds, monotonic.
+    """
 
     def __init__(
-        self, path: Path, rules: EndpointFileRules, settle: float, clock: Callable[[], float] = time.monotonic
+        self,
+        path: Path,
+        rules: EndpointFileRules,
+        settle_time_s: float,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        self.path, self.rules, self.settle, self._clock = path, rules, settle, clock
+        self.path = path
+        self.rules = rules
+        self.settle_time_s = settle_time_s
+        self._clock = clock
         self._candidate: _Candidate | None = None
-        self._done: tuple[tuple[int, ...], bytes] | None = None  # what was last told of
+        self._reported: tuple[FileSignature, bytes] | None = None  # signature and fingerprint last reported
 
     def poll(self) -> ReadResult:
-        """One look. Raises nothing: what is wrong with the file is the reading's to tell."""
+        """Read the file once. Raises nothing: what is wrong with the file is in the result."""
         try:
-            if (reading := self._again()) is not None:
-                return reading
-            return self._first()
+            return self._poll_candidate() or self._poll_path()
         except OSError as error:
             self.close()
-            self._done = None
-            return ReadResult("problem", (f"{self.path}: {error.strerror or error}",))
+            self._reported = None
+            return ReadResult(ReadOutcome.UNREADABLE, (f"{self.path}: {error.strerror or error}",))
 
     def close(self) -> None:
+        """Close the file that is settling, if there is one."""
         if self._candidate:
             os.close(self._candidate.descriptor)
             self._candidate = None
 
-    def _again(self) -> ReadResult | None:
-        """Look once more at the candidate; None if there is none, or it was rewritten in place."""
+    def _poll_candidate(self) -> ReadResult | None:
+        """Read the candidate again. None if there is none, or if it was rewritten in place."""
         candidate = self._candidate
         if candidate is None:
             return None
-        now = snapshot(candidate.descriptor, self.rules.most_bytes)
-        same = (
-            now.signature == candidate.snapshot.signature
-            and now.fingerprint == candidate.snapshot.fingerprint
-        )
-        if now.torn or not same:
+        current = snapshot(candidate.descriptor, self.rules.max_bytes)
+        if current.torn or not current.has_same_content(candidate.snapshot):
             self.close()
             return None
-        left = candidate.since + self.settle - self._clock()
-        return ReadResult("unsettled", wait=left) if left > 0 else self._tell(candidate)
-
-    def _first(self) -> ReadResult:
+        remaining_s = candidate.first_seen_s + self.settle_time_s - self._clock()
+        if remaining_s > 0:
+            return ReadResult(ReadOutcome.UNSETTLED, retry_after_s=remaining_s)
+        self.close()
+        return self._report(candidate.snapshot, candidate.parsed)
+
+    def _poll_path(self) -> ReadResult:
+        """Read the file that the path leads to, which becomes the candidate if it has to settle."""
         descriptor = open_regular(self.path)
         try:
-            found = snapshot(descriptor, self.rules.most_bytes)
-            if not found.torn and self._done == (found.signature, found.fingerprint):
-                return ReadResult("same")
-            if found.torn:
-                return ReadResult("unsettled", wait=self.settle / 4)
-            verdict = self._read(found.data)
-            candidate = _Candidate(descriptor, found, self._clock(), verdict)
-            if isinstance(verdict, EndpointFile) and verdict.sealed:
-                return self._tell(candidate, keep=True)
-            self._candidate, descriptor = candidate, -1
-            return ReadResult("unsettled", wait=self.settle)
+            result = self._read_opened(descriptor)
         finally:
-            if descriptor >= 0:
+            if self._candidate is None:
                 os.close(descriptor)
-
-    def _read(self, data: bytes) -> EndpointFile | ConfigurationError:
+        return result
+
+    def _read_opened(self, descriptor: int) -> ReadResult:
+        current = snapshot(descriptor, self.rules.max_bytes)
+        if current.torn:
+            retry_after_s = self.settle_time_s / TORN_RETRIES_PER_SETTLE_TIME
+            return ReadResult(ReadOutcome.UNSETTLED, retry_after_s=retry_after_s)
+        if self._reported == (current.signature, current.fingerprint):
+            return ReadResult(ReadOutcome.UNCHANGED)
+        parsed = self._parse(current.data)
+        if isinstance(parsed, EndpointFile) and parsed.sealed:
+            return self._report(current, parsed)
+        self._candidate = _Candidate(descriptor, current, self._clock(), parsed)
+        return ReadResult(ReadOutcome.UNSETTLED, retry_after_s=self.settle_time_s)
+
+    def _parse(self, data: bytes) -> EndpointFile | ConfigurationError:
         try:
             return parse_endpoint_file(str(self.path), data, self.rules)
-        except ConfigurationError as refused:
-            return refused
-
-    def _tell(self, candidate: _Candidate, keep: bool = False) -> ReadResult:
-        if not keep:
-            self.close()
-        self._done = candidate.snapshot.signature, candidate.snapshot.fingerprint
-        if isinstance(candidate.verdict, ConfigurationError):
-            return ReadResult("refused", tuple(candidate.verdict.lines()))
-        return ReadResult("whole", document=candidate.verdict)
+        except ConfigurationError as error:
+            return error
+
+    def _report(self, current: Snapshot, parsed: EndpointFile | ConfigurationError) -> ReadResult:
+        self._reported = (current.signature, current.fingerprint)
+        if isinstance(parsed, ConfigurationError):
+            return ReadResult(ReadOutcome.INVALID, tuple(parsed.lines()))
+        return ReadResult(ReadOutcome.COMPLETE, endpoint_file=parsed)
--- a/wheatstile/resolvers/endpoint_merger.py
+++ b/wheatstile/resolvers/endpoint_merger.py
@@ -1,7 +1,8 @@
-"""The list that holds, out of what discovery tells and what the file says; told to the module as changes."""
+"""Merges discovery with the endpoint file and sends each change to the decision module."""
 
 import asyncio
 from collections.abc import Mapping
+from dataclasses import dataclass
 
 import structlog
 
@@ -10,179 +11,253 @@
 from wheatstile.net.decision_loop import DecisionLoop
 from wheatstile.net.upstream_pool import UpstreamPool
 from wheatstile.resolvers import merge
+from wheatstile.resolvers.discovery_state import DiscoveryState
 from wheatstile.resolvers.endpoint_file import EndpointFile
 from wheatstile.resolvers.gc_pause import gc_paused
-from wheatstile.resolvers.merge import DiscoveryState, MergedEndpoint, MergePolicy, SourceSelection
+from wheatstile.resolvers.merge import MergedEndpoint
+from wheatstile.resolvers.source_selection import (
+    MICROSECONDS_PER_SECOND,
+    EndpointSource,
+    MergePolicy,
+    SourceSelection,
+    select_source,
+)
 
 log = structlog.get_logger()
 
-AT_ONCE = 2000  # servers that are merged on the loop, within a few milliseconds; more are in a thread
-RACES = 3  # merges in a thread that discovery may overtake before one is made on the loop
-PORTION = 1000  # addresses that the upstreams take between two turns of the loop
+# Servers that are merged on the event loop, which takes a few milliseconds; more are merged in a thread.
+MAX_ENDPOINTS_MERGED_ON_LOOP = 2000
+MAX_THREAD_MERGES = 3  # that updates may make obsolete, one after another, before one merge runs on the loop
+ADDRESS_BATCH_SIZE = 1000  # addresses that are updated between two turns of the event loop
+MIN_TIMER_DELAY_S = 0.001
+
+
+@dataclass(frozen=True, slots=True)
+class _MergeResult:
+    selection: SourceSelection
+    endpoints: dict[str, MergedEndpoint]
+    changes: list[ResolvedEndpoint]
+
+
+@dataclass(frozen=True, slots=True)
+class _MergeInput:
+    """All that a merge depends on. For a merge in a thread it holds copies."""
+
+    revision: int
+    now_us: int
+    selection: SourceSelection
+    discovery: DiscoveryState
+    file_endpoints: Mapping[str, ResolvedEndpoint]
+    previous: dict[str, MergedEndpoint]
+
+    def merge(self) -> _MergeResult:
+        endpoints = merge.merge_endpoints(
+            self.now_us, self.selection, self.discovery, self.file_endpoints, self.previous
+        )
+        changes = merge.changed_endpoints(self.previous, endpoints)
+        return _MergeResult(self.selection, endpoints, changes)
 
 
 class EndpointMerger:
-    """Discovery's observer where a file of servers is on. Owns the list that holds."""
+    """Discovery's observer while an endpoint file is configured. Owns the merged list of servers.
+
+    Short lists are merged at once, long ones in a thread; either way the decision module gets each change of
+    the list as one update, never a part of it.
+    """
 
     def __init__(self, decisions: DecisionLoop, upstreams: UpstreamPool, policy: MergePolicy) -> None:
-        self.decisions, self.upstreams, self.policy = decisions, upstreams, policy
-        self.discovery = DiscoveryState.at(decisions.now())
-        self.file: Mapping[str, ResolvedEndpoint] = {}
-        self.lines: dict[str, MergedEndpoint] = {}
-        self.choice: SourceSelection | None = None
-        self._version = 0  # of what the list is made of
-        self._large: asyncio.Task[None] | None = None
-        self._timer: asyncio.TimerHandle | None = None
-
-    def adopt(self) -> None:
-        """Begin with what discovery alone has told so far."""
-        known = self.decisions.balancer.servers
+        self.decisions = decisions
+        self.upstreams = upstreams
+        self.policy = policy
+        self.discovery = DiscoveryState(decisions.now())
+        self.file_endpoints: Mapping[str, ResolvedEndpoint] = {}
+        self.endpoints: dict[str, MergedEndpoint] = {}
+        self.selection: SourceSelection | None = None
+        self._revision = 0  # counts the changes of discovery, file and policy
+        self._background_merge: asyncio.Task[None] | None = None
+        self._recheck_timer: asyncio.TimerHandle | None = None
+
+    def adopt_known_endpoints(self) -> None:
+        """Start from the servers that discovery alone has reported so far."""
+        servers = self.decisions.balancer.servers
         for name, upstream in self.upstreams.by_name.items():
-            if name in known:
-                self.discovery.entries[name] = ResolvedEndpoint(known[name].endpoint, upstream.address)
-                self.lines[name] = MergedEndpoint(self.discovery.entries[name], "discovery")
+            if name in servers:
+                resolved = ResolvedEndpoint(servers[name].endpoint, upstream.address)
+                self.discovery.endpoints[name] = resolved
+                self.endpoints[name] = MergedEndpoint(resolved, merge.FROM_DISCOVERY)
 
-    def configure(self, policy: MergePolicy) -> None:
-        """This policy holds from now on."""
+    def set_policy(self, policy: MergePolicy) -> None:
+        """Merge by this policy from now on."""
         if policy != self.policy:
-            self.policy, self.choice = policy, None
-            self._changed()
+            self.policy = policy
+            self.selection = None
+            self._on_change()
+
+    def set_file(self, endpoint_file: EndpointFile) -> None:
+        """Merge this file's servers from now on."""
+        self.file_endpoints = endpoint_file.servers
+        self._on_change()
 
-    def on_update(self, result: EndpointSnapshot, kind: api.EndpointUpdateKind) -> None:
-        named = {
-            entry.name: ResolvedEndpoint(entry, result.addresses[entry.name]) for entry in result.endpoints
+    def on_update(self, snapshot: EndpointSnapshot, kind: api.EndpointUpdateKind) -> None:
+        """Take an update from discovery."""
+        update = {
+            endpoint.name: ResolvedEndpoint(endpoint, snapshot.addresses[endpoint.name])
+            for endpoint in snapshot.endpoints
         }
-        told = self.discovery.take(self.decisions.now(), named, kind)
-        # Whatever else has to be worked out: nothing new goes where discovery says so, from this instant on.
-        stopped = merge.stopped(self.lines, told)
-        if stopped:
-            for one in stopped:
-                name = one.endpoint.name
-                if one.address is None:
-                    del self.lines[name]
-                else:
-                    self.lines[name] = MergedEndpoint(one, "discovery tells it to drain")
-            self._tell(stopped)
-        self._changed()
+        unavailable = self.discovery.apply_update(self.decisions.now(), update, kind)
+        # Before anything else is worked out: no new connections from now on where discovery wants none.
+        withdrawn = merge.withdrawn_endpoints(self.endpoints, unavailable)
+        if withdrawn:
+            self._withdraw(withdrawn)
+        self._on_change()
 
     def on_keepalive(self) -> None:
-        self.discovery.heard(self.decisions.now())
-        if self.choice and self.choice.source == "file":
-            self._look()
+        """Discovery has answered that nothing has changed."""
+        self.discovery.record_report(self.decisions.now())
+        if self.selection and self.selection.source is EndpointSource.FILE:
+            self._recheck_source()
 
     def on_failure(self) -> None:
-        self.discovery.failed()
-
-    def take_file(self, document: EndpointFile | None) -> None:
-        """The file's list from now on; none: it has left."""
-        self.file = document.servers if document else {}
-        self._changed()
+        """A call to discovery has ended."""
+        self.discovery.record_failure()
 
     def close(self) -> None:
-        if self._timer:
-            self._timer.cancel()
-        if self._large:
-            self._large.cancel()
-
-    def leave(self) -> None:
-        """Discovery alone holds from now on; what only the file named gets nothing new."""
-        self.file = {}
+        """Stop the timer and the merge in the background."""
+        self._cancel_recheck()
+        if self._background_merge:
+            self._background_merge.cancel()
+
+    def revert_to_discovery(self) -> None:
+        """Put discovery alone in force and close; servers that only the file named are retired."""
+        self.file_endpoints = {}
         self.close()
-        choice = SourceSelection("discovery", "the file is switched off")
-        self._apply(choice, merge.merge(self.decisions.now(), choice, self.discovery, {}, self.lines))
+        selection = SourceSelection(EndpointSource.DISCOVERY, "the file is switched off")
+        self._apply(self._merge_input(selection).merge())
+
+    def _withdraw(self, withdrawn: list[ResolvedEndpoint]) -> None:
+        for resolved in withdrawn:
+            name = resolved.endpoint.name
+            if resolved.address is None:
+                del self.endpoints[name]
+            else:
+                self.endpoints[name] = MergedEndpoint(resolved, merge.DRAINED_BY_DISCOVERY)
+        self._update_addresses(withdrawn)
+        self._dispatch(withdrawn)
 
-    def _choose(self) -> SourceSelection:
-        return merge.choose(self.decisions.now(), self.policy, self.discovery, bool(self.file), self.choice)
+    def _select_source(self) -> SourceSelection:
+        has_file = bool(self.file_endpoints)
+        return select_source(self.decisions.now(), self.policy, self.discovery, has_file, self.selection)
 
-    def _look(self) -> None:
-        """Whether another source holds by now, though none has changed."""
-        choice = self._choose()
-        if self.choice is None or choice.source != self.choice.source:
-            self._changed()
+    def _recheck_source(self) -> None:
+        """Merge again if another source is in force by now, though no source has changed."""
+        selection = self._select_source()
+        if self.selection is None or selection.source is not self.selection.source:
+            self._on_change()
         else:
-            self.choice = choice
-            self._look_again(choice)
-
-    def _look_again(self, choice: SourceSelection) -> None:
-        if self._timer:
-            self._timer.cancel()
-            self._timer = None
-        if choice.look_at is not None:
-            delay = max(0.001, (choice.look_at - self.decisions.now()) / 1e6 + 0.001)
-            self._timer = self.decisions.loop.call_later(delay, self._look)
-
-    def _changed(self) -> None:
-        """Work the list out anew."""
-        self._version += 1
-        if len(self.discovery.entries) + len(self.file) <= AT_ONCE and not self._large:
-            choice = self._choose()
-            lines = merge.merge(self.decisions.now(), choice, self.discovery, self.file, self.lines)
-            self._apply(choice, lines)
-        elif not self._large:
-            self._large = asyncio.create_task(self._merge_large())
-            self._large.add_done_callback(self._over)
-
-    def _over(self, task: asyncio.Task[None]) -> None:
-        self._large = None
-        if not task.cancelled() and (error := task.exception()):
-            log.error("a merge failed", exc_info=error)
-
-    async def _merge_large(self) -> None:
-        """Merge in a thread, again where discovery or the file have changed in the meantime."""
-        applied = -1
-        while applied != self._version:
-            for race in range(RACES + 1):
-                version, choice, now = self._version, self._choose(), self.decisions.now()
-                told = DiscoveryState(
-                    self.discovery.started, dict(self.discovery.entries), dict(self.discovery.gone)
-                )
-                if race < RACES:
-                    work = (now, choice, told, self.file, dict(self.lines))
-                    lines = await asyncio.to_thread(merge.merge, *work)
-                    delta = await asyncio.to_thread(merge.changes, work[4], lines)
-                    # Addresses alone send nothing, so they may come in portions.
-                    for start in range(0, len(delta), PORTION):
-                        part = delta[start : start + PORTION]
-                        self.upstreams.update([one for one in part if one.address], False)
-                        await asyncio.sleep(0)
-                    if version != self._version:
-                        continue
-                else:
-                    lines, delta = merge.merge(now, choice, told, self.file, self.lines), None
-                break
-            applied = version
-            self._apply(choice, lines, delta)
-
-    def _apply(
-        self,
-        choice: SourceSelection,
-        lines: dict[str, MergedEndpoint],
-        delta: list[ResolvedEndpoint] | None = None,
-    ) -> None:
-        changes = merge.changes(self.lines, lines) if delta is None else delta
-        before, self.choice, self.lines = self.choice, choice, lines
-        if before is None or before.source != choice.source:
-            self.decisions.counters[f"source {choice.source}"] += 1
-            log.info(
-                "the list's source",
-                source=choice.source,
-                reason=choice.reason,
-                ready=len(merge.ready_of(lines)),
-                changed=len(changes),
+            self.selection = selection
+            self._schedule_recheck(selection)
+
+    def _schedule_recheck(self, selection: SourceSelection) -> None:
+        self._cancel_recheck()
+        if selection.recheck_at_us is not None:
+            delay_s = (selection.recheck_at_us - self.decisions.now()) / MICROSECONDS_PER_SECOND
+            self._recheck_timer = self.decisions.loop.call_later(
+                max(0.0, delay_s) + MIN_TIMER_DELAY_S, self._recheck_source
             )
-        if changes:
-            self._tell(changes, delta is None)
-        self._look_again(choice)
-
-    def _tell(self, changes: list[ResolvedEndpoint], addresses: bool = True) -> None:
-        """One event for all that has changed: the module never sees a part of a list."""
-        if addresses:
-            self.upstreams.update([one for one in changes if one.address], False)
+
+    def _cancel_recheck(self) -> None:
+        if self._recheck_timer:
+            self._recheck_timer.cancel()
+            self._recheck_timer = None
+
+    def _on_change(self) -> None:
+        """Merge again: now, or in the background if the lists are long."""
+        self._revision += 1
+        if self._background_merge:
+            return  # it sees the new revision
+        if len(self.discovery.endpoints) + len(self.file_endpoints) <= MAX_ENDPOINTS_MERGED_ON_LOOP:
+            self._apply(self._merge_input(self._select_source()).merge())
+        else:
+            self._background_merge = asyncio.create_task(self._merge_in_background())
+
+    def _merge_input(self, selection: SourceSelection) -> _MergeInput:
+        now_us = self.decisions.now()
+        return _MergeInput(
+            self._revision, now_us, selection, self.discovery, self.file_endpoints, self.endpoints
+        )
+
+    def _copied_merge_input(self) -> _MergeInput:
+        now_us = self.decisions.now()
+        return _MergeInput(
+            self._revision,
+            now_us,
+            self._select_source(),
+            self.discovery.copy(),
+            self.file_endpoints,
+            dict(self.endpoints),
+        )
+
+    async def _merge_in_background(self) -> None:
+        """Merge until the result is that of the newest revision."""
+        try:
+            merged_revision = -1
+            while merged_revision != self._revision:
+                result = await self._merge_in_thread()
+                merged_revision = self._revision
+                if result:
+                    self._apply(result, addresses_are_updated=True)
+                else:
+                    self._apply(self._merge_input(self._select_source()).merge())
+        except Exception:
+            log.exception("endpoint_merge_failed")
+        finally:
+            # Here and not in a callback of the task: a change in between would be seen by neither.
+            self._background_merge = None
+
+    async def _merge_in_thread(self) -> _MergeResult | None:
+        """The result for the present revision; None if each merge was overtaken by a change."""
+        for _ in range(MAX_THREAD_MERGES):
+            merge_input = self._copied_merge_input()
+            result = await asyncio.to_thread(merge_input.merge)
+            # New addresses change no decision, so they may come in batches before the update itself.
+            for start in range(0, len(result.changes), ADDRESS_BATCH_SIZE):
+                self._update_addresses(result.changes[start : start + ADDRESS_BATCH_SIZE])
+                await asyncio.sleep(0)
+            if merge_input.revision == self._revision:
+                return result
+        return None
+
+    def _apply(self, result: _MergeResult, addresses_are_updated: bool = False) -> None:
+        previous = self.selection
+        self.selection = result.selection
+        self.endpoints = result.endpoints
+        if previous is None or previous.source is not result.selection.source:
+            self._report_source(result)
+        if result.changes:
+            if not addresses_are_updated:
+                self._update_addresses(result.changes)
+            self._dispatch(result.changes)
+        self._schedule_recheck(result.selection)
+
+    def _report_source(self, result: _MergeResult) -> None:
+        self.decisions.counters[f"endpoint_source_{result.selection.source}_selected"] += 1
+        log.info(
+            "endpoint_source_selected",
+            source=result.selection.source,
+            reason=result.selection.reason,
+            ready=len(merge.ready_names(result.endpoints)),
+            changed=len(result.changes),
+        )
+
+    def _update_addresses(self, changes: list[ResolvedEndpoint]) -> None:
+        self.upstreams.update([resolved for resolved in changes if resolved.address], False)
+
+    def _dispatch(self, changes: list[ResolvedEndpoint]) -> None:
+        """Send all changes to the decision module as one update, then forget the gone servers."""
+        endpoints = [resolved.endpoint for resolved in changes]
         with gc_paused():
-            self.decisions.dispatch(
-                api.EndpointUpdate(api.EndpointUpdateKind.DELTA, [one.endpoint for one in changes])
-            )
-        gone = [one for one in changes if one.address is None]
+            self.decisions.dispatch(api.EndpointUpdate(api.EndpointUpdateKind.DELTA, endpoints))
+        gone = [resolved for resolved in changes if resolved.address is None]
         if gone:
             self.upstreams.update(gone, False)
-        log.debug("the module was told", changed=len(changes), gone=len(gone))
+        log.debug("endpoint_update_dispatched", changed=len(changes), gone=len(gone))
--- a/wheatstile/resolvers/file_watcher.py
+++ b/wheatstile/resolvers/file_watcher.py
@@ -1,7 +1,10 @@
-"""FileWatcher that something near a path has changed, by the file system's own where it gives them."""
+"""Watches a path for changes by the file system's notifications, or by time where there are none."""
 
 import asyncio
 import os
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
 from pathlib import Path
 
 import structlog
@@ -9,67 +12,101 @@
 
 log = structlog.get_logger()
 
-STEP, TOGETHER = (
-    5,
-    25,
-)  # ms: quiet after which changes are told, and for how long they are put together at most
-LINKS = 40  # symbolic links that a path may lead through
-
-
-def watched_paths(path: Path) -> tuple[set[str], set[str]]:
-    """The folders in which a change may lead the path elsewhere, and the names in them that matter."""
-    folders, names = set(), set()
-    todo, left = [Path(os.path.abspath(path))], LINKS
-    while todo and left:
-        current = todo.pop()
-        left -= 1
-        for part in (current, *current.parents):
-            if part == current or part.is_symlink():
-                folders.add(os.path.realpath(part.parent))
-                names.add(part.name)
-            if part.is_symlink():
-                target = part.parent / os.readlink(part)
-                todo.append(target / current.relative_to(part) if part != current else target)
-                break
-    return {folder for folder in folders if os.path.isdir(folder)}, names
+QUIET_TIME_MS = 5  # without a change, after which the changes so far are reported
+MAX_DEBOUNCE_MS = 25  # for which changes are collected into one report at most
+MIN_NOTIFICATION_TIMEOUT_MS = 100
+MAX_SYMBOLIC_LINKS = 40  # that a path may lead through, as in the Linux kernel
+
+
+@dataclass(frozen=True, slots=True)
+class WatchedPaths:
+    """Where a change may make a path lead to another file."""
+
+    folders: frozenset[str]  # absolute, without symbolic links, existing
+    names: frozenset[str]  # of the entries in these folders that matter
+
+    def concerns(self, _change: Change, path: str) -> bool:
+        """Whether a change of this path matters: a filter for `watchfiles.awatch`."""
+        return os.path.basename(path) in self.names
+
+
+def watched_paths(path: Path) -> WatchedPaths:
+    """The folders and names to watch for a path that may lead through symbolic links. May block."""
+    folders: set[str] = set()
+    names: set[str] = set()
+    current: Path | None = Path(os.path.abspath(path))
+    links_left = MAX_SYMBOLIC_LINKS
+    while current and links_left:
+        links_left -= 1
+        link = _first_link(current)
+        for entry in (current, link):
+            if entry:
+                folders.add(os.path.realpath(entry.parent))
+                names.add(entry.name)
+        current = _follow(link, current) if link else None
+    return WatchedPaths(frozenset(filter(os.path.isdir, folders)), frozenset(names))
+
+
+def _first_link(path: Path) -> Path | None:
+    """The symbolic link nearest to the end of the path: the path itself or one of its parents."""
+    return next((part for part in (path, *path.parents) if part.is_symlink()), None)
+
+
+def _follow(link: Path, path: Path) -> Path:
+    """The path with this link, which is the path itself or a parent, replaced by its target."""
+    target = link.parent / os.readlink(link)
+    return target if link == path else target / path.relative_to(link)
 
 
 class FileWatcher:
-    """Sets an event for each change near the path. Where nothing tells, looking in turn finds it."""
+    """Sets the event `changed` after each change of a path, and at least every `poll_interval_s`."""
 
-    def __init__(self, path: Path, recheck: float) -> None:
-        self.path, self.recheck = path, recheck
+    def __init__(self, path: Path, poll_interval_s: float) -> None:
+        self.path = path
+        self.poll_interval_s = poll_interval_s
         self.changed = asyncio.Event()
+        self._failure_reported = False
+
+    @asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Watch in a task of its own for as long as the block runs."""
+        task = asyncio.create_task(self.run())
+        try:
+            yield
+        finally:
+            task.cancel()
+            await asyncio.wait([task])
 
     async def run(self) -> None:
-        told = False
+        """Watch until cancelled. Without notifications, `changed` is set every `poll_interval_s`."""
         while True:
-            folders, names = await asyncio.to_thread(watched_paths, self.path)
-
-            def concerns(_: Change, path: str, names: set[str] = names) -> bool:
-                return os.path.basename(path) in names
-
+            watched = await asyncio.to_thread(watched_paths, self.path)
+            self.changed.set()  # a change before the watch began is found by reading the file
             try:
-                self.changed.set()  # what came before the watch stood is found by a look
-                async for _ in awatch(
-                    *folders,
-                    watch_filter=concerns,
-                    step=STEP,
-                    debounce=TOGETHER,
-                    rust_timeout=max(100, int(self.recheck * 1000)),
-                    yield_on_timeout=True,
-                    recursive=False,
-                ):
-                    self.changed.set()
-                    if await asyncio.to_thread(watched_paths, self.path) != (folders, names):
-                        break  # a link leads elsewhere now
-                else:
+                if not await self._watch(watched):
                     return
-                continue
             except (OSError, RuntimeError) as error:
-                if not told:
-                    log.warning(
-                        "servers file: no notices, looked at in turn", reason=str(error), every_s=self.recheck
-                    )
-                told = True
-            await asyncio.sleep(self.recheck)
+                self._report_failure(error)
+                await asyncio.sleep(self.poll_interval_s)
+
+    async def _watch(self, watched: WatchedPaths) -> bool:
+        """Report changes until a symbolic link leads elsewhere: True. False if the watch was stopped."""
+        changes = awatch(
+            *watched.folders,
+            watch_filter=watched.concerns,
+            step=QUIET_TIME_MS,
+            debounce=MAX_DEBOUNCE_MS,
+            rust_timeout=max(MIN_NOTIFICATION_TIMEOUT_MS, int(self.poll_interval_s * 1000)),
+            yield_on_timeout=True,
+            recursive=False,
+        )
+        async for _ in changes:
+            self.changed.set()
+            if await asyncio.to_thread(watched_paths, self.path) != watched:
+                return True
+        return False
+
+    def _report_failure(self, error: Exception) -> None:
+        if not self._failure_reported:
+            log.warning("file_watch_failed", reason=str(error), poll_interval_s=self.poll_interval_s)
+        self._failure_reported = True
--- a/wheatstile/resolvers/gc_pause.py
+++ b/wheatstile/resolvers/gc_pause.py
@@ -1,4 +1,4 @@
-"""Long lists and the garbage collector, which would go through all their objects again and again."""
+"""Holds the garbage collector off while long lists of servers are built."""
 
 import gc
 from collections.abc import Iterator
@@ -7,15 +7,16 @@
 
 @contextmanager
 def gc_paused() -> Iterator[None]:
-    """Collect nothing meanwhile, and put what was made with the oldest objects at its end.
+    """Run the block without garbage collection, then move what it made to the oldest generation.
 
-    Lists are freed by their counts, so they are only a cost to the collector: it stopped the loop for up to
-    50 ms over a list of 20,000 servers, wherever the list was being made.
+    Lists of servers hold no reference cycles, so they are freed by their reference counts and only cost the
+    collector time: it stopped the event loop for up to 50 ms over a list of 20,000 servers.
     """
     gc.disable()
     try:
         yield
     finally:
+        # Moves all objects to the permanent generation and from there to the oldest, without traversing them.
         gc.freeze()
-        gc.unfreeze()  # from the permanent generation to the oldest one, with nothing gone through
+        gc.unfreeze()
         gc.enable()
--- a/wheatstile/resolvers/last_known_good.py
+++ b/wheatstile/resolvers/last_known_good.py
@@ -1,70 +1,108 @@
-"""The last good list, kept in the state directory so that a restart onto a broken file has one to serve from.
+"""The last accepted endpoint file, stored so that a restart onto a broken file has servers to start from.
 
-May block: call it off the loop.
+The stored form must stay readable: the structs here name its keys. May block: call it off the event loop.
 """
 
 from dataclasses import dataclass, replace
 from pathlib import Path
-from typing import Any
 
 import msgspec
 
 from wheatstile.config.endpoints import ResolvedEndpoint
 from wheatstile.config.violations import ConfigurationError, Violation, load
 from wheatstile.resolvers.atomic_write import write_atomic
-from wheatstile.resolvers.endpoint_file import EndpointFile, EndpointFileRules, digest_of, parse_endpoint_file
+from wheatstile.resolvers.canonical_json import SEAL_KEY, digest_of
+from wheatstile.resolvers.endpoint_file import EndpointFile, EndpointFileRules, parse_endpoint_file
 from wheatstile.resolvers.regular_file import read_all
 
-NAME = "servers-last-good.json"
-FORM = 1
+FILE_NAME = "servers-last-good.json"
+FORMAT_VERSION = 1
+ENVELOPE_BYTES = 4096  # at most, of what is stored around the servers
+MICROSECONDS_PER_MILLISECOND = 1000
+
+
+class StoredServer(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """One server with all the keys that an endpoint file may state of it."""
+
+    id: str
+    address: str  # HOST:PORT
+    site: str
+    weight: float
+    state: str
+    started: int  # Unix time in milliseconds; 0: long ago
+
+    @classmethod
+    def from_endpoint(cls, resolved: ResolvedEndpoint) -> "StoredServer":
+        """The stored form of a server with an address. Raises ValueError where it has none."""
+        if resolved.address is None:
+            raise ValueError(f"server {resolved.endpoint.name} has no address")
+        host, port = resolved.address
+        return cls(
+            id=resolved.endpoint.name,
+            address=f"{host}:{port}",
+            site=resolved.endpoint.zone,
+            weight=resolved.endpoint.weight,
+            state=resolved.endpoint.state,
+            started=resolved.endpoint.started_at_us // MICROSECONDS_PER_MILLISECOND,
+        )
+
+
+class StoredFile(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True, frozen=True):
+    """The endpoint file without its seal; a key that the file did not have is left out."""
+
+    servers: list[StoredServer]
+    sites: list[str] | None = None
+    generation: int | None = None
+
+
+class StoredCopy(msgspec.Struct, frozen=True):
+    """All that is stored; `seal` is added, over the rest, when it is written."""
+
+    form: int  # FORMAT_VERSION
+    taken_at_ms: int  # Unix time
+    digest: str  # of the endpoint file as it was accepted
+    document: StoredFile
 
 
 @dataclass(frozen=True, slots=True)
 class LastKnownGood:
-    document: EndpointFile
-    taken_at_ms: int  # Unix time
+    """A stored endpoint file and when it was accepted."""
+
+    endpoint_file: EndpointFile
+    accepted_at_ms: int  # Unix time
 
 
-def rows(servers: dict[str, ResolvedEndpoint]) -> list[dict[str, Any]]:
-    """The servers as a document has them."""
-    found = []
-    for name, (entry, address) in servers.items():
-        assert address
-        row = {
-            "id": name,
-            "address": f"{address[0]}:{address[1]}",
-            "site": entry.zone,
-            "weight": entry.weight,
-        }
-        found.append(row | {"state": entry.state, "started": entry.started_at_us // 1000})
-    return found
-
-
-def save(folder: Path, kept: EndpointFile, taken_at_ms: int) -> None:
-    """Write the document, sealed. Raises OSError; what was there before then stands."""
-    inner: dict[str, Any] = {"servers": rows(dict(kept.servers))}
-    if kept.sites is not None:
-        inner["sites"] = list(kept.sites)
-    if kept.generation is not None:
-        inner["generation"] = kept.generation
-    whole = {"form": FORM, "taken_at_ms": taken_at_ms, "digest": kept.digest, "document": inner}
-    whole["seal"] = digest_of(whole)
-    write_atomic(folder / NAME, msgspec.json.encode(whole))
+def save(folder: Path, endpoint_file: EndpointFile, accepted_at_ms: int) -> None:
+    """Store the file, sealed. Raises OSError; what was stored before stays then."""
+    document = StoredFile(
+        servers=[StoredServer.from_endpoint(resolved) for resolved in endpoint_file.servers.values()],
+        sites=None if endpoint_file.sites is None else list(endpoint_file.sites),
+        generation=endpoint_file.generation,
+    )
+    stored = msgspec.to_builtins(StoredCopy(FORMAT_VERSION, accepted_at_ms, endpoint_file.digest, document))
+    stored[SEAL_KEY] = digest_of(stored)
+    write_atomic(folder / FILE_NAME, msgspec.json.encode(stored))
 
 
 def restore(folder: Path, rules: EndpointFileRules) -> LastKnownGood | None:
-    """What was saved, held against the rules of today; None if nothing was. Raises ConfigurationError."""
-    path = folder / NAME
+    """The stored file, checked by the rules of today; None if there is none.
+
+    Raises:
+        ConfigurationError: it is damaged, or does not keep to the rules.
+    """
+    path = folder / FILE_NAME
     if not path.exists():
         return None
-    most = (
-        2 * rules.most_bytes + 4096
-    )  # rows with all their fields are longer than they may have been written
-    _, value = load(str(path), read_all(path, most), most)
-    if not isinstance(value, dict) or value.get("form") != FORM or value.get("seal") != digest_of(value):
+    # Servers are stored with all their keys, so they are longer than they may have been in the file.
+    max_bytes = 2 * rules.max_bytes + ENVELOPE_BYTES
+    _, value = load(str(path), read_all(path, max_bytes), max_bytes)
+    if (
+        not isinstance(value, dict)
+        or value.get("form") != FORMAT_VERSION
+        or value.get(SEAL_KEY) != digest_of(value)
+    ):
         raise ConfigurationError(str(path), [Violation("/seal", "is not what this program wrote")])
-    inner = msgspec.json.encode(value["document"])
-    roomy = replace(rules, most_bytes=most)
-    found = parse_endpoint_file(str(path), inner, roomy, check_seal=False)
-    sealed = EndpointFile(found.servers, found.sites, found.generation, value["digest"], found.sealed)
-    return LastKnownGood(sealed, int(value["taken_at_ms"]))
+    stored = msgspec.convert(value, StoredCopy)
+    document = msgspec.json.encode(stored.document)
+    parsed = parse_endpoint_file(str(path), document, replace(rules, max_bytes=max_bytes), check_seal=False)
+    return LastKnownGood(replace(parsed, digest=stored.digest), stored.taken_at_ms)
--- a/wheatstile/resolvers/regular_file.py
+++ b/wheatstile/resolvers/regular_file.py
@@ -1,7 +1,9 @@
-"""Regular files read as a whole. May block: call it off the loop."""
+"""Reads regular files, and nothing else that a path may lead to. May block: call it off the event loop."""
 
 import os
 import stat
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -9,8 +11,8 @@
 
 from wheatstile.config.violations import ConfigurationError, Violation
 
-PART = 1 << 18  # bytes read at once
-KINDS = {
+READ_SIZE = 1 << 18  # bytes read at once
+FILE_TYPE_NAMES = {
     stat.S_IFDIR: "a directory",
     stat.S_IFIFO: "a FIFO",
     stat.S_IFCHR: "a device",
@@ -19,53 +21,86 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class FileSignature:
+    """What the file system says of a file's content.
+
+    The time of the inode's change is left out: it changes when another file is renamed over the file's name.
+    """
+
+    device: int
+    inode: int
+    size: int  # bytes
+    modified_at_ns: int
+
+    @classmethod
+    def of(cls, descriptor: int) -> "FileSignature":
+        """The signature of an open file. Raises OSError."""
+        status = os.fstat(descriptor)
+        return cls(status.st_dev, status.st_ino, status.st_size, status.st_mtime_ns)
+
+
 @dataclass(frozen=True, slots=True)
 class Snapshot:
-    """A file's bytes at one moment, and what the file system said before and after they were read."""
+    """A file's bytes at one moment, and what the file system says of them."""
 
     data: bytes
-    signature: tuple[int, ...]  # device, inode, size, time of change in ns
-    fingerprint: bytes  # of the bytes
+    signature: FileSignature  # after the bytes were read
+    fingerprint: bytes  # a hash of the bytes
     torn: bool  # the file changed while it was read
 
+    def has_same_content(self, other: "Snapshot") -> bool:
+        """Whether both show the same file with the same content, by the file system and by the bytes."""
+        return self.signature == other.signature and self.fingerprint == other.fingerprint
+
 
 def open_regular(path: Path) -> int:
-    """A descriptor of a regular file, never blocking on what is none. Raises OSError."""
+    """Open a regular file for reading, without blocking on anything else.
+
+    Returns:
+        A descriptor, which the caller closes.
+
+    Raises:
+        OSError: it cannot be opened, or is no regular file.
+    """
     # Without O_NONBLOCK a FIFO in the file's place would stop the reader until somebody writes to it.
     descriptor = os.open(path, os.O_RDONLY | os.O_NONBLOCK | os.O_CLOEXEC | os.O_NOCTTY)
-    kind = stat.S_IFMT(os.fstat(descriptor).st_mode)
-    if kind != stat.S_IFREG:
+    file_type = stat.S_IFMT(os.fstat(descriptor).st_mode)
+    if file_type != stat.S_IFREG:
         os.close(descriptor)
-        raise OSError(f"is {KINDS.get(kind, 'no file')}")
+        raise OSError(f"is {FILE_TYPE_NAMES.get(file_type, 'no file')}")
     return descriptor
 
 
-def snapshot(descriptor: int, most_bytes: int) -> Snapshot:
-    """The open file's bytes from its start, one more than most_bytes at most. Raises OSError."""
-    before = _signature(descriptor)
-    parts, left = [], most_bytes + 1
-    while left > 0 and (part := os.pread(descriptor, min(PART, left), most_bytes + 1 - left)):
+@contextmanager
+def opened_regular(path: Path) -> Iterator[int]:
+    """The descriptor of a regular file that is closed with the block. Raises OSError."""
+    descriptor = open_regular(path)
+    try:
+        yield descriptor
+    finally:
+        os.close(descriptor)
+
+
+def snapshot(descriptor: int, max_bytes: int) -> Snapshot:
+    """Read an open file from its start: one byte more than max_bytes at most. Raises OSError."""
+    before = FileSignature.of(descriptor)
+    limit = max_bytes + 1
+    parts = []
+    offset = 0
+    while offset < limit and (part := os.pread(descriptor, min(READ_SIZE, limit - offset), offset)):
         parts.append(part)
-        left -= len(part)
+        offset += len(part)
     data = b"".join(parts)
-    after = _signature(descriptor)
-    torn = before != after or len(data) != min(after[2], most_bytes + 1)
+    after = FileSignature.of(descriptor)
+    torn = before != after or len(data) != min(after.size, limit)
     return Snapshot(data, after, xxhash.xxh3_128_digest(data), torn)
 
 
-def _signature(descriptor: int) -> tuple[int, ...]:
-    # Not the time of the inode's change: the inode changes when another file is renamed over its name.
-    found = os.fstat(descriptor)
-    return found.st_dev, found.st_ino, found.st_size, found.st_mtime_ns
-
-
-def read_all(path: Path, most_bytes: int) -> bytes:
-    """A regular file's bytes, one more than most_bytes at most. Raises ConfigurationError."""
+def read_all(path: Path, max_bytes: int) -> bytes:
+    """A regular file's bytes, one more than max_bytes at most. Raises ConfigurationError."""
     try:
-        descriptor = open_regular(path)
-        try:
-            return snapshot(descriptor, most_bytes).data
-        finally:
-            os.close(descriptor)
+        with opened_regular(path) as descriptor:
+            return snapshot(descriptor, max_bytes).data
     except OSError as error:
         raise ConfigurationError(str(path), [Violation("", error.strerror or str(error))]) from None
--- a/wheatstile/resolvers/source.py
+++ b/wheatstile/resolvers/source.py
@@ -1,194 +1,228 @@
-"""The watched file of servers in the running balancer: read in a thread, admitted, handed to the merge."""
+"""The endpoint file in the running balancer: read in a thread, evaluated, stored, given to the merger."""
 
 import asyncio
+import functools
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
-from contextlib import suppress
-from pathlib import Path
-from typing import Any
+from contextlib import contextmanager, suppress
+from enum import StrEnum
+from typing import ParamSpec, TypeVar
 
 import structlog
 
 from wheatstile.config.operator import OperatorFile
-from wheatstile.config.violations import ConfigurationError, load
-from wheatstile.resolvers import last_known_good, merge, update_guard
+from wheatstile.config.violations import ConfigurationError
+from wheatstile.resolvers import last_known_good, merge
+from wheatstile.resolvers.approval import read_accepted_digests
 from wheatstile.resolvers.endpoint_file import EndpointFile, EndpointFileRules
-from wheatstile.resolvers.endpoint_file_reader import EndpointFileReader, ReadResult
+from wheatstile.resolvers.endpoint_file_reader import EndpointFileReader, ReadOutcome, ReadResult
 from wheatstile.resolvers.endpoint_merger import EndpointMerger
 from wheatstile.resolvers.file_watcher import FileWatcher
 from wheatstile.resolvers.gc_pause import gc_paused
-from wheatstile.resolvers.regular_file import read_all
-from wheatstile.resolvers.update_guard import ActiveEndpoints, Evaluation, PendingApproval
+from wheatstile.resolvers.last_known_good import LastKnownGood
+from wheatstile.resolvers.problem_reporter import MAX_LOGGED_REASONS, ProblemReporter
+from wheatstile.resolvers.source_selection import MergeMode
+from wheatstile.resolvers.update_guard import (
+    ActiveEndpoints,
+    Evaluation,
+    EvaluationOutcome,
+    PendingApproval,
+    evaluate,
+)
 
 log = structlog.get_logger()
 
-REST = 3  # times the cost of a look that the reader rests after it: a file rewritten for ever gets a quarter
-# of the time at most, and the clients the rest
-MOST_TOLD = 20  # of a file's faults that a log line holds
-SAME_AGAIN = 60.0  # seconds for which the same trouble with a file is not told again
+# The reader rests for so many times as long as a poll took: a file that is rewritten without end gets a
+# quarter of the time at most, and the clients get the rest.
+REST_FACTOR = 3
 
+Parameters = ParamSpec("Parameters")
+Result = TypeVar("Result")
 
-def _look(reader: EndpointFileReader) -> ReadResult:
-    with gc_paused():
-        return reader.poll()
 
+class FileOrigin(StrEnum):
+    """Where an accepted endpoint file comes from. The values are logged and counted."""
 
-def approval_path(file: Path) -> Path:
-    """Where `servers accept` names the digest of a held document, beside the file that holds it."""
-    return file.with_name(f"{file.name}.accept")
+    FILE = "file"
+    LAST_KNOWN_GOOD = "last_known_good"
 
 
 class EndpointFileSource:
-    """Owns the file's reader, its thread, its notices and its last good copy."""
-
-    def __init__(self, operator: OperatorFile, combined: EndpointMerger) -> None:
-        servers = operator.settings.servers
-        assert servers.file
-        self.settings, self.combined = servers, combined
-        self.path = operator.near(servers.file)
-        self.folder = operator.near(servers.state_dir) if servers.state_dir else None
-        self.rules = EndpointFileRules.of(servers)
-        self.document: EndpointFile | None = None  # in force for the file
-        self._held: PendingApproval | None = None  # a newer generation may repeat it
-        self._waiting: EndpointFile | None = None  # the file's content, if it is what is held
-        self._thread: ThreadPoolExecutor
-        self._told: tuple[tuple[str, ...], float] = ((), 0.0)
-
-    async def _off_loop(self, work: Callable[..., Any], *arguments: Any) -> Any:
-        return await asyncio.get_running_loop().run_in_executor(self._thread, work, *arguments)
+    """Follows one endpoint file. Owns its reader, its thread, its watcher and its stored copy."""
+
+    def __init__(self, operator: OperatorFile, merger: EndpointMerger) -> None:
+        settings = operator.settings.servers
+        if not settings.file:
+            raise ValueError("the operator's file names no endpoint file")
+        self.settings = settings
+        self.merger = merger
+        self.path = operator.near(settings.file)
+        self.state_folder = operator.near(settings.state_dir) if settings.state_dir else None
+        self.rules = EndpointFileRules.from_settings(settings)
+        self.active_file: EndpointFile | None = None
+        self._pending: PendingApproval | None = None  # what a newer generation may confirm
+        self._pending_file: EndpointFile | None = None  # the file's content, while that awaits approval
+        self._problems = ProblemReporter(merger.decisions.counters)
+        self._executor: ThreadPoolExecutor
 
     async def run(self) -> None:
-        """Follow the file until cancelled. Gives back the thread and the descriptor at its end."""
-        self._thread = ThreadPoolExecutor(1, "servers-file")
+        """Follow the file until cancelled; the thread and the descriptor are released then."""
         reader = EndpointFileReader(self.path, self.rules, self.settings.settle_s)
-        notices = FileWatcher(self.path, self.settings.recheck_s)
-        noticing = asyncio.create_task(notices.run())
+        watcher = FileWatcher(self.path, self.settings.recheck_s)
+        with self._reader_thread(reader):
+            async with watcher.running():
+                if self.active_file is None:
+                    await self._restore()
+                while True:
+                    await self._poll(reader, watcher)
+
+    @contextmanager
+    def _reader_thread(self, reader: EndpointFileReader) -> Iterator[None]:
+        """One thread for all that may block; at the end it closes the reader, and nobody waits for it."""
+        self._executor = ThreadPoolExecutor(1, "servers-file")
         try:
-            if self.document is None:
-                await self._restore()
-            while True:
-                notices.changed.clear()
-                begin = time.monotonic()
-                reading: ReadResult = await self._off_loop(_look, reader)
-                cost = time.monotonic() - begin
-                wait = await self._take(reading)
-                if reading.outcome == "unsettled":  # what goes on meanwhile does not hurry it
-                    await asyncio.sleep(max(wait, REST * cost))
-                    continue
-                if reading.outcome != "same":
-                    await asyncio.sleep(REST * cost)
-                with suppress(TimeoutError):
-                    async with asyncio.timeout(wait):
-                        await notices.changed.wait()
+            yield
         finally:
-            noticing.cancel()
-            await asyncio.wait([noticing])
-            self._thread.submit(reader.close)
-            self._thread.shutdown(wait=False)
-
-    async def _restore(self) -> None:
-        if self.folder is None:
-            return
-        try:
-            kept = await self._off_loop(last_known_good.restore, self.folder, self.rules)
-        except ConfigurationError as refused:
-            log.warning("last good list passed over", reasons=refused.lines()[:MOST_TOLD])
-            return
-        except Exception as error:  # it is a file of our own: whatever it holds must not stop the balancer
-            log.warning("last good list passed over", reasons=[repr(error)])
+            self._executor.submit(reader.close)
+            self._executor.shutdown(wait=False)
+
+    async def _in_thread(
+        self, function: Callable[Parameters, Result], *args: Parameters.args, **kwargs: Parameters.kwargs
+    ) -> Result:
+        call = functools.partial(function, *args, **kwargs)
+        return await asyncio.get_running_loop().run_in_executor(self._executor, call)
+
+    async def _poll(self, reader: EndpointFileReader, watcher: FileWatcher) -> None:
+        """Read the file, handle what was read, and wait until the next poll is due."""
+        watcher.changed.clear()
+        started_s = time.monotonic()
+        result = await self._in_thread(_poll_without_gc, reader)
+        rest_s = REST_FACTOR * (time.monotonic() - started_s)
+        wait_s = await self._handle(result)
+        if result.outcome is ReadOutcome.UNSETTLED:  # changes meanwhile do not make it settle earlier
+            await asyncio.sleep(max(wait_s, rest_s))
             return
-        if kept:
-            age = time.time() - kept.taken_at_ms / 1000
-            self._hold(kept.document, "last good", age_s=round(age, 1), clock_went_back=age < 0)
-
-    async def _take(self, reading: ReadResult) -> float:
-        """Do as the reading says; the seconds until the next look, if nothing is noticed before."""
-        if reading.outcome == "unsettled":
-            return reading.wait
-        if reading.outcome == "whole":
-            assert reading.document
-            await self._admit(reading.document)
+        if result.outcome is not ReadOutcome.UNCHANGED:
+            await asyncio.sleep(rest_s)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                await watcher.changed.wait()
+
+    async def _handle(self, result: ReadResult) -> float:
+        """Act on what was read; the seconds until the next poll, unless a change is noticed before."""
+        if result.outcome is ReadOutcome.UNSETTLED:
+            return result.retry_after_s
+        if result.endpoint_file:
+            await self._evaluate(result.endpoint_file)
             return 0.0
-        if reading.outcome == "same":
-            if self._waiting:
-                await self._admit(self._waiting)
+        if result.outcome is ReadOutcome.UNCHANGED:
+            if self._pending_file:
+                await self._evaluate(self._pending_file)
             return self.settings.recheck_s
-        self._waiting = None  # the file no longer says what was held
-        if reading.outcome == "refused":
-            self._trouble("servers file refused", reading.reasons)
+        self._pending_file = None  # the file no longer says what awaits approval
+        if result.outcome is ReadOutcome.INVALID:
+            self._problems.report_rejected(result.reasons)
         else:
-            self._trouble("servers file unreadable", reading.reasons)
+            self._problems.report_unreadable(result.reasons)
         return self.settings.recheck_s
 
-    async def _admit(self, document: EndpointFile) -> None:
-        force = self._in_force()
-        accepted: frozenset[str] = await self._off_loop(self._accepted) if self._held else frozenset()
-        work = (document, force, self._held, accepted, self.rules)
-        admission: Evaluation = await self._off_loop(update_guard.evaluate, *work)
-        self._waiting = document if admission.outcome == "held" else None
-        if admission.outcome == "taken":
-            self._held = None
-            self._hold(document, "file", reasons=admission.reasons)
-            await self._keep(document)
-        elif admission.outcome == "unchanged":
-            self._held = None
-        elif admission.outcome == "held":
-            if self._held != admission.held:
-                self._trouble("servers file held", admission.reasons, digest=document.digest)
-            self._held = admission.held
-        else:
-            reasons = tuple(f"{self.path}:1: /: {reason}" for reason in admission.reasons)
-            self._trouble("servers file refused", reasons, digest=document.digest)
-
-    def _in_force(self) -> ActiveEndpoints:
-        """What the next document is held against."""
-        if self.document:
-            return ActiveEndpoints.of(self.document)
-        lines = self.combined.lines
-        # In fallback and merge a first file takes nothing away: discovery's servers stay.
-        ready = merge.ready_of(lines) if self.settings.mode == "override" else frozenset()
-        return ActiveEndpoints(None, merge.sites_of(lines), ready)
-
-    def _accepted(self) -> frozenset[str]:
-        path = approval_path(self.path)
-        if not path.exists():
-            return frozenset()
-        try:
-            _, value = load(str(path), read_all(path, 4096), 4096)
-        except ConfigurationError:
-            return frozenset()
-        return frozenset([value["digest"]]) if isinstance(value, dict) and "digest" in value else frozenset()
-
-    def _hold(self, document: EndpointFile, origin: str, **more: Any) -> None:
-        self.document, self._told = document, ((), 0.0)
-        self.combined.decisions.counters[f"servers file taken, {origin}"] += 1
+    async def _evaluate(self, candidate: EndpointFile) -> None:
+        """Compare a valid file with the active endpoints, and do as the outcome says."""
+        active = self._active_endpoints()
+        accepted_digests: frozenset[str] = frozenset()
+        if self._pending:
+            accepted_digests = await self._in_thread(read_accepted_digests, self.path)
+        evaluation = await self._in_thread(
+            evaluate, candidate, active, self._pending, accepted_digests, self.rules
+        )
+        is_pending = evaluation.outcome is EvaluationOutcome.AWAITING_APPROVAL
+        self._pending_file = candidate if is_pending else None
+        match evaluation.outcome:
+            case EvaluationOutcome.ACCEPTED:
+                self._pending = None
+                self._activate(candidate, FileOrigin.FILE, reasons=evaluation.reasons)
+                await self._store(candidate)
+            case EvaluationOutcome.UNCHANGED:
+                self._pending = None
+            case EvaluationOutcome.AWAITING_APPROVAL:
+                self._await_approval(candidate, evaluation)
+            case EvaluationOutcome.REJECTED:
+                reasons = [f"{self.path}:1: /: {reason}" for reason in evaluation.reasons]
+                self._problems.report_rejected(reasons, candidate.digest)
+
+    def _await_approval(self, candidate: EndpointFile, evaluation: Evaluation) -> None:
+        if self._pending != evaluation.pending:
+            self._problems.report_approval_required(evaluation.reasons, candidate.digest)
+        self._pending = evaluation.pending
+
+    def _active_endpoints(self) -> ActiveEndpoints:
+        """What the next file is compared with."""
+        if self.active_file:
+            return ActiveEndpoints.from_file(self.active_file)
+        merged = self.merger.endpoints
+        # In the other modes a first file removes nothing: discovery's servers stay.
+        is_override = MergeMode(self.settings.mode) is MergeMode.OVERRIDE
+        ready = merge.ready_names(merged) if is_override else frozenset()
+        return ActiveEndpoints(None, merge.served_sites(merged), ready)
+
+    def _activate(
+        self, endpoint_file: EndpointFile, origin: FileOrigin, **details: tuple[str, ...] | float
+    ) -> None:
+        """Put the file in force. The log line has those of the details that are not empty, zero or False."""
+        self.active_file = endpoint_file
+        self._problems.reset()
+        self.merger.decisions.counters[f"endpoint_file_accepted_{origin}"] += 1
         log.info(
-            "servers file taken",
+            "endpoint_file_accepted",
             origin=origin,
-            generation=document.generation,
-            digest=document.digest,
-            sealed=document.sealed,
-            servers=len(document.servers),
-            **{key: value for key, value in more.items() if value},
+            generation=endpoint_file.generation,
+            digest=endpoint_file.digest,
+            sealed=endpoint_file.sealed,
+            servers=len(endpoint_file.servers),
+            **{key: value for key, value in details.items() if value},
         )
-        self.combined.take_file(document)
+        self.merger.set_file(endpoint_file)
 
-    async def _keep(self, document: EndpointFile) -> None:
-        if self.folder is None:
+    async def _restore(self) -> None:
+        """Start from the stored copy, if there is one that can be used."""
+        if self.state_folder is None:
+            return
+        try:
+            stored = await self._in_thread(last_known_good.restore, self.state_folder, self.rules)
+        except ConfigurationError as error:
+            log.warning("last_known_good_rejected", reasons=error.lines()[:MAX_LOGGED_REASONS])
+            return
+        except Exception as error:  # whatever the balancer's own file holds must not stop the balancer
+            log.warning("last_known_good_rejected", reasons=[repr(error)])
+            return
+        if stored:
+            self._activate_stored(stored)
+
+    def _activate_stored(self, stored: LastKnownGood) -> None:
+        age_s = time.time() - stored.accepted_at_ms / 1000
+        self._activate(
+            stored.endpoint_file,
+            FileOrigin.LAST_KNOWN_GOOD,
+            age_s=round(age_s, 1),
+            clock_went_back=age_s < 0,
+        )
+
+    async def _store(self, endpoint_file: EndpointFile) -> None:
+        if self.state_folder is None:
             return
+        accepted_at_ms = int(time.time() * 1000)
         try:
-            await self._off_loop(last_known_good.save, self.folder, document, int(time.time() * 1000))
+            await self._in_thread(last_known_good.save, self.state_folder, endpoint_file, accepted_at_ms)
         except OSError as error:
-            self.combined.decisions.counters["last good not written"] += 1
+            self.merger.decisions.counters["last_known_good_write_failed"] += 1
             log.error(
-                "last good list not written", folder=str(self.folder), reason=error.strerror or str(error)
+                "last_known_good_write_failed",
+                folder=str(self.state_folder),
+                reason=error.strerror or str(error),
             )
 
-    def _trouble(self, event: str, reasons: tuple[str, ...], **more: Any) -> None:
-        """Log what is wrong with the file, once for as long as it stays the same."""
-        self.combined.decisions.counters[event] += 1
-        now = time.monotonic()
-        if self._told[0] != (event, *reasons) or now - self._told[1] > SAME_AGAIN:
-            self._told = ((event, *reasons), now)
-            log.warning(event, reasons=list(reasons[:MOST_TOLD]), faults=len(reasons), **more)
+
+def _poll_without_gc(reader: EndpointFileReader) -> ReadResult:
+    with gc_paused():
+        return reader.poll()
--- a/wheatstile/resolvers/update_guard.py
+++ b/wheatstile/resolvers/update_guard.py
@@ -1,103 +1,136 @@
-"""Whether a document takes the place of the list in force. Pure: no input or output, no clock.
+"""Decides whether a new endpoint file replaces the active endpoints. Pure: no input or output, no clock.
 
-`document.read` says whether a file is whole and keeps to its form; here it is held against what it replaces.
+`parse_endpoint_file` checks a file on its own; here it is compared with what it would replace.
 """
 
 from dataclasses import dataclass
-from typing import Literal
+from enum import StrEnum
 
 from wheatstile import interface as api
-from wheatstile.resolvers.endpoint_file import EndpointFile, EndpointFileRules, site_faults
+from wheatstile.resolvers.endpoint_file import EndpointFile, EndpointFileRules, site_violations
 
 
 @dataclass(frozen=True, slots=True)
 class ActiveEndpoints:
-    """What a new document is held against."""
+    """What a new endpoint file is compared with."""
 
-    document: EndpointFile | None  # the file's last, which may be from before a restart
-    sites: tuple[str, ...]  # that the list in force serves
-    ready: frozenset[str]  # servers that a change may not take away too many of at once
+    endpoint_file: EndpointFile | None  # the file in force, which may be from before a restart
+    sites: tuple[str, ...]  # that the active endpoints serve
+    ready: frozenset[str]  # names of the ready servers, of which one change may remove only a share
 
     @classmethod
-    def of(cls, document: EndpointFile) -> "ActiveEndpoints":
-        """A document in force: its sites are those it names, else those it serves."""
-        zones = {
-            named.endpoint.zone
-            for named in document.servers.values()
-            if named.endpoint.state == api.EndpointState.READY
+    def from_file(cls, endpoint_file: EndpointFile) -> "ActiveEndpoints":
+        """The endpoints of a file in force: its sites are those that it names, else those that it serves."""
+        served_sites = {
+            resolved.endpoint.zone
+            for resolved in endpoint_file.servers.values()
+            if resolved.endpoint.state == api.EndpointState.READY
         }
-        return cls(document, document.sites or tuple(sorted(zones - {""})), frozenset(document.ready()))
+        sites = endpoint_file.sites or tuple(sorted(served_sites - {""}))
+        return cls(endpoint_file, sites, endpoint_file.ready_names())
 
 
 @dataclass(frozen=True, slots=True)
 class PendingApproval:
-    """A document that takes too much away, and waits to be repeated by a newer one or to be accepted."""
+    """A file that removes too many servers: a newer one has to repeat it, or an operator to accept it."""
 
     digest: str
     generation: int | None
-    removed: frozenset[str]
+    removed: frozenset[str]  # names of the ready servers that it removes
+
+
+class EvaluationOutcome(StrEnum):
+    """What becomes of a new endpoint file."""
+
+    ACCEPTED = "accepted"
+    UNCHANGED = "unchanged"  # it is in force already
+    AWAITING_APPROVAL = "awaiting approval"
+    REJECTED = "rejected"
 
 
 @dataclass(frozen=True, slots=True)
 class Evaluation:
-    """What becomes of a document, and why."""
+    """The outcome for a new endpoint file, and the reasons for it."""
 
-    outcome: Literal["taken", "unchanged", "held", "refused"]
+    outcome: EvaluationOutcome
     reasons: tuple[str, ...] = ()
-    held: PendingApproval | None = None  # what waits from now on
+    pending: PendingApproval | None = None  # what awaits approval from now on
+
+    @property
+    def is_blocked(self) -> bool:
+        """Whether the file does not come into force now."""
+        return self.outcome in (EvaluationOutcome.REJECTED, EvaluationOutcome.AWAITING_APPROVAL)
 
 
 def evaluate(
-    document: EndpointFile,
-    force: ActiveEndpoints,
-    held: PendingApproval | None,
-    accepted: frozenset[str],
+    candidate: EndpointFile,
+    active: ActiveEndpoints,
+    pending: PendingApproval | None,
+    accepted_digests: frozenset[str],
     rules: EndpointFileRules,
 ) -> Evaluation:
-    """Hold a whole document against the list in force.
-
-    accepted: digests that an operator has accepted by name; they let a held document in, nothing else.
+    """Compare a valid endpoint file with the active endpoints.
+
+    Args:
+        candidate: the new file.
+        active: what it would replace.
+        pending: the file that has awaited approval so far, if any.
+        accepted_digests: digests that an operator has accepted by name. They approve the removal of servers
+            and nothing else.
+        rules: the operator's limits.
     """
-    old = force.document
-    if old and old.digest == document.digest:
-        return Evaluation("unchanged", ("the list in force says the same",), held)
-    reasons = _generation_faults(document, old)
-    if document.sites is None:
-        reasons += [fault.reason for fault in site_faults(document, force.sites, rules)]
-    if reasons:
-        return Evaluation("refused", tuple(reasons), held)
-    removed = force.ready - document.ready()
-    if len(removed) <= rules.most_removed * len(force.ready):
-        return Evaluation("taken")
-    change = f"takes {len(removed)} of {len(force.ready)} ready servers away"
-    if document.digest in accepted:
-        return Evaluation("taken", (f"{change}, as accepted",))
-    if held and _repeats(document, removed, held):
-        return Evaluation("taken", (f"{change}, as generation {held.generation} did before it",))
-    if held and held.digest == document.digest:
-        return Evaluation("held", (f"{change}; still held",), held)
+    if active.endpoint_file and active.endpoint_file.digest == candidate.digest:
+        reasons = ("the list in force says the same",)
+        return Evaluation(EvaluationOutcome.UNCHANGED, reasons, pending)
+    violations = _generation_violations(candidate, active.endpoint_file)
+    if candidate.sites is None:
+        violations += [violation.reason for violation in site_violations(candidate, active.sites, rules)]
+    if violations:
+        return Evaluation(EvaluationOutcome.REJECTED, tuple(violations), pending)
+    removed = active.ready - candidate.ready_names()
+    if len(removed) <= rules.max_removed_share * len(active.ready):
+        return Evaluation(EvaluationOutcome.ACCEPTED)
+    change = f"takes {len(removed)} of {len(active.ready)} ready servers away"
+    return _evaluate_large_removal(candidate, removed, change, pending, accepted_digests, rules)
+
+
+def _evaluate_large_removal(
+    candidate: EndpointFile,
+    removed: frozenset[str],
+    change: str,
+    pending: PendingApproval | None,
+    accepted_digests: frozenset[str],
+    rules: EndpointFileRules,
+) -> Evaluation:
+    if candidate.digest in accepted_digests:
+        return Evaluation(EvaluationOutcome.ACCEPTED, (f"{change}, as accepted",))
+    if pending and _confirms(candidate, removed, pending):
+        reason = f"{change}, as generation {pending.generation} did before it"
+        return Evaluation(EvaluationOutcome.ACCEPTED, (reason,))
+    if pending and pending.digest == candidate.digest:
+        return Evaluation(EvaluationOutcome.AWAITING_APPROVAL, (f"{change}; still held",), pending)
     reason = (
-        f"{change}, more than servers.most_removed ({rules.most_removed:g}) allows: held until a newer "
-        f"generation repeats it or `wheatstile servers accept` names {document.digest}"
-    )
-    return Evaluation(
-        "held", (reason,), PendingApproval(document.digest, document.generation, frozenset(removed))
+        f"{change}, more than servers.most_removed ({rules.max_removed_share:g}) allows: held until a newer "
+        f"generation repeats it or `wheatstile servers accept` names {candidate.digest}"
     )
+    pending = PendingApproval(candidate.digest, candidate.generation, removed)
+    return Evaluation(EvaluationOutcome.AWAITING_APPROVAL, (reason,), pending)
 
 
-def _generation_faults(document: EndpointFile, old: EndpointFile | None) -> list[str]:
-    if old is None or old.generation is None:
+def _generation_violations(candidate: EndpointFile, active: EndpointFile | None) -> list[str]:
+    if active is None or active.generation is None:
         return []
-    if document.generation is None:
-        return [f"has no generation, and the list in force has {old.generation}"]
-    if document.generation < old.generation:
-        return [f"generation {document.generation} goes back behind {old.generation}"]
-    if document.generation == old.generation:
-        return [f"generation {document.generation} is in force with another content: raise it"]
+    if candidate.generation is None:
+        return [f"has no generation, and the list in force has {active.generation}"]
+    if candidate.generation < active.generation:
+        return [f"generation {candidate.generation} goes back behind {active.generation}"]
+    if candidate.generation == active.generation:
+        return [f"generation {candidate.generation} is in force with another content: raise it"]
     return []
 
 
-def _repeats(document: EndpointFile, removed: set[str] | frozenset[str], held: PendingApproval) -> bool:
-    """Whether a newer generation takes away what the held one did, and nobody beside."""
-    newer = None not in (document.generation, held.generation) and document.generation > held.generation  # type: ignore[operator]
-    return newer and removed <= held.removed
+def _confirms(candidate: EndpointFile, removed: frozenset[str], pending: PendingApproval) -> bool:
+    """Whether a newer generation removes servers that the pending one did, and no others."""
+    if candidate.generation is None or pending.generation is None:
+        return False
+    return candidate.generation > pending.generation and removed <= pending.removed
