Name the limits of clients and upstreams by the field's words, with units

Cause: ChannelLimits and ServerLimits held times without a unit in their names, under words of our own. Change: ClientLimits and UpstreamLimits, whose times end in _s or _ms; Config holds them as client_limits and upstream_limits. No value changes.

--- a/tests/resolvers/test_source.py
+++ b/tests/resolvers/test_source.py
@@ -13,7 +13,7 @@
 from wheatstile import interface as api
 from wheatstile.config.endpoints import EndpointSnapshot
 from wheatstile.config.operator import OperatorFile, parse
-from wheatstile.config.platform import ServerLimits
+from wheatstile.config.platform import UpstreamLimits
 from wheatstile.net.decision_loop import DecisionLoop
 from wheatstile.net.discovery_watcher import DiscoveryOnlyObserver, DiscoveryWatcher
 from wheatstile.net.upstream_pool import UpstreamPool
@@ -27,7 +27,7 @@
 
     def __init__(self, folder: Path) -> None:
         self.decisions = DecisionLoop(settings(), 1)
-        self.upstreams = UpstreamPool(self.decisions, ServerLimits(1.0, 1.0, False, 0.0, 100))
+        self.upstreams = UpstreamPool(self.decisions, UpstreamLimits(1.0, 1.0, False, 0.0, 100))
         self.discovery_watcher = DiscoveryWatcher(
             self.decisions, DiscoveryOnlyObserver(self.decisions, self.upstreams), ("127.0.0.1", 1)
         )
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -20,7 +20,7 @@
 
 from peers import PATIENCE, ROOT, SETTINGS, Listener, NodeTest, Peer
 
-from wheatstile.config.platform import ServerLimits
+from wheatstile.config.platform import UpstreamLimits
 
 LIMITS: dict[str, Any] = SETTINGS["limits"]
 # The module sends at once, and looks at no server.
@@ -334,7 +334,7 @@
 
     def test_a_probes_time_is_twice_the_shortest_aim_of_the_settings(self) -> None:
         for aim, seconds in ((50.0, 0.1), (100.0, 0.2), (0.0, 0.25)):
-            self.assertEqual(ServerLimits(0.25, 15.0, True, aim, 100).probe_timeout, seconds)
+            self.assertEqual(UpstreamLimits(0.25, 15.0, True, aim, 100).health_check_timeout_s, seconds)
 
     def test_a_new_connection_that_ends_as_a_probe_goes_out_is_a_failure(self) -> None:
         self.settled().close()
--- a/wheatstile/config/platform.py
+++ b/wheatstile/config/platform.py
@@ -13,32 +13,32 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ServerLimits:
+class UpstreamLimits:
     """What the settings say of dealing with servers."""
 
-    connect_timeout: float  # seconds
-    idle: float  # seconds after which an unused connection is closed
+    connect_timeout_s: float
+    idle_timeout_s: float  # after which an unused connection is closed
     reports_message_latency: bool
-    shortest_aim: float  # of a message, in milliseconds
+    message_latency_objective_ms: float  # the shortest of all classes; 0: none is set
     descriptors: int
 
     @property
-    def probe_timeout(self) -> float:
+    def health_check_timeout_s(self) -> float:
         """Seconds that a server has for a probe's answer, once connected: twice what a message may take.
 
         It is answered beside the queue, so a sound server takes a pause of its own at most; each moment more
         is one in which newcomers still go to a server that hangs. Without aims: what it has to be connected.
         """
-        return 2 * self.shortest_aim / 1000 or self.connect_timeout
+        return 2 * self.message_latency_objective_ms / 1000 or self.connect_timeout_s
 
 
 @dataclass(frozen=True, slots=True)
-class ChannelLimits:
+class ClientLimits:
     """What the configuration says of dealing with clients."""
 
     descriptors: int
-    deadlines: dict[str, int]  # milliseconds that a class's clients wait at most
-    most_advice: int  # milliseconds that a client may be told to stay away; 0: clients are told no time
+    deadlines_ms: dict[str, int]  # that a class's clients wait at most
+    max_retry_after_ms: int  # that a client may be told to stay away; 0: clients are told no time
 
 
 class ConfigError(ValueError):
@@ -53,9 +53,9 @@
     seed: int
     known: EndpointSnapshot
     settings: api.Settings
-    servers: ServerLimits
-    channels: ChannelLimits
-    longest_deadline: float  # seconds
+    upstream_limits: UpstreamLimits
+    client_limits: ClientLimits
+    longest_deadline_s: float
 
     @classmethod
     def read(cls, environ: Mapping[str, str]) -> "Config":
@@ -96,14 +96,14 @@
             # notes. Slow messages are noted here too, but as clients speak every 2 s and a server may answer
             # lines at once though it is full, the module cannot count on notes and has to read loads.
             replace(decisions, reports_message_latency=False),
-            ServerLimits(
+            UpstreamLimits(
                 number(limits, "dialTimeoutUs", "limits.", 1) / 1e6,
                 number(limits, "keepaliveUs", "limits.", 1) / 1e6,
                 bool(settings.get("familyInfo", {}).get("tellsDelay", False)) and bool(aims),
                 min(aims, default=0.0) / 1000,
                 descriptors,
             ),
-            ChannelLimits(
+            ClientLimits(
                 descriptors,
                 deadlines,
                 decisions.max_retry_after_us // 1000 if decisions.retry_after_enabled else 0,
--- a/wheatstile/descriptions/reader.py
+++ b/wheatstile/descriptions/reader.py
@@ -160,7 +160,7 @@
 
 def facts_of(config: Config) -> dict[str, ClassFacts]:
     """What the platform says of each class."""
-    patience = config.channels.deadlines
+    patience = config.client_limits.deadlines_ms
     return {
         name: ClassFacts(
             name,
--- a/wheatstile/descriptions/section.py
+++ b/wheatstile/descriptions/section.py
@@ -52,7 +52,7 @@
 
 def request_of(operator: OperatorFile, config: Config) -> bytes:
     """What the worker is asked: the operator's word and the platform's classes as they stand."""
-    deadlines = config.channels.deadlines
+    deadlines = config.client_limits.deadlines_ms
     classes = {
         name: [
             one.idempotency,
--- a/wheatstile/net/client_connection.py
+++ b/wheatstile/net/client_connection.py
@@ -8,7 +8,7 @@
 from typing import Any, Protocol, TypeVar
 
 from wheatstile import interface as api
-from wheatstile.config.platform import ChannelLimits
+from wheatstile.config.platform import ClientLimits
 from wheatstile.net.decision_loop import DecisionLoop
 from wheatstile.net.line_stream import LINGER, LineStream, LineTooLongError
 from wheatstile.net.open_request import OpenRequest, ProtocolError
@@ -28,7 +28,7 @@
 
     decisions: DecisionLoop
     upstreams: UpstreamPool
-    limits: ChannelLimits
+    limits: ClientLimits
 
     def seen(self, id: str) -> bool:
         """Whether this id has come before."""
@@ -166,7 +166,7 @@
             self.decisions.counters["turned away"] += 1
             return self.front.unavailable(STAY_AWAY)
         first = OpenRequest.read(line)
-        if first.fields["c"] not in self.front.limits.deadlines or self.front.seen(first.id):
+        if first.fields["c"] not in self.front.limits.deadlines_ms or self.front.seen(first.id):
             raise ProtocolError
         if self.front.full():
             self.decisions.counters["unavailable, no descriptors"] += 1
--- a/wheatstile/net/client_listener.py
+++ b/wheatstile/net/client_listener.py
@@ -10,7 +10,7 @@
 import structlog
 
 from wheatstile import interface as api
-from wheatstile.config.platform import ChannelLimits
+from wheatstile.config.platform import ClientLimits
 from wheatstile.net.client_connection import DRAIN, SILENT, STAY_AWAY, ClientConnection
 from wheatstile.net.decision_loop import DecisionLoop
 from wheatstile.net.open_request import OpenRequest
@@ -29,7 +29,7 @@
 class ClientListener:
     """The front: owns the channels, each for its whole life."""
 
-    def __init__(self, decisions: DecisionLoop, upstreams: UpstreamPool, limits: ChannelLimits) -> None:
+    def __init__(self, decisions: DecisionLoop, upstreams: UpstreamPool, limits: ClientLimits) -> None:
         self.decisions, self.upstreams, self.limits = decisions, upstreams, limits
         self.channels: dict[asyncio.Task[None], ClientConnection] = {}
         self._unserved: dict[
@@ -52,7 +52,7 @@
 
     def longest(self, first: OpenRequest) -> int:
         """The milliseconds that this client waits at most."""
-        return min(first.wait, self.limits.deadlines[first.fields["c"]])
+        return min(first.wait, self.limits.deadlines_ms[first.fields["c"]])
 
     def admit(self, channel: ClientConnection) -> None:
         """A channel has asked for an RPC: from here on it is served, and safe from the crowd."""
@@ -85,7 +85,7 @@
 
     def unavailable(self, milliseconds: int) -> bytes:
         """The unavailable status, with the time after which to come again, if the settings allow it."""
-        milliseconds = min(milliseconds, self.limits.most_advice)
+        milliseconds = min(milliseconds, self.limits.max_retry_after_ms)
         return b"BUSY %d\r\n" % milliseconds if milliseconds > 0 else b"BUSY\r\n"
 
     async def serve(self, listener: socket.socket) -> None:
--- a/wheatstile/net/upstream_pool.py
+++ b/wheatstile/net/upstream_pool.py
@@ -12,7 +12,7 @@
 from wheatstile import interface as api
 from wheatstile.config import reports
 from wheatstile.config.endpoints import ResolvedEndpoint
-from wheatstile.config.platform import ServerLimits
+from wheatstile.config.platform import UpstreamLimits
 from wheatstile.net.decision_loop import DecisionLoop
 from wheatstile.net.line_stream import LineStream, LineTooLongError
 
@@ -77,7 +77,7 @@
 
     __slots__ = ("_limits", "lines", "report", "upstream")
 
-    def __init__(self, upstream: Upstream, limits: ServerLimits) -> None:
+    def __init__(self, upstream: Upstream, limits: UpstreamLimits) -> None:
         self.upstream, self._limits = upstream, limits
         self.lines: LineStream | None = None
         self.report: api.LoadReport | None = None
@@ -96,7 +96,7 @@
         deadline = loop.time() + timeout
         try:
             self.lines = LineStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
-            async with asyncio.timeout(timeout if patient else min(self._limits.connect_timeout, timeout)):
+            async with asyncio.timeout(timeout if patient else min(self._limits.connect_timeout_s, timeout)):
                 await loop.sock_connect(self.lines.sock, self.upstream.address)
         except (OSError, TimeoutError) as error:
             # Without a descriptor of our own nothing was sent, and the server has not failed.
@@ -140,7 +140,7 @@
 class UpstreamPool:
     """All servers that the resolver result has named."""
 
-    def __init__(self, decisions: DecisionLoop, limits: ServerLimits) -> None:
+    def __init__(self, decisions: DecisionLoop, limits: UpstreamLimits) -> None:
         self.decisions, self.limits = decisions, limits
         self.by_name: dict[str, Upstream] = {}
         self._probes = 0  # connections open for probes
@@ -209,7 +209,7 @@
                     if lines:
                         self._idle[upstream] = None
                     try:
-                        async with asyncio.timeout(self.limits.idle if lines else None):
+                        async with asyncio.timeout(self.limits.idle_timeout_s if lines else None):
                             await upstream.wanted.wait()
                     except TimeoutError:
                         close()
@@ -228,7 +228,7 @@
                         self._spare_one()
                         lines = LineStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
                         self._probes += 1
-                        async with asyncio.timeout(self.limits.connect_timeout):
+                        async with asyncio.timeout(self.limits.connect_timeout_s):
                             await asyncio.get_running_loop().sock_connect(lines.sock, upstream.address)
                     outcome, report = await self._ask(lines)
                 except TimeoutError:
@@ -260,7 +260,7 @@
 
     async def _ask(self, lines: LineStream) -> tuple[str, api.LoadReport | None]:
         try:
-            async with asyncio.timeout(self.limits.probe_timeout):
+            async with asyncio.timeout(self.limits.health_check_timeout_s):
                 await lines.send(b"STATS\r\n")
                 line = await lines.read_line()
         except TimeoutError:
@@ -284,7 +284,7 @@
     def _note_delay(self, upstream: Upstream, now: int) -> None:
         """A note on one connection of a server whose messages take long, and one more after."""
         waiting = [(now - asked_at) / 1000 for asked_at in upstream.open.values() if asked_at]
-        threshold = self.limits.shortest_aim / 3
+        threshold = self.limits.message_latency_objective_ms / 3
         delays = upstream.delays + [age for age in waiting if age > threshold]
         upstream.delays = []
         if not upstream.open or not delays:
--- a/wheatstile/node.py
+++ b/wheatstile/node.py
@@ -89,11 +89,11 @@
         self.config, self.operator, self.learnt = config, operator, learnt
         self.terminated = asyncio.Event()
         self.decisions = DecisionLoop(config.settings, config.seed)
-        self.upstreams = UpstreamPool(self.decisions, config.servers)
+        self.upstreams = UpstreamPool(self.decisions, config.upstream_limits)
         self.discovery_watcher = DiscoveryWatcher(
             self.decisions, DiscoveryOnlyObserver(self.decisions, self.upstreams), config.discovery
         )
-        self.channels = ClientListener(self.decisions, self.upstreams, config.channels)
+        self.channels = ClientListener(self.decisions, self.upstreams, config.client_limits)
         self.servers_section: ServersSection | None = None
         self.descriptions_section: DescriptionsSection | None = None
         loop = asyncio.get_running_loop()
@@ -120,7 +120,7 @@
         kept = [key for key in FIXED if getattr(new, key) != getattr(self.config, key)]
         self.config = replace(new, **{key: getattr(self.config, key) for key in FIXED})
         self.configure()
-        self.upstreams.limits, self.channels.limits = new.servers, new.channels
+        self.upstreams.limits, self.channels.limits = new.upstream_limits, new.client_limits
         self.discovery_watcher.follow(new.discovery)
         log.info("reloaded", discovery=new.discovery, only_at_the_next_start=kept)
 
@@ -187,7 +187,7 @@
             log.info("serving", name=self.config.name, servers=len(self.upstreams.by_name))
             await self.terminated.wait()
             log.info("draining", connections=len(self.decisions.sessions))
-            time = min(self.config.longest_deadline, COUNTED_DEADLINE) + KILLED_AFTER
+            time = min(self.config.longest_deadline_s, COUNTED_DEADLINE) + KILLED_AFTER
             begin = max(STILL_COMING, time - SPARE - SPREAD)
             await asyncio.sleep(begin)
             await self.channels.drain(time - SPARE - begin)
