Split the node into the package wheatstile.process, one job a module

Cause: one module held the listening socket, signals, reload, optional sections, shutdown and the start, with hand-kept tasks and constants whose names said nothing of their unit. Change: BalancerProcess and modules for the listener socket, the signals, reload, the operator's sections, background tasks (a scope that ends them) and the graceful shutdown with its schedule as a type. Exit statuses and messages on standard error stay. The log events of these modules are snake case, subject first; the page of the log and the tests that look for them follow, and a counter that tests still called by its old name is found again.

--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -149,7 +149,7 @@
 
 
 def test_what_is_switched_off_is_not_imported() -> None:
-    code = "import sys, wheatstile.node; print(*sys.modules)"
+    code = "import sys, wheatstile.process.main; print(*sys.modules)"
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
     loaded = {name.partition(".")[0] for name in done.stdout.split()} | set(done.stdout.split())
     assert not loaded & {
--- a/tests/descriptions/test_obeyed.py
+++ b/tests/descriptions/test_obeyed.py
@@ -121,7 +121,7 @@
         self.check()
         assert self.node
         self.node.send_signal(signal.SIGHUP)  # the platform's settings are read anew, and tightened again
-        self.logged("reloaded")
+        self.logged("config_reloaded")
         self.check()
         self.operator.write_text("{}")
         self.node.send_signal(signal.SIGHUP)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -227,7 +227,7 @@
         assert self.node
         self.path.write_text(text or json.dumps(json.loads(self.path.read_text()) | changes))
         self.node.send_signal(signal.SIGHUP)
-        return self.logged("reloaded", "the old configuration goes on")
+        return self.logged("config_reloaded", "config_reload_rejected")
 
     def logged(self, *events: str) -> dict[str, Any]:
         """The next line of the program's log that tells one of these events."""
--- a/tests/resolvers/test_served.py
+++ b/tests/resolvers/test_served.py
@@ -191,11 +191,11 @@
             self.assertEqual(self.served_by(20), set(names))
         self.operator.write_text('{"servers": {"mode": "overide"}}')
         self.node.send_signal(signal.SIGHUP)
-        self.assertIn("did you mean", self.logged("the old operator's file goes on")["reasons"][0])
+        self.assertIn("did you mean", self.logged("operator_file_reload_rejected")["reasons"][0])
         self.assertEqual(self.served_by(20), {"s1", "s3"})
         self.operator.write_text("{}")  # switched off: discovery's list alone
         self.node.send_signal(signal.SIGHUP)
-        self.logged("operator's file read again")
+        self.logged("operator_file_reloaded")
         self.assertEqual(self.served_by(20), {"s1", "s2"})
 
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -51,7 +51,7 @@
     def counters(self) -> dict[str, int]:
         assert self.node
         self.node.send_signal(signal.SIGUSR1)
-        return self.logged("counters")
+        return self.logged("counters_reported")
 
     def until(self, counter: str, least: int) -> dict[str, int]:
         end = time.monotonic() + PATIENCE
@@ -239,7 +239,7 @@
                 client = self.open()
                 self.connecting(self.server)
                 watch.chunk(2, self.member(phase="draining"), self.member("s2", host_port=other.address))
-                self.until("event ServerList", 2)
+                self.until("event EndpointUpdate", 2)
                 server = self.let_in(self.server, ahead)
                 self.assertEqual(server.line(), "")
                 second, line = other.rpc()
@@ -257,7 +257,7 @@
         _client = self.open()
         self.connecting(self.server)
         watch.chunk(2, self.member("s2", host_port=other.address), complete=True)
-        self.until("event ServerList", 2)
+        self.until("event EndpointUpdate", 2)
         self.assertEqual(self.let_in(self.server, ahead).line(), "")
         self.assertIn("0000000000000001", other.rpc()[1])
 
@@ -281,7 +281,7 @@
         self.start()
         client, server = self.up()
         self.terminate()
-        self.logged("draining")
+        self.logged("shutdown_started")
         with self.stopped():
             client.close()
             time.sleep(3.2)  # until all are to be moved
@@ -294,7 +294,7 @@
         client = self.open()
         server, _ = self.server.rpc()
         self.terminate()
-        self.logged("draining")
+        self.logged("shutdown_started")
         with self.stopped():
             server.send("UP r")
             time.sleep(3.2)  # until whoever is not up is answered
@@ -369,7 +369,7 @@
         self.indented(watch, 2, self.member(host_port="127.0.0.1:2"))
         watch.send("1", "\n")
         self.indented(watch, 3, self.member())
-        self.until("event ServerList", 3)
+        self.until("event EndpointUpdate", 3)
         self.up()
 
     def test_a_change_from_before_the_list_that_stands_undoes_nothing(self) -> None:
@@ -379,7 +379,7 @@
         watch.chunk(5, self.member(phase="draining"))
         watch.chunk(4, self.member(phase="ready"))
         watch.chunk(6, self.member("s2", phase="draining"))
-        self.until("event ServerList", 3)
+        self.until("event EndpointUpdate", 3)
         client = self.open(wait=300)
         self.assertRegex(client.line(), "^BUSY")
         self.assertEqual(select.select([self.server.sock], [], [], 0)[0], [])
@@ -411,7 +411,7 @@
         watch, _ = self.discovery.watch()
         watch.begin_watch()
         watch.send("1", "\n")
-        self.until("event ServerList", 5)
+        self.until("event EndpointUpdate", 5)
         watch.close()
         broke = time.monotonic()
         self.discovery.watch()
@@ -427,7 +427,7 @@
         with self.stopped():
             watch.close()
             self.node.send_signal(signal.SIGHUP)
-        self.logged("reloaded")
+        self.logged("config_reloaded")
         call, ask = new.watch()
         self.assertEqual(ask, "GET /discovery/hosts HTTP/1.1")
         call.send("HTTP/1.1 200 OK", "Content-Length: 2", "", "{}")  # no list: asked for again
@@ -459,7 +459,7 @@
         half.sock.sendall(b"OPEN 00000000000")
         pinging = self.resting()
         self.terminate()
-        self.logged("draining")
+        self.logged("shutdown_started")
         time.sleep(1.5)  # FIRST_LINE_WITHIN would have ended the first ones
         late = self.client()
         self.assertEqual((late.line(), late.line()), ("BUSY 1000", ""))
@@ -484,7 +484,7 @@
     def test_a_request_on_a_resting_connection_as_the_balancer_ends_is_answered(self) -> None:
         self.start()
         self.terminate()
-        self.logged("draining")
+        self.logged("shutdown_started")
         resting = [self.resting() for _ in range(3)]
         with self.stopped():
             time.sleep(1.9)  # with nobody to move it closes 1.7 s after the signal
@@ -498,7 +498,7 @@
     def test_whoever_stands_in_the_backlog_when_it_ends_is_answered_however_late_it_is(self) -> None:
         self.start()
         self.terminate()
-        self.logged("draining")
+        self.logged("shutdown_started")
         with self.stopped():
             clients = [self.open(number) for number in range(1, 21)]
             silent = self.client()
@@ -513,21 +513,21 @@
         self.path.write_text(json.dumps(self.config()))
         with socket.create_server(self.listen):
             self.launch()
-            self.logged("the address is held")
+            self.logged("bind_address_in_use")
             self.terminate()
             assert self.node
             self.assertEqual(self.node.wait(PATIENCE), 0)
-        self.assertNotIn('"serving"', self.stop())
+        self.assertNotIn('"serving_started"', self.stop())
 
     def test_sighup_while_the_address_is_held_moves_discovery(self) -> None:
         self.path.write_text(json.dumps(self.config()))
         new = Listener()
         with socket.create_server(self.listen):
             self.launch()
-            self.logged("the address is held")
+            self.logged("bind_address_in_use")
             self.reload(discovery=new.address)
             self.assertEqual(new.watch()[1], "GET /discovery/hosts HTTP/1.1")
-        self.logged("serving")
+        self.logged("serving_started")
 
     def test_sighup_beside_sigterm_in_either_order(self) -> None:
         for first, second in ((signal.SIGTERM, signal.SIGHUP), (signal.SIGHUP, signal.SIGTERM)):
@@ -542,7 +542,7 @@
                 self.assertEqual((client.line(), client.line()), ("MOVE", ""))
                 client.close()
                 self.assertEqual(self.node.wait(PATIENCE), 0)
-                self.assertIn('"reloaded"', self.stop())
+                self.assertIn('"config_reloaded"', self.stop())
 
     def test_sighup_while_the_program_is_loaded_ends_nothing(self) -> None:
         """By the command of the deploy file: the interpreter is held in its start until the signal came."""
@@ -561,7 +561,7 @@
         )
         with open(folder / "hold", "w"):  # opens once the interpreter reads it
             self.node.send_signal(signal.SIGHUP)
-        self.logged("serving")
+        self.logged("serving_started")
         self.ready()
 
 
@@ -573,7 +573,7 @@
                 self.settings = UNPROBED | {"limits": UNPROBED["limits"] | limits}
                 self.start()
                 self.terminate()
-                self.logged("draining")
+                self.logged("shutdown_started")
                 time.sleep(1.5)
                 late = self.client()
                 self.assertEqual((late.line(), late.line()), (answer, ""))
@@ -611,7 +611,7 @@
         for path, value in self.bad:
             with self.subTest(path=path, value=value):
                 entry = self.reload(self.changed(good, path, value))
-                self.assertEqual(entry["event"], "the old configuration goes on")
+                self.assertEqual(entry["event"], "config_reload_rejected")
                 self.assertIn(self.key_of(path), entry["reason"])
         self.goes_on(1)
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -271,7 +271,7 @@
         counters: dict[str, int] = {}
         while not counters.get("probe not_sent"):
             self.node.send_signal(signal.SIGUSR1)
-            counters = self.logged("counters")
+            counters = self.logged("counters_reported")
         resource.prlimit(self.node.pid, resource.RLIMIT_NOFILE, (1024, 1024))
         self.server.rpc()[0].send("UP r")
         self.assertEqual(client.line(), "UP r")
@@ -368,7 +368,7 @@
         self.start()
         classes = [SETTINGS["classes"][0] | {"name": "other"}]
         kept = self.reload(name="n1", settings=SETTINGS | self.settings | {"classes": classes})
-        self.assertIn("name", kept["only_at_the_next_start"])
+        self.assertIn("name", kept["pending_restart"])
         client = self.client()
         client.send("OPEN 0000000000000001 k c=other,d=9000,g=a")
         self.assertIn("c=other", self.server.rpc()[1])
@@ -381,9 +381,9 @@
         with open(self.path, "w") as file:  # opens once the program has opened it to read
             self.node.send_signal(signal.SIGHUP)
             file.write(text)
-        self.logged("serving")
+        self.logged("serving_started")
         self.path.write_text(text)  # read by the reload
-        self.logged("reloaded")
+        self.logged("config_reloaded")
         self.ready()
 
 
@@ -393,7 +393,7 @@
         _client, _server = self.up()
         assert self.node
         self.node.send_signal(signal.SIGUSR1)
-        counters = self.logged("counters")
+        counters = self.logged("counters_reported")
         self.assertEqual((counters["RPCs"], counters["attempt up"]), (1, 1))
 
     def test_sigterm_still_accepts_and_then_moves_everyone(self) -> None:
@@ -440,8 +440,8 @@
         self.path.write_text(json.dumps(self.config()))
         with socket.create_server(self.listen):
             self.launch()
-            self.logged("the address is held")
-        self.logged("serving")
+            self.logged("bind_address_in_use")
+        self.logged("serving_started")
 
     def test_a_bad_configuration_is_one_plain_line(self) -> None:
         lacking = json.dumps(self.config() | {"settings": {}})
--- a/wheatstile/__main__.py
+++ b/wheatstile/__main__.py
@@ -6,5 +6,5 @@
     if sys.argv[1:]:
         from wheatstile.cli import main
     else:
-        from wheatstile.node import main
+        from wheatstile.process.main import main
     sys.exit(main())
--- a/wheatstile/cli/__init__.py
+++ b/wheatstile/cli/__init__.py
@@ -30,7 +30,7 @@
 def group(context: click.Context) -> None:
     """A balancer for long-lived connections. Without a command it serves, from RELAY_* alone."""
     if context.invoked_subcommand is None:
-        from wheatstile.node import main as serve
+        from wheatstile.process.main import main as serve
 
         context.exit(serve())
 
--- /dev/null
+++ b/wheatstile/process/balancer_process.py
@@ -0,0 +1,115 @@
+"""The running balancer: its parts, and its life from start to graceful shutdown."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import structlog
+
+from wheatstile import interface as api
+from wheatstile.config.platform import Config
+from wheatstile.net.client_listener import ClientListener
+from wheatstile.net.decision_loop import DecisionLoop
+from wheatstile.net.discovery_watcher import DiscoveryOnlyObserver, DiscoveryWatcher
+from wheatstile.net.upstream_pool import UpstreamPool
+from wheatstile.process import signals
+from wheatstile.process.background_tasks import running_in_background
+from wheatstile.process.graceful_shutdown import answer_pending_clients, migrate_clients
+from wheatstile.process.listener_socket import bind_listener
+from wheatstile.process.operator_sections import FirstCompilation, OperatorSections
+from wheatstile.process.reload import reload_operator_file, reload_platform_config
+
+if TYPE_CHECKING:  # what is switched off is not imported
+    from wheatstile.config.operator import OperatorFile
+
+log = structlog.get_logger()
+
+
+class BalancerProcess:
+    """Owns the balancer's parts, and what its signals do to them. Made inside the event loop."""
+
+    def __init__(
+        self,
+        config: Config,
+        operator: "OperatorFile | None" = None,
+        first_compilation: FirstCompilation | None = None,
+    ) -> None:
+        self.config = config
+        self.operator = operator
+        self.shutdown_requested = asyncio.Event()
+        self.decisions = DecisionLoop(config.settings, config.seed)
+        self.upstreams = UpstreamPool(self.decisions, config.upstream_limits)
+        discovery_only = DiscoveryOnlyObserver(self.decisions, self.upstreams)
+        self.discovery_watcher = DiscoveryWatcher(self.decisions, discovery_only, config.discovery)
+        self.client_listener = ClientListener(self.decisions, self.upstreams, config.client_limits)
+        self.sections = OperatorSections(
+            self.decisions, self.upstreams, self.discovery_watcher, first_compilation
+        )
+        signals.install_handlers(self.shutdown_requested.set, self.reload, self.report_counters)
+
+    def report_counters(self) -> None:
+        """Log every counter by its name."""
+        log.info("counters_reported", **self.decisions.counters)
+
+    def reload(self) -> None:
+        """Apply the files as they are now to the running parts; a file that is rejected changes nothing."""
+        self.decisions.counters["config_reloads"] += 1
+        self._reload_operator_file()
+        self._reload_platform_config()
+
+    def _reload_operator_file(self) -> None:
+        if self.operator is None:
+            return
+        latest = reload_operator_file(self.operator)
+        if latest is None:
+            self.decisions.counters["config_reloads_rejected"] += 1
+            return
+        self.operator = latest
+        self.sections.follow(latest, self.config)
+        log.info("operator_file_reloaded", file=str(latest.path))
+
+    def _reload_platform_config(self) -> None:
+        reloaded = reload_platform_config(self.config)
+        if reloaded is None:
+            self.decisions.counters["config_reloads_rejected"] += 1
+            return
+        self.config = reloaded.config
+        self.sections.configure(self.operator, self.config)
+        self.upstreams.limits = self.config.upstream_limits
+        self.client_listener.limits = self.config.client_limits
+        self.discovery_watcher.follow(self.config.discovery)
+        log.info("config_reloaded", discovery=self.config.discovery, pending_restart=reloaded.pending_restart)
+
+    def _start_parts(self) -> None:
+        self.decisions.start(self.upstreams, self.discovery_watcher)
+        self.discovery_watcher.on_update(self.config.known, api.EndpointUpdateKind.CACHED)
+        if not self.config.settings.poll_endpoints:
+            self.discovery_watcher.watch()  # a watch that pushes counts as answered from the first moment
+        if self.operator:
+            self.sections.follow(self.operator, self.config)
+
+    async def run(self) -> None:
+        """Serve until a shutdown is requested, then shut down gracefully.
+
+        Raises OSError if it cannot listen.
+        """
+        # Before the address is bound: a signal may be acted on as soon as the decisions have been started.
+        self._start_parts()
+        listener = await bind_listener(self.config.listen, self.shutdown_requested)
+        if listener is None:
+            log.info("shutdown_requested_before_serving")
+            return
+        monitors = {
+            "idle_upstream_detector": self.client_listener.sweep,
+            "latency_monitor": self.upstreams.sweep,
+        }
+        with listener:
+            async with running_in_background(monitors):
+                async with running_in_background({"accept": lambda: self.client_listener.serve(listener)}):
+                    log.info("serving_started", name=self.config.name, servers=len(self.upstreams.by_name))
+                    await self.shutdown_requested.wait()
+                    log.info("shutdown_started", connections=len(self.decisions.sessions))
+                    await migrate_clients(self.client_listener, self.config.longest_deadline_s)
+                await answer_pending_clients(self.client_listener, listener)
+                self.discovery_watcher.close()
+                self.sections.close()
+        self.report_counters()
--- /dev/null
+++ b/wheatstile/process/operator_sections.py
@@ -0,0 +1,71 @@
+"""The subsystems that the operator's file switches on; what is switched off is not imported."""
+
+from typing import TYPE_CHECKING, Any
+
+from wheatstile.config.platform import Config
+from wheatstile.net.decision_loop import DecisionLoop
+from wheatstile.net.discovery_watcher import DiscoveryWatcher
+from wheatstile.net.upstream_pool import UpstreamPool
+
+if TYPE_CHECKING:
+    from wheatstile.config.operator import OperatorFile
+    from wheatstile.descriptions.section import DescriptionsSection
+    from wheatstile.resolvers.section import ServersSection
+
+FirstCompilation = dict[str, Any]  # what the descriptions' worker answered before the start
+
+
+class OperatorSections:
+    """Owns the subsystem of each section of the operator's file, and applies the file to them."""
+
+    def __init__(
+        self,
+        decisions: DecisionLoop,
+        upstreams: UpstreamPool,
+        discovery_watcher: DiscoveryWatcher,
+        first_compilation: FirstCompilation | None,
+    ) -> None:
+        self.decisions = decisions
+        self.upstreams = upstreams
+        self.discovery_watcher = discovery_watcher
+        self.first_compilation = first_compilation
+        self.servers: ServersSection | None = None
+        self.descriptions: DescriptionsSection | None = None
+
+    def follow(self, operator: "OperatorFile", config: Config) -> None:
+        """Switch on, change or switch off what the operator's file says."""
+        self._follow_servers(operator)
+        self._follow_descriptions(operator, config)
+
+    def configure(self, operator: "OperatorFile | None", config: Config) -> None:
+        """Configure the decisions by the platform's settings, as far as descriptions do not tighten them."""
+        settings = config.settings
+        if self.descriptions:
+            settings = self.descriptions.applied(settings)
+        self.decisions.configure(settings)
+        if operator and self.descriptions:
+            self.descriptions.follow(operator, config)
+
+    def close(self) -> None:
+        """End the tasks of all subsystems."""
+        if self.servers:
+            self.servers.close()
+        if self.descriptions:
+            self.descriptions.close()
+
+    def _follow_servers(self, operator: "OperatorFile") -> None:
+        if self.servers is None and operator.settings.servers.file:
+            from wheatstile.resolvers.section import ServersSection
+
+            self.servers = ServersSection(self.decisions, self.upstreams, self.discovery_watcher)
+        if self.servers:
+            self.servers.follow(operator)
+
+    def _follow_descriptions(self, operator: "OperatorFile", config: Config) -> None:
+        if self.descriptions:
+            self.descriptions.follow(operator, config)
+        elif operator.settings.descriptions.paths:
+            from wheatstile.descriptions.section import DescriptionsSection
+
+            self.descriptions = DescriptionsSection(self.decisions, self.first_compilation)
+            self.configure(operator, config)
--- a/wheatstile/resolvers/section.py
+++ b/wheatstile/resolvers/section.py
@@ -57,7 +57,7 @@
             try:
                 await file.run()
             except Exception:
-                log.exception("a part failed and starts again", part="servers file")
+                log.exception("component_failed", component="servers_file")
             await asyncio.sleep(START_AGAIN)
 
     def _stop(self) -> ServersFile | None:
