Split discovery into a sans-I/O decoder, a client and a watcher; name sessions and health checks

Cause: one module opened sockets, parsed HTTP, split lists and followed revisions through callbacks; the decision loop spoke of RPCs, probers and telling. The decision loop has the protocols Session and HealthChecker (check_health), and its counters' names are made once per type: events_endpoint_update, actions_check_health.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -64,7 +64,7 @@
         self.up(number)
         counters = self.counters()
         self.assertNotIn("channel failures", counters)
-        self.assertNotIn("module failures", counters)
+        self.assertNotIn("decision_module_failures", counters)
         return counters
 
     def fill(self, listener: Listener) -> list[socket.socket]:
@@ -239,7 +239,7 @@
                 client = self.open()
                 self.connecting(self.server)
                 watch.chunk(2, self.member(phase="draining"), self.member("s2", host_port=other.address))
-                self.until("event EndpointUpdate", 2)
+                self.until("events_endpoint_update", 2)
                 server = self.let_in(self.server, ahead)
                 self.assertEqual(server.line(), "")
                 second, line = other.rpc()
@@ -257,7 +257,7 @@
         _client = self.open()
         self.connecting(self.server)
         watch.chunk(2, self.member("s2", host_port=other.address), complete=True)
-        self.until("event EndpointUpdate", 2)
+        self.until("events_endpoint_update", 2)
         self.assertEqual(self.let_in(self.server, ahead).line(), "")
         self.assertIn("0000000000000001", other.rpc()[1])
 
@@ -369,7 +369,7 @@
         self.indented(watch, 2, self.member(host_port="127.0.0.1:2"))
         watch.send("1", "\n")
         self.indented(watch, 3, self.member())
-        self.until("event EndpointUpdate", 3)
+        self.until("events_endpoint_update", 3)
         self.up()
 
     def test_a_change_from_before_the_list_that_stands_undoes_nothing(self) -> None:
@@ -379,7 +379,7 @@
         watch.chunk(5, self.member(phase="draining"))
         watch.chunk(4, self.member(phase="ready"))
         watch.chunk(6, self.member("s2", phase="draining"))
-        self.until("event EndpointUpdate", 3)
+        self.until("events_endpoint_update", 3)
         client = self.open(wait=300)
         self.assertRegex(client.line(), "^BUSY")
         self.assertEqual(select.select([self.server.sock], [], [], 0)[0], [])
@@ -411,7 +411,7 @@
         watch, _ = self.discovery.watch()
         watch.begin_watch()
         watch.send("1", "\n")
-        self.until("event EndpointUpdate", 5)
+        self.until("events_endpoint_update", 5)
         watch.close()
         broke = time.monotonic()
         self.discovery.watch()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -307,7 +307,7 @@
         watch.chunk(2, self.member("s2"))
         watch.close()
         self.discovery.watch()  # so the third failure is over
-        self.assertEqual(self.stop().count("the watch ended"), 2)
+        self.assertEqual(self.stop().count("endpoint_watch_ended"), 2)
 
 
 class Reloads(NodeTest):
--- a/wheatstile/net/decision_loop.py
+++ b/wheatstile/net/decision_loop.py
@@ -1,14 +1,15 @@
 """The decision loop: one instance of the decision module, its clock, and whoever carries out its actions.
 
-Nothing here knows a protocol's text. A front registers its RPCs, tells the module's events, and is handed
-the module's actions as they are.
+Nothing here knows a protocol's text. A front registers its sessions, dispatches the module's events, and is
+handed the module's actions as they are.
 """
 
 import asyncio
+import re
 import time
 from collections import Counter, deque
 from math import ceil
-from typing import Protocol
+from typing import Protocol, get_args
 
 import structlog
 
@@ -18,46 +19,60 @@
 log = structlog.get_logger()
 
 
-class Rpc(Protocol):
-    """A request that is owed an answer, or the open connection that it became."""
+def _counter_names(prefix: str, kinds: tuple[type, ...]) -> dict[type, str]:
+    """The counter of each type, as in `events_client_disconnected`."""
+    return {kind: prefix + re.sub(r"(?<=[a-z])(?=[A-Z])", "_", kind.__name__).lower() for kind in kinds}
+
+
+EVENT_COUNTERS = _counter_names("events_", get_args(api.Event))
+ACTION_COUNTERS = _counter_names("actions_", get_args(api.Action))
+
+
+class Session(Protocol):
+    """A client request that is to be answered, or the open connection that it became."""
 
     def decide(self, action: api.StartAttempt | api.Reject | api.Fail | api.Migrate) -> None:
-        """Take what the module decided; the work itself is done elsewhere, later."""
+        """Accept a decision; the work itself is done elsewhere, later."""
 
 
-class Prober(Protocol):
-    def probe(self, server: str) -> None:
-        """Ask this server for its load; exactly one Probed event follows."""
+class HealthChecker(Protocol):
+    """Who asks servers for their load."""
+
+    def check_health(self, server: str) -> None:
+        """Check this server; exactly one HealthCheckResult event follows."""
 
 
 class DiscoveryWatcher(Protocol):
+    """Who watches the endpoint list."""
+
     def watch(self) -> None:
-        """Ask for the list's changes from now on."""
+        """Watch for changes from now on."""
 
 
 class DecisionLoop:
-    """Owns the module's instance. Events go in by tell; actions go straight to whoever carries them out."""
+    """Owns the module's instance: events go in by `dispatch`, actions go to whoever carries them out."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.balancer = Balancer(settings, seed)
         self.counters: Counter[str] = Counter()
-        self.sessions: dict[str, Rpc] = {}
-        self.prober: Prober
+        self.sessions: dict[str, Session] = {}  # by the request's id
+        self.health_checker: HealthChecker
         self.discovery_watcher: DiscoveryWatcher
         self.loop = asyncio.get_running_loop()
-        # The module takes a start of 0 or less for "long ago", and the list tells starts in Unix time: so its
-        # clock is Unix time, taken once, and moved by the monotonic clock so that it never goes back.
-        self._epoch = time.time_ns() - time.monotonic_ns()
+        # The module takes a start of 0 or less for "long ago", and endpoints give theirs in Unix time: so its
+        # clock is Unix time, read once, and moved by the monotonic clock so that it never goes back.
+        self._epoch_ns = time.time_ns() - time.monotonic_ns()
         self._events: deque[api.Event] = deque()
-        self._telling = False
+        self._is_dispatching = False
 
     def now(self) -> int:
-        """The module's clock, in microseconds."""
-        return (self._epoch + time.monotonic_ns()) // 1000
+        """The module's clock: Unix time in microseconds, which never goes back."""
+        return (self._epoch_ns + time.monotonic_ns()) // 1000
 
-    def start(self, prober: Prober, discovery_watcher: DiscoveryWatcher) -> None:
-        """Start the module; everything it may ask for has to be in place."""
-        self.prober, self.discovery_watcher = prober, discovery_watcher
+    def start(self, health_checker: HealthChecker, discovery_watcher: DiscoveryWatcher) -> None:
+        """Start the module; everything that its actions need has to be in place."""
+        self.health_checker = health_checker
+        self.discovery_watcher = discovery_watcher
         for action in self.balancer.start(self.now()):
             self._carry_out(action)
 
@@ -66,46 +81,49 @@
         self.balancer.configure(settings)
 
     def dispatch(self, event: api.Event) -> None:
-        """Hand the module an event and carry out what it answers.
+        """Hand the module an event and carry out its actions.
 
         An event that comes up while actions are being carried out waits for its turn: the module is never
-        entered twice at once, and hears events in the order in which they came.
+        entered twice at once, and handles events in the order in which they came.
         """
         self._events.append(event)
-        if self._telling:
+        if self._is_dispatching:
             return
-        self._telling = True
+        self._is_dispatching = True
         try:
             while self._events:
                 self._handle(self._events.popleft())
         finally:
-            self._telling = False
+            self._is_dispatching = False
 
     def _handle(self, event: api.Event) -> None:
-        self.counters[f"event {type(event).__name__}"] += 1
+        self.counters[EVENT_COUNTERS[type(event)]] += 1
         try:
             actions = self.balancer.handle(self.now(), event)
         except Exception:
-            # A fault in the decisions may cost the one RPC it is about, not all the connections held here.
-            log.exception("the module failed", event_type=type(event).__name__)
-            self.counters["module failures"] += 1
-            rpc = self.sessions.get(getattr(event, "id", ""))
-            if rpc:
-                rpc.decide(api.Fail(getattr(event, "id", "")))
+            # A fault in the decisions may cost the one session it is about, not all that are open here.
+            log.exception("decision_module_failed", event_type=type(event).__name__)
+            self.counters["decision_module_failures"] += 1
+            self._fail_session(event)
             return
         for action in actions:
             self._carry_out(action)
 
+    def _fail_session(self, event: api.Event) -> None:
+        session_id = getattr(event, "id", "")  # not every event is about a session
+        session = self.sessions.get(session_id)
+        if session:
+            session.decide(api.Fail(session_id))
+
     def _carry_out(self, action: api.Action) -> None:
-        self.counters[f"action {type(action).__name__}"] += 1
+        self.counters[ACTION_COUNTERS[type(action)]] += 1
         if isinstance(action, api.SetTimer):
             # Rounded up to the loop's milliseconds: a timer that comes early finds its time not yet up.
-            self.loop.call_later(
-                ceil(action.delay_us / 1000) / 1000, self.dispatch, api.TimerFired(action.token)
-            )
+            delay_s = ceil(action.delay_us / 1000) / 1000
+            self.loop.call_later(delay_s, self.dispatch, api.TimerFired(action.token))
         elif isinstance(action, api.CheckHealth):
-            self.prober.probe(action.server)
+            self.health_checker.check_health(action.server)
         elif isinstance(action, api.WatchEndpoints):
             self.discovery_watcher.watch()
-        elif action.id in self.sessions:  # else the client has left in the same instant
+        elif action.id in self.sessions:  # else the client has disconnected in the same instant
             self.sessions[action.id].decide(action)
--- /dev/null
+++ b/wheatstile/net/discovery_client.py
@@ -0,0 +1,64 @@
+"""HTTP calls to discovery, each on a connection of its own."""
+
+import asyncio
+import socket
+from collections.abc import AsyncGenerator
+
+from wheatstile.config.endpoints import EndpointSnapshot
+from wheatstile.net.endpoint_stream import DiscoveryError, EndpointStreamDecoder, Keepalive, ResponseStarted
+
+HOSTS_PATH = "/discovery/hosts"
+RESPONSE_TIMEOUT_S = 5.0  # from a call to the head of its answer: calls wait for their turn, some for 3 s
+# Without a complete list or a keepalive, which is due every 2 s. What an idle watch misses counts as notified
+# after 6 s: of these, 3 are left for the back-off (1.5 s at most) and the next call.
+IDLE_TIMEOUT_S = 3.0
+RECEIVE_BUFFER_BYTES = 16384
+
+Address = tuple[str, int]
+
+
+def fetch_endpoints(address: Address) -> AsyncGenerator[EndpointSnapshot | Keepalive, None]:
+    """Call for the complete list: one message, then the end. Errors as in `watch_endpoints`."""
+    return _call(address, HOSTS_PATH, is_stream=False)
+
+
+def watch_endpoints(
+    address: Address, after_revision: int
+) -> AsyncGenerator[EndpointSnapshot | Keepalive, None]:
+    """Call for the changes after a revision: messages without an end.
+
+    Raises DiscoveryError, OSError or TimeoutError when the call fails. Bytes alone do not keep a call alive:
+    a list that never ends is as good as none.
+    """
+    return _call(address, f"{HOSTS_PATH}?watch=1&after={after_revision}", is_stream=True)
+
+
+async def _call(
+    address: Address, path: str, *, is_stream: bool
+) -> AsyncGenerator[EndpointSnapshot | Keepalive, None]:
+    loop = asyncio.get_running_loop()
+    decoder = EndpointStreamDecoder(is_stream=is_stream)
+    buffer = memoryview(bytearray(RECEIVE_BUFFER_BYTES))
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
+        sock.setblocking(False)
+        deadline = loop.time() + RESPONSE_TIMEOUT_S
+        async with asyncio.timeout_at(deadline):
+            await loop.sock_connect(sock, address)
+            await loop.sock_sendall(sock, _request(address, path))
+        while not decoder.is_complete:
+            async with asyncio.timeout_at(deadline):
+                count = await loop.sock_recv_into(sock, buffer)
+            if not count:
+                raise DiscoveryError("discovery closed the call")
+            has_message = False
+            for message in decoder.receive(buffer[:count]):
+                has_message = True
+                if not isinstance(message, ResponseStarted):
+                    yield message
+            if has_message:
+                deadline = loop.time() + IDLE_TIMEOUT_S
+
+
+def _request(address: Address, path: str) -> bytes:
+    host, port = address
+    return f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode()
--- a/wheatstile/net/upstream_pool.py
+++ b/wheatstile/net/upstream_pool.py
@@ -169,7 +169,7 @@
         upstream = self.by_name.get(server)
         return Attempt(upstream, self.limits) if upstream else None
 
-    def probe(self, server: str) -> None:
+    def check_health(self, server: str) -> None:
         upstream = self.by_name.get(server)
         if upstream is None:
             return self.decisions.dispatch(api.HealthCheckResult(server, api.AttemptOutcome.CONNECT_FAILED))
