Parse the platform's settings once, by sections that name the key at fault

Cause: settings went through JSON twice and were read by hand-made look-ups, so that a value of a wrong type was told in Python's own words; the simulator's wire repeated one shape of function for each message. Change: Section gives typed access to one object of the parsed document, and its errors name the key; the errors of the package have one base. No msgspec structs: a balancer without an operator's file must not import msgspec (a test holds it), numbers may be floats, and unknown keys are passed over. The simulator's lines are read by Fields, and its actions stand in one table. Violations are walked by small functions over typed records.

--- /dev/null
+++ b/tests/config/test_settings.py
@@ -0,0 +1,112 @@
+"""The platform's settings: what is accepted, what stands in for a missing key, what is named as at fault."""
+
+import copy
+import json
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from peers import SETTINGS
+
+from wheatstile import interface as api
+from wheatstile.config.errors import InvalidConfigurationError, MissingKeyError, SettingsError, WrongTypeError
+from wheatstile.config.platform import ConfigError
+from wheatstile.config.settings import parse_settings, read_settings
+from wheatstile.config.violations import ConfigurationError
+
+Change = Callable[[dict[str, Any]], object]
+
+
+def changed(change: Change) -> dict[str, Any]:
+    settings = copy.deepcopy(SETTINGS)
+    change(settings)
+    return settings
+
+
+def test_keys_of_the_platform_become_settings_of_the_decisions() -> None:
+    settings = read_settings(SETTINGS)
+    assert settings == parse_settings(json.dumps(SETTINGS))
+    assert settings.classes["web"].latency_objective_us == 500_000
+    assert settings.classes["web"].idempotency is api.Idempotency.IDEMPOTENT
+    assert settings.classes["web"].message_latency_objective_us == 60_000
+    assert settings.poll_endpoints and settings.health_checks_enabled and settings.retry_after_enabled
+    assert settings.load_metrics == ("load",)
+    assert settings.slow_start_overload_window_us == 1_500_000  # stands in for a key that is missing
+    assert settings.poll_interval_us == 10_000_000
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        lambda settings: settings["classes"][0].update(aimUs=500000.0),
+        lambda settings: settings["familyInfo"].update(messageAimUs=[60000, 5, 7]),  # more than classes
+        lambda settings: settings["telemetry"].update(names=["x0", "unheard_of", 7, None]),
+        lambda settings: settings.update(unheard_of=[1], accounts=[]),
+        lambda settings: settings["limits"].update(unheard_of=None),
+        lambda settings: settings["classes"][0].update(dedupScope="all", dedupWindowUs=0, worth=1),
+    ],
+)  # fmt: skip
+def test_floats_surplus_values_and_unknown_keys_change_nothing(change: Change) -> None:
+    assert read_settings(changed(change)) == read_settings(SETTINGS)
+
+
+@pytest.mark.parametrize("value", [None, [], 0, False])
+def test_message_objectives_may_be_none(value: object) -> None:
+    settings = read_settings(changed(lambda settings: settings["familyInfo"].update(messageAimUs=value)))
+    assert settings.classes["web"].message_latency_objective_us == 0
+
+
+@pytest.mark.parametrize(
+    ("change", "place"),
+    [
+        (lambda settings: settings.update(limits=[]), "limits must be an object"),
+        (lambda settings: settings.update(telemetry=None), "telemetry must be an object"),
+        (lambda settings: settings.update(classes=5), "classes must be a list"),
+        (lambda settings: settings.update(classes=[["web"]]), r"classes\[0\] must be an object"),
+        (lambda settings: settings["classes"][0].update(name=[]), r"classes\[0\]\.name must be a string"),
+        (lambda settings: settings["telemetry"].update(names=[[]]), r"telemetry\.names must be a string"),
+        (lambda settings: settings["familyInfo"].update(messageAimUs=5), "messageAimUs must be a list"),
+    ],
+)
+def test_a_value_of_a_wrong_type_is_named(change: Change, place: str) -> None:
+    with pytest.raises(WrongTypeError, match=f"^settings: has a value of a wrong type: .*{place}"):
+        read_settings(changed(change))
+
+
+@pytest.mark.parametrize(
+    ("change", "text"),
+    [
+        (
+            lambda settings: settings["limits"].update(maxAttempts=True),
+            "limits.maxAttempts must be a number of 1 or more, not True",
+        ),
+        (
+            lambda settings: settings["rules"].update(coldFrom="0.2"),
+            "rules.coldFrom must be a number of 0 or more, not '0.2'",
+        ),
+        (
+            lambda settings: settings["classes"][0].update(worth=float("nan")),
+            "classes[0].worth must be a number of 0 or more, not nan",
+        ),
+        (
+            lambda settings: settings["familyInfo"].update(messageAimUs=[-1]),
+            "familyInfo.messageAimUs.0 must be a number of 0 or more, not -1",
+        ),
+        (
+            lambda settings: settings.update(accounts=[{"share": 0}, {"share": 0.0}]),
+            "accounts[].share must not sum to nothing",
+        ),
+        (lambda settings: settings["rules"].pop("coldFrom"), "lacks the key coldFrom"),
+        (lambda settings: settings["classes"][0].pop("repeat"), "lacks the key repeat"),
+    ],
+)
+def test_a_value_at_fault_is_named_with_its_place(change: Change, text: str) -> None:
+    with pytest.raises(SettingsError) as caught:
+        read_settings(changed(change))
+    assert str(caught.value) == f"settings: {text}"
+
+
+def test_all_errors_of_the_package_have_one_base() -> None:
+    for kind in (SettingsError, MissingKeyError, WrongTypeError, ConfigError, ConfigurationError):
+        assert issubclass(kind, InvalidConfigurationError)
+    assert MissingKeyError("classes").key == "classes"
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -7,8 +7,10 @@
 import pytest
 
 from wheatstile import interface as api
-from wheatstile.config import settings as settings_of
+from wheatstile.config.errors import SettingsError
+from wheatstile.config.settings import parse_settings
 from wheatstile.simulator import host, wire
+from wheatstile.simulator.line import Fields, parse_line
 
 NOTE = "STATUS_NOTE\tbalancer=3\trequestId=d8\tx=12.5\tserver=s1"
 PROFILE: dict[str, Any] = {
@@ -83,7 +85,7 @@
     ],
 )
 def test_events_are_read(line: str, event: api.Event | None) -> None:
-    name, fields = wire.split_line(line)
+    name, fields = parse_line(line)
     assert wire.EVENTS[name](fields) == event
 
 
@@ -109,7 +111,7 @@
 
 @pytest.mark.parametrize("value", ["nan", "inf", "-1", "many", ""])
 def test_nonsense_in_a_report_counts_as_absent(value: str) -> None:
-    assert wire.report({"stats": f"x0:{value},utilization:0.5"}) == {"busy": 0.5}
+    assert Fields({"stats": f"x0:{value},utilization:0.5"}).load_report() == {"busy": 0.5}
 
 
 def test_a_batch_is_answered_with_its_number() -> None:
@@ -159,13 +161,13 @@
 @pytest.mark.parametrize("key", ["classes", "fleetSize", "discovery", "limits", "rules"])
 def test_a_missing_setting_is_named(key: str) -> None:
     profile = {name: value for name, value in PROFILE.items() if name != key}
-    with pytest.raises(settings_of.SettingsError, match=f"lacks the key {key}"):
-        settings_of.settings(json.dumps(profile))
+    with pytest.raises(SettingsError, match=f"lacks the key {key}"):
+        parse_settings(json.dumps(profile))
 
 
 def test_a_setting_nobody_could_balance_by_is_named() -> None:
     with pytest.raises(ValueError, match="fleet_size must be 1 or more"):
-        settings_of.settings(json.dumps(PROFILE | {"fleetSize": 0}))
+        parse_settings(json.dumps(PROFILE | {"fleetSize": 0}))
 
 
 def test_input_cut_off_inside_a_batch_is_said_and_a_clean_end_is_clean() -> None:
--- a/wheatstile/config/operator.py
+++ b/wheatstile/config/operator.py
@@ -11,7 +11,7 @@
 from msgspec import Meta
 
 from wheatstile.config import shape
-from wheatstile.config.violations import ConfigurationError, Violation, load, locate
+from wheatstile.config.violations import ConfigurationError, Violation, load, locate, pointer
 
 MOST_BYTES = 1 << 20  # of the operator's file itself
 
@@ -23,39 +23,48 @@
     level: Literal["debug", "info", "warning", "error"] = "info"
 
 
-def _told(description: str, **bounds: Any) -> Meta:
+def _described(description: str, **bounds: Any) -> Meta:
     return Meta(description=description, **bounds)
 
 
 class Servers(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """The watched file of servers. Off without `file`."""
 
-    file: Annotated[str, _told("the file of servers; none: off", min_length=1)] | None = None
+    file: Annotated[str, _described("the file of servers; none: off", min_length=1)] | None = None
     mode: Annotated[
         Literal["fallback", "override", "merge"],
-        _told("when the file's list holds: discovery being silent, always, or together with discovery's"),
+        _described(
+            "when the file's list holds: discovery being silent, always, or together with discovery's"
+        ),
     ] = "fallback"
-    after_s: Annotated[float, _told("silence of discovery after which the file holds", ge=0, le=86400)] = 10.0
+    after_s: Annotated[
+        float, _described("silence of discovery after which the file holds", ge=0, le=86400)
+    ] = 10.0
     hold_down_s: Annotated[
-        float, _told("steady answers asked of a discovery that flaps; doubles up to 8 times", ge=0, le=3600)
+        float,
+        _described("steady answers asked of a discovery that flaps; doubles up to 8 times", ge=0, le=3600),
     ] = 30.0
-    require_seal: Annotated[bool, _told("refuse a file without a seal")] = False
-    settle_s: Annotated[float, _told("how long an unsealed file must stand unchanged", ge=0.02, le=60)] = 0.2
-    recheck_s: Annotated[float, _told("what a lost notice of a change costs at most", ge=0.1, le=3600)] = 5.0
-    state_dir: Annotated[str, _told("where the last good list is kept; none: off", min_length=1)] | None = (
-        None
-    )
+    require_seal: Annotated[bool, _described("refuse a file without a seal")] = False
+    settle_s: Annotated[
+        float, _described("how long an unsealed file must stand unchanged", ge=0.02, le=60)
+    ] = 0.2
+    recheck_s: Annotated[
+        float, _described("what a lost notice of a change costs at most", ge=0.1, le=3600)
+    ] = 5.0
+    state_dir: (
+        Annotated[str, _described("where the last good list is kept; none: off", min_length=1)] | None
+    ) = None
     networks: Annotated[
-        list[str], _told("address sets that servers may lie in, as CIDR or FIRST-LAST", min_length=1)
+        list[str], _described("address sets that servers may lie in, as CIDR or FIRST-LAST", min_length=1)
     ] = msgspec.field(default_factory=lambda: ["0.0.0.0/0"])
-    least_per_site: Annotated[int, _told("ready servers that each site must keep", ge=1, le=100_000)] = 1
-    may_be_empty: Annotated[list[str], _told("sites that may go without servers: the explicit override")] = (
-        msgspec.field(default_factory=list)
-    )
-    most: Annotated[int, _told("servers in the file", ge=1, le=1_000_000)] = 20_000
-    most_bytes: Annotated[int, _told("bytes of the file", ge=64, le=1 << 30)] = 8 << 20
+    least_per_site: Annotated[int, _described("ready servers that each site must keep", ge=1, le=100_000)] = 1
+    may_be_empty: Annotated[
+        list[str], _described("sites that may go without servers: the explicit override")
+    ] = msgspec.field(default_factory=list)
+    most: Annotated[int, _described("servers in the file", ge=1, le=1_000_000)] = 20_000
+    most_bytes: Annotated[int, _described("bytes of the file", ge=64, le=1 << 30)] = 8 << 20
     most_removed: Annotated[
-        float, _told("share of the ready servers that one change may take away; 1: any", ge=0, le=1)
+        float, _described("share of the ready servers that one change may take away; 1: any", ge=0, le=1)
     ] = 0.5
 
 
@@ -66,12 +75,12 @@
     """Gives operations a class, and may say how far they may be repeated."""
 
     when: Annotated[
-        str, _told('which operations, as in: method == "POST" and path ~ "/orders/**"', min_length=1)
+        str, _described('which operations, as in: method == "POST" and path ~ "/orders/**"', min_length=1)
     ]
-    service_class: Annotated[str, _told("the class", min_length=1)] = msgspec.field(name="class")
-    repeat: Annotated[Repeat, _told("tighter than the description is taken, looser is a conflict")] | None = (
-        None
-    )
+    service_class: Annotated[str, _described("the class", min_length=1)] = msgspec.field(name="class")
+    repeat: (
+        Annotated[Repeat, _described("tighter than the description is taken, looser is a conflict")] | None
+    ) = None
 
 
 class ClassWord(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -83,15 +92,21 @@
 class Descriptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """OpenAPI and AsyncAPI descriptions. Off without `paths`."""
 
-    paths: Annotated[list[str], _told("files and folders; none: off")] = msgspec.field(default_factory=list)
-    rules: Annotated[list[DescriptionRule], _told("in order; the first that fits counts")] = msgspec.field(
+    paths: Annotated[list[str], _described("files and folders; none: off")] = msgspec.field(
         default_factory=list
     )
-    classes: Annotated[dict[str, ClassWord], _told("by name")] = msgspec.field(default_factory=dict)
-    require_class: Annotated[bool, _told("refuse operations that nothing gives a class")] = False
-    strict: Annotated[bool, _told("warnings are conflicts")] = False
-    settle_s: Annotated[float, _told("how long changed files must stand unchanged", ge=0.02, le=60)] = 0.5
-    recheck_s: Annotated[float, _told("what a lost notice of a change costs at most", ge=0.1, le=3600)] = 5.0
+    rules: Annotated[list[DescriptionRule], _described("in order; the first that fits counts")] = (
+        msgspec.field(default_factory=list)
+    )
+    classes: Annotated[dict[str, ClassWord], _described("by name")] = msgspec.field(default_factory=dict)
+    require_class: Annotated[bool, _described("refuse operations that nothing gives a class")] = False
+    strict: Annotated[bool, _described("warnings are conflicts")] = False
+    settle_s: Annotated[float, _described("how long changed files must stand unchanged", ge=0.02, le=60)] = (
+        0.5
+    )
+    recheck_s: Annotated[
+        float, _described("what a lost notice of a change costs at most", ge=0.1, le=3600)
+    ] = 5.0
 
 
 class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -116,16 +131,16 @@
 
 
 def parse(file: str, data: bytes) -> Operator:
-    """The settings in these bytes. Raises ConfigurationError with every fault and its place."""
+    """The settings in these bytes. Raises ConfigurationError with every violation and its place."""
     text, value = load(file, data, MOST_BYTES)
     if not isinstance(value, dict):
         raise ConfigurationError(file, [Violation("", "is no object", 1)])
-    found = list(shape.faults(value, Operator))
+    violations = list(shape.find_violations(value, Operator))
     servers = value.get("servers")
     if isinstance(servers, dict) and isinstance(servers.get("networks"), list):
-        found += _network_faults(servers["networks"])
-    if found:
-        raise ConfigurationError(file, locate(text, found))
+        violations += _network_violations(servers["networks"])
+    if violations:
+        raise ConfigurationError(file, locate(text, violations))
     return msgspec.convert(value, Operator)
 
 
@@ -141,18 +156,19 @@
 
 def schema() -> dict[str, Any]:
     """The JSON Schema of the operator's file (draft 2020-12)."""
-    made = msgspec.json.schema(Operator)
-    return {"$schema": "https://json-schema.org/draft/2020-12/schema", "title": "wheatstile"} | made
+    generated = msgspec.json.schema(Operator)
+    return {"$schema": "https://json-schema.org/draft/2020-12/schema", "title": "wheatstile"} | generated
 
 
-def _network_faults(networks: list[Any]) -> list[Violation]:
-    from wheatstile.config.networks import NetworkError, Networks
+def _network_violations(networks: list[object]) -> list[Violation]:
+    from wheatstile.config.networks import NetworkError, Networks  # netaddr, which little else needs
 
-    found = []
+    violations = []
     for index, network in enumerate(networks):
+        if not isinstance(network, str):
+            continue
         try:
-            if isinstance(network, str):
-                Networks([network])
+            Networks([network])
         except NetworkError as error:
-            found.append(Violation(f"/servers/networks/{index}", str(error)))
-    return found
+            violations.append(Violation(pointer("servers", "networks", index), str(error)))
+    return violations
--- a/wheatstile/config/reports.py
+++ b/wheatstile/config/reports.py
@@ -1,19 +1,23 @@
 """Load reports: named values as a line of text carries them."""
 
+from collections.abc import Mapping
 from math import isfinite
 
 from wheatstile import interface as api
 
 
-def report_in(text: str, mark: str, names: dict[str, str]) -> api.LoadReport:
-    """The named values of a load report; those that are no finite number of 0 or more count as absent."""
-    values = {}
+def parse_load_report(text: str, separator: str, metric_names: Mapping[str, str]) -> api.LoadReport:
+    """The values of `NAME<separator>VALUE,...`, by the interface's names.
+
+    Unknown names, and values that are no finite number of 0 or more, count as absent.
+    """
+    report = {}
     for pair in text.split(","):
-        name, _, value = pair.partition(mark)
+        name, _, value_text = pair.partition(separator)
         try:
-            figure = float(value)
+            value = float(value_text)
         except ValueError:
             continue
-        if name in names and isfinite(figure) and figure >= 0:
-            values[names[name]] = figure
-    return values
+        if name in metric_names and isfinite(value) and value >= 0:
+            report[metric_names[name]] = value
+    return report
--- a/wheatstile/config/settings.py
+++ b/wheatstile/config/settings.py
@@ -1,21 +1,22 @@
 """The settings that the platform gives every balancer: nested JSON, in the platform's own words.
 
-The sockets read them from the configuration's file, the simulator's host from its first message.
+The balancer on sockets reads them from the platform's file, the simulator's host from its first message.
 """
 
 import json
-from math import inf, isfinite
-from typing import Any
+from math import inf
 
 from wheatstile import interface as api
+from wheatstile.config.errors import MissingKeyError, SettingsError
+from wheatstile.config.section import Section, checked_number, iterable
 
 # The settings' word -> the interface's word.
-REPEATS = {
+IDEMPOTENCY = {
     "retryable": api.Idempotency.IDEMPOTENT,
     "dedup": api.Idempotency.IDEMPOTENCY_KEY,
     "fragile": api.Idempotency.NON_IDEMPOTENT,
 }
-REPORT_NAMES = {
+LOAD_METRICS = {
     "outstanding": "inflight",
     "backlog": "queue",
     "utilization": "busy",
@@ -25,84 +26,104 @@
     "x0": "load",
     "x1": "backlog_s",
 }
+POLLED_DISCOVERY = "on_request"  # the value of `discovery` with which endpoints are not pushed
+NO_TELEMETRY = "silent"  # the value of `telemetry.via` with which servers report nothing
 
 
-class SettingsError(ValueError):
-    """Settings that nobody could balance by; the text says which value is at fault."""
-
-
-def number(data: dict[str, Any], key: str, where: str, least: float, default: float | None = None) -> float:
-    """The figure under this key, `least` or more. Raises KeyError where it is missing, else SettingsError."""
-    value = data[key] if default is None else data.get(key, default)
-    # JSON's true would pass as 1, and the standard library reads NaN and Infinity.
-    if isinstance(value, bool) or not isinstance(value, int | float) or not isfinite(value) or value < least:
-        raise SettingsError(f"settings: {where}{key} must be a number of {least:g} or more, not {value!r}")
-    return value
-
-
-def settings(profile: str) -> api.Settings:
-    """The settings; a missing key that nothing can stand in for raises SettingsError naming it."""
+def parse_settings(text: str) -> api.Settings:
+    """The settings in this JSON text. Raises SettingsError naming the key at fault."""
     try:
-        data = json.loads(profile)
+        value = json.loads(text)
     except ValueError as error:
         raise SettingsError(f"settings: no JSON: {error}") from None
+    return read_settings(value)
+
+
+def read_settings(value: object) -> api.Settings:
+    """The settings in this parsed JSON. Raises SettingsError naming the key at fault."""
     try:
-        return _settings(data)
-    except KeyError as error:
-        raise SettingsError(f"settings: lacks the key {error.args[0]}") from None
+        return _read(Section(value))
+    except MissingKeyError as error:
+        raise SettingsError(str(error)) from None
     except (TypeError, AttributeError) as error:
         raise SettingsError(f"settings: has a value of a wrong type: {error}") from None
     except SettingsError:
         raise
-    except ValueError as error:
+    except ValueError as error:  # the interface's own checks
         raise SettingsError(str(error)) from None
 
 
-def _deduplication_scope(word: str) -> api.DeduplicationScope:
-    try:
-        return api.DeduplicationScope(word)
-    except ValueError:
-        return api.DeduplicationScope.UNKNOWN
+def message_latency_objectives_us(settings: Section) -> list[object]:
+    """`familyInfo.messageAimUs`, one for each class in their order: unchecked, and empty if there is none."""
+    objectives = settings.optional_section("familyInfo").get("messageAimUs", None) or []
+    return iterable(objectives, "familyInfo.messageAimUs")
 
 
-def _settings(data: dict[str, Any]) -> api.Settings:
-    limits, rules, family = data["limits"], data["rules"], data.get("familyInfo", {})
-    prices, aims = data.get("deductions", {}), family.get("messageAimUs") or []
-    classes = {}
-    named_aims = {str(index): aim for index, aim in enumerate(aims)}
-    for index, row in enumerate(data["classes"]):
-        where = f"classes[{index}]."
-        classes[row["name"]] = api.ServiceClass(
-            row["name"],
-            int(number(row, "aimUs", where, 1)),
-            REPEATS.get(row["repeat"], api.Idempotency.NON_IDEMPOTENT),
-            _deduplication_scope(row.get("dedupScope", "all")),
-            int(number(row, "dedupWindowUs", where, 0, 0)),
-            number(row, "worth", where, 0, 1.0),
-            int(number(named_aims, str(index), "familyInfo.messageAimUs.", 0, 0)),
-        )
-    accounts = data.get("accounts", [])
-    shares = [number(row, "share", f"accounts[{at}].", 0, 1.0) for at, row in enumerate(accounts)]
+def _read(settings: Section) -> api.Settings:
+    limits = settings.section("limits")
+    rules = settings.section("rules")
+    _check_unused(settings, rules)
+    return api.Settings(
+        fleet_size=settings.integer("fleetSize", -inf),
+        zone=str(settings.get("zone", "")),
+        classes=_service_classes(settings),
+        max_attempts=limits.integer("maxAttempts", 1),
+        slow_start_initial_capacity=rules.number("coldFrom", 0),
+        slow_start_duration_us=rules.integer("warmAfterUs", 0),
+        slow_start_overload_factor=rules.number("tipMultiple", 0),
+        slow_start_overload_window_us=rules.integer("fallUs", 1, 1_500_000),
+        poll_interval_us=rules.integer("askEveryUs", 1, 10_000_000),
+        poll_endpoints=settings.require("discovery") == POLLED_DISCOVERY,
+        health_checks_enabled=limits.flag("mayProbe"),
+        load_metrics=_load_metrics(settings),
+        retry_after_enabled=limits.flag("retryAfter"),
+        max_retry_after_us=limits.integer("maxRetryAfterUs", 0, 0),
+        reports_message_latency=settings.optional_section("familyInfo").flag("tellsDelay"),
+        cross_zone_cost=settings.optional_section("deductions").number("crossZone", 0, 0.0),
+    )
+
+
+def _check_unused(settings: Section, rules: Section) -> None:
+    """What is not decided by is checked all the same: a fault there shows that the settings are no such."""
+    accounts = settings.optional_sections("accounts")
+    shares = [account.number("share", 0, 1.0) for account in accounts]
     if accounts and not sum(shares):
         raise SettingsError("settings: accounts[].share must not sum to nothing")
-    number(rules, "drainGraceUs", "rules.", 0, 0)  # nothing is begun at a server once it is told to drain
-    telemetry = data.get("telemetry", {})
-    names = telemetry.get("names", []) if telemetry.get("via", "silent") != "silent" else []
-    return api.Settings(
-        fleet_size=int(number(data, "fleetSize", "", -inf)),
-        zone=str(data.get("zone", "")),
-        classes=classes,
-        max_attempts=int(number(limits, "maxAttempts", "limits.", 1)),
-        slow_start_initial_capacity=number(rules, "coldFrom", "rules.", 0),
-        slow_start_duration_us=int(number(rules, "warmAfterUs", "rules.", 0)),
-        slow_start_overload_factor=number(rules, "tipMultiple", "rules.", 0),
-        slow_start_overload_window_us=int(number(rules, "fallUs", "rules.", 1, 1_500_000)),
-        poll_interval_us=int(number(rules, "askEveryUs", "rules.", 1, 10_000_000)),
-        poll_endpoints=data["discovery"] == "on_request",
-        health_checks_enabled=bool(limits.get("mayProbe", False)),
-        load_metrics=tuple(REPORT_NAMES[n] for n in names if n in REPORT_NAMES),
-        retry_after_enabled=bool(limits.get("retryAfter", False)),
-        max_retry_after_us=int(number(limits, "maxRetryAfterUs", "limits.", 0, 0)),
-        reports_message_latency=bool(family.get("tellsDelay", False)),
-        cross_zone_cost=number(prices, "crossZone", "deductions.", 0, 0.0),
+    rules.number("drainGraceUs", 0, 0)  # nothing is begun at a server once it is draining
+
+
+def _service_classes(settings: Section) -> dict[str, api.ServiceClass]:
+    objectives = message_latency_objectives_us(settings)
+    classes = {}
+    for index, section in enumerate(settings.sections("classes")):
+        objective = objectives[index] if index < len(objectives) else 0
+        service_class = _service_class(section, objective, index)
+        classes[service_class.name] = service_class
+    return classes
+
+
+def _service_class(section: Section, message_objective_us: object, index: int) -> api.ServiceClass:
+    return api.ServiceClass(
+        section.name("name"),
+        section.integer("aimUs", 1),
+        IDEMPOTENCY.get(section.name("repeat"), api.Idempotency.NON_IDEMPOTENT),
+        _deduplication_scope(str(section.get("dedupScope", "all"))),
+        section.integer("dedupWindowUs", 0, 0),
+        section.number("worth", 0, 1.0),
+        int(checked_number(message_objective_us, f"familyInfo.messageAimUs.{index}", 0)),
     )
+
+
+def _deduplication_scope(value: str) -> api.DeduplicationScope:
+    try:
+        return api.DeduplicationScope(value)
+    except ValueError:
+        return api.DeduplicationScope.UNKNOWN
+
+
+def _load_metrics(settings: Section) -> tuple[str, ...]:
+    """The metrics that servers report, in the interface's words; unknown ones are passed over."""
+    telemetry = settings.optional_section("telemetry")
+    if telemetry.get("via", NO_TELEMETRY) == NO_TELEMETRY:
+        return ()
+    return tuple(LOAD_METRICS[name] for name in telemetry.names("names") if name in LOAD_METRICS)
--- a/wheatstile/config/shape.py
+++ b/wheatstile/config/shape.py
@@ -1,4 +1,4 @@
-"""A JSON value held against msgspec types: every fault at once, where msgspec itself tells the first."""
+"""A JSON value held against msgspec types: every violation at once, where msgspec itself raises the first."""
 
 import types
 from collections.abc import Iterator
@@ -8,41 +8,56 @@
 
 from wheatstile.config.violations import Violation, nearest, pointer
 
+Path = tuple[str | int, ...]  # keys and indices from the document's root
 
-def faults(value: Any, kind: Any, at: tuple[str | int, ...] = ()) -> Iterator[Violation]:
-    """Each way in which the value is not of this type. Structs and lists are gone into, unknown keys told."""
-    if get_origin(kind) in (types.UnionType, Union) and value is not None:
-        kinds = [one for one in get_args(kind) if one is not type(None)]
-        kind = kinds[0] if len(kinds) == 1 else kind
-    inner = get_args(kind)[0] if get_origin(kind) is Annotated else kind
+
+def find_violations(value: Any, expected: Any, path: Path = ()) -> Iterator[Violation]:
+    """Each way in which the value is not of the expected type.
+
+    Structs, lists and dicts are gone into; a key that a struct does not have is a violation.
+    """
+    expected = _without_none(expected) if value is not None else expected
+    inner = get_args(expected)[0] if get_origin(expected) is Annotated else expected
     if isinstance(inner, type) and issubclass(inner, msgspec.Struct) and isinstance(value, dict):
-        yield from _struct_faults(value, inner, at)
+        yield from _struct_violations(value, inner, path)
     elif inner is Any:
         return
     elif get_origin(inner) is list and get_args(inner)[0] is not Any and isinstance(value, list):
         for index, element in enumerate(value):
-            yield from faults(element, get_args(inner)[0], (*at, index))
+            yield from find_violations(element, get_args(inner)[0], (*path, index))
     elif get_origin(inner) is dict and isinstance(value, dict):
         for key, element in value.items():
-            yield from faults(element, get_args(inner)[1], (*at, key))
+            yield from find_violations(element, get_args(inner)[1], (*path, key))
     elif get_origin(inner) is Literal and isinstance(value, str) and value not in get_args(inner):
-        yield Violation(pointer(*at), f'"{value}" is not known{nearest(value, get_args(inner))}')
+        yield Violation(pointer(*path), f'"{value}" is not known{nearest(value, get_args(inner))}')
     else:
-        try:
-            msgspec.convert(value, kind)
-        except msgspec.ValidationError as error:
-            yield Violation(pointer(*at), str(error).partition(" - at ")[0])
+        yield from _value_violations(value, expected, path)
+
+
+def _without_none(expected: Any) -> Any:
+    """T of `T | None`, any other type as it is."""
+    if get_origin(expected) not in (types.UnionType, Union):
+        return expected
+    alternatives = [kind for kind in get_args(expected) if kind is not type(None)]
+    return alternatives[0] if len(alternatives) == 1 else expected
+
+
+def _value_violations(value: Any, expected: Any, path: Path) -> Iterator[Violation]:
+    try:
+        msgspec.convert(value, expected)
+    except msgspec.ValidationError as error:
+        yield Violation(pointer(*path), str(error).partition(" - at ")[0])
 
 
-def _struct_faults(
-    value: dict[str, Any], kind: type[msgspec.Struct], at: tuple[str | int, ...]
+def _struct_violations(
+    value: dict[str, Any], expected: type[msgspec.Struct], path: Path
 ) -> Iterator[Violation]:
-    fields = {field.encode_name: field for field in msgspec.structs.fields(kind)}
+    fields = {field.encode_name: field for field in msgspec.structs.fields(expected)}
     for key, element in value.items():
         if key in fields:
-            yield from faults(element, fields[key].type, (*at, key))
+            yield from find_violations(element, fields[key].type, (*path, key))
         else:
-            yield Violation(pointer(*at, key), f"unknown key{nearest(key, fields)}")
+            yield Violation(pointer(*path, key), f"unknown key{nearest(key, fields)}")
     for name, field in fields.items():
         if field.required and name not in value:
-            yield Violation(pointer(*at, name), "is missing")
+            yield Violation(pointer(*path, name), "is missing")
--- a/wheatstile/net/upstream_pool.py
+++ b/wheatstile/net/upstream_pool.py
@@ -37,7 +37,7 @@
 
 def report_in(text: bytes) -> api.LoadReport | None:
     """A load report as it closes a line."""
-    return reports.report_in(text.decode("latin-1"), "=", REPORT_NAMES) or None
+    return reports.parse_load_report(text.decode("latin-1"), "=", REPORT_NAMES) or None
 
 
 def verdict_of(line: bytes) -> tuple[str, api.LoadReport | None]:
--- a/wheatstile/process/reload.py
+++ b/wheatstile/process/reload.py
@@ -35,9 +35,9 @@
     except ConfigError as error:
         log.error("config_reload_rejected", reason=str(error))
         return None
-    kept_values = {key: getattr(current, key) for key in START_ONLY_KEYS}
-    pending_restart = [key for key, value in kept_values.items() if getattr(latest, key) != value]
-    return ReloadedConfig(replace(latest, **kept_values), pending_restart)
+    start_values = {key: getattr(current, key) for key in START_ONLY_KEYS}
+    pending_restart = [key for key, value in start_values.items() if getattr(latest, key) != value]
+    return ReloadedConfig(replace(latest, **start_values), pending_restart)
 
 
 def reload_operator_file(current: "OperatorFile") -> "OperatorFile | None":
--- a/wheatstile/resolvers/document.py
+++ b/wheatstile/resolvers/document.py
@@ -144,7 +144,7 @@
     text, value = load(file, data, rules.most_bytes)
     if not isinstance(value, dict):
         raise ConfigurationError(file, [Violation("", "is no object", 1)])
-    found = list(shape.faults(value, Head))
+    found = list(shape.find_violations(value, Head))
     rows = value.get("servers")
     if isinstance(rows, list) and len(rows) > rules.most:
         found.append(Violation("/servers", f"{len(rows)} servers; {rules.most} at most (servers.most)"))
@@ -208,7 +208,7 @@
             row = msgspec.convert(value, Row)
             name, text, weight = row.id, row.address, row.weight
         except msgspec.ValidationError:
-            found += shape.faults(value, Row, ("servers", index))
+            found += shape.find_violations(value, Row, ("servers", index))
             parts = value if isinstance(value, dict) else {}
             name, text, weight = (parts.get(key) for key in ("id", "address", "weight"))
         address = None
--- a/wheatstile/simulator/host.py
+++ b/wheatstile/simulator/host.py
@@ -5,114 +5,149 @@
 from typing import TextIO
 
 from wheatstile import interface as api
-from wheatstile.config.settings import settings
+from wheatstile.config.settings import parse_settings
 from wheatstile.rules import Balancer
 from wheatstile.simulator import wire
+from wheatstile.simulator.line import Fields, WireError, parse_line
+from wheatstile.simulator.wire import Message
+
+EXIT_OK = 0
+EXIT_FAULT = 1
+MAX_NAME_SHOWN = 40  # characters of a message's name in a fault's text
+MAX_FAULT_SHOWN = 300  # characters of a fault's text
 
 
 class Host:
-    """The instances by number, the numbered server lists that they share, and the batch being read."""
+    """The instances by number, the numbered endpoint lists that they share, and the batch being read."""
 
     def __init__(self) -> None:
         self.instances: dict[int, Balancer] = {}
-        self.lists: dict[int, list[api.Endpoint]] = {}
-        self.rows_due = 0
+        self.endpoint_lists: dict[int, list[api.Endpoint]] = {}
+        self.rows_due = 0  # of the list being read
         self.rows: list[api.Endpoint] = []
-        self.now: int | None = None
+        self.now_us: int | None = None  # None: outside a batch
         self.turn = "0"
-        self.instance = 0  # of the line being read, to have a fault named after it
+        self.instance = 0  # of the line being read, to name it in a fault
         self.reply: list[str] = []
 
-    def line(self, line: str) -> bool:
-        """Take one line of a batch; true when the batch is whole and its reply complete."""
-        name, fields = wire.split_line(line)
-        if name == "ROUND":
-            if self.now is not None:
-                raise wire.WireError("ROUND before the last batch's FLUSH")
-            self.now, self.turn, self.reply = wire.whole(fields, "clockUs"), wire.text(fields, "turn"), []
+    def receive(self, line: str) -> bool:
+        """Handle one line of a batch; true when the batch is complete, and so is its reply.
+
+        Raises WireError, or SettingsError for an instance's settings.
+        """
+        name, fields = parse_line(line)
+        if name == Message.BATCH_STARTED:
+            self._start_batch(fields)
             return False
-        if self.now is None:
-            raise wire.WireError(f"{name} outside a batch")
-        if name == "ROW":
-            if self.rows_due == 0:
-                raise wire.WireError("ROW beyond the number that ROSTER gave")
-            self.rows.append(wire.list_entry(fields))
-            self.rows_due -= 1
+        if self.now_us is None:
+            raise WireError(f"{name} outside a batch")
+        if name == Message.ENDPOINT:
+            self._add_row(fields)
             return False
         if self.rows_due:
-            raise wire.WireError(f"{name} where {self.rows_due} more ROW lines are due")
-        if name == "FLUSH":
-            self.now = None
-            self.reply.append(f"READY\tturn={self.turn}")
+            raise WireError(f"{name} where {self.rows_due} more ROW lines are due")
+        if name == Message.BATCH_ENDED:
+            self.now_us = None
+            self.reply.append(wire.ready_line(self.turn))
             return True
-        if name == "ROSTER":
-            self.rows_due, self.rows = wire.whole(fields, "rowsIn"), []
-            if self.rows_due < 0:
-                raise wire.WireError("rowsIn is negative")
-            self.lists[wire.whole(fields, "buffer")] = self.rows
-            return False
-        self.event(name, fields, self.now)
+        if name == Message.ENDPOINT_LIST:
+            self._start_list(fields)
+        else:
+            self._handle(name, fields, self.now_us)
         return False
 
-    def event(self, name: str, fields: wire.Fields, now: int) -> None:
-        """Hand one event to its instance and keep what it answers."""
-        self.instance = wire.whole(fields, "balancer")
-        if name == "CONFIGURE":
-            seed, profile = wire.whole(fields, "prng"), wire.text(fields, "profileData")
-            balancer = Balancer(settings(profile), seed)
-            self.instances[self.instance] = balancer
-            self.keep(balancer.start(now))
-            return
-        if name == "TEARDOWN":
+    def _start_batch(self, fields: Fields) -> None:
+        if self.now_us is not None:
+            raise WireError("ROUND before the last batch's FLUSH")
+        self.now_us = fields.integer("clockUs")
+        self.turn = fields.text("turn")
+        self.reply = []
+
+    def _start_list(self, fields: Fields) -> None:
+        self.rows_due = fields.integer("rowsIn")
+        self.rows = []
+        if self.rows_due < 0:
+            raise WireError("rowsIn is negative")
+        self.endpoint_lists[fields.integer("buffer")] = self.rows
+
+    def _add_row(self, fields: Fields) -> None:
+        if self.rows_due == 0:
+            raise WireError("ROW beyond the number that ROSTER gave")
+        self.rows.append(wire.endpoint(fields))
+        self.rows_due -= 1
+
+    def _handle(self, name: str, fields: Fields, now_us: int) -> None:
+        """Hand a message to its instance, and add the actions to the reply."""
+        self.instance = fields.integer("balancer")
+        if name == Message.START_INSTANCE:
+            self._start_instance(fields, now_us)
+        elif name == Message.STOP_INSTANCE:
             self.instances.pop(self.instance, None)
-            return
-        event: api.Event | None
-        if name == "FLEET":
-            kind = wire.text(fields, "kind")
-            rows: list[api.Endpoint] = []
-            if wire.LIST_KINDS.get(kind) is not api.EndpointUpdateKind.FAILED:
-                buffer = wire.whole(fields, "buffer")
-                if buffer not in self.lists:
-                    raise wire.WireError(f"FLEET names list {buffer}, which no ROSTER defined")
-                rows = self.lists[buffer]
-            event = wire.server_list(kind, rows)
+        elif name == Message.ENDPOINT_UPDATE:
+            self._dispatch(self._endpoint_update(fields), now_us)
         elif name in wire.EVENTS:
-            event = wire.EVENTS[name](fields)
-        else:
-            return
-        host = self.instances.get(self.instance)
-        if event is not None and host is not None:
-            self.keep(host.handle(now, event))
+            self._dispatch(wire.EVENTS[name](fields), now_us)
+
+    def _start_instance(self, fields: Fields, now_us: int) -> None:
+        seed = fields.integer("prng")
+        balancer = Balancer(parse_settings(fields.text("profileData")), seed)
+        self.instances[self.instance] = balancer
+        self._add_actions(balancer.start(now_us))
 
-    def keep(self, actions: Iterable[api.Action]) -> None:
-        for action in actions:
-            self.reply.append(wire.action_line(self.instance, action))
+    def _endpoint_update(self, fields: Fields) -> api.EndpointUpdate | None:
+        """The update that names an endpoint list; one of an unknown kind is passed over."""
+        kind = wire.UPDATE_KINDS.get(fields.text("kind"))
+        if kind is api.EndpointUpdateKind.FAILED:
+            return api.EndpointUpdate(kind, [])
+        buffer = fields.integer("buffer")
+        if buffer not in self.endpoint_lists:
+            raise WireError(f"FLEET names list {buffer}, which no ROSTER defined")
+        return api.EndpointUpdate(kind, self.endpoint_lists[buffer]) if kind else None
+
+    def _dispatch(self, event: api.Event | None, now_us: int) -> None:
+        balancer = self.instances.get(self.instance)
+        if event is not None and balancer is not None:
+            self._add_actions(balancer.handle(now_us, event))
+
+    def _add_actions(self, actions: Iterable[api.Action]) -> None:
+        self.reply += [wire.action_line(self.instance, action) for action in actions]
 
 
 def serve(source: TextIO, sink: TextIO, errors: TextIO) -> int:
     """Answer batches until the input ends. Returns the exit status."""
     host = Host()
-    for raw in source:
-        line = raw.rstrip("\n")
+    for raw_line in source:
+        line = raw_line.rstrip("\n")
         if not line:
             continue
         try:
-            done = host.line(line)
-        except Exception as error:  # the wire's last word must be plain, whatever failed
-            what = str(error) if isinstance(error, ValueError) else f"{type(error).__name__}: {error}"
-            message = f"{line.split(chr(9), 1)[0][:40]}: {what}"[:300]
-            errors.write(f"wheatstile: {message}\n")
-            if host.now is not None:
-                sink.write(f"{wire.fault_line(host.instance, message)}\nREADY\tturn={host.turn}\n")
-                sink.flush()
-            return 1
-        if done:
-            sink.write("\n".join(host.reply) + "\n")
-            sink.flush()
-    if host.now is not None:
+            is_complete = host.receive(line)
+        except Exception as error:  # the wire's last message must be plain, whatever failed
+            _report_fault(host, _fault_text(line, error), sink, errors)
+            return EXIT_FAULT
+        if is_complete:
+            _write(sink, host.reply)
+    if host.now_us is not None:
         errors.write("wheatstile: the input ended inside a batch\n")
-        return 1
-    return 0
+        return EXIT_FAULT
+    return EXIT_OK
+
+
+def _fault_text(line: str, error: Exception) -> str:
+    reason = str(error) if isinstance(error, ValueError) else f"{type(error).__name__}: {error}"
+    name = line.partition("\t")[0][:MAX_NAME_SHOWN]
+    return f"{name}: {reason}"[:MAX_FAULT_SHOWN]
+
+
+def _report_fault(host: Host, text: str, sink: TextIO, errors: TextIO) -> None:
+    errors.write(f"wheatstile: {text}\n")
+    if host.now_us is not None:
+        _write(sink, [wire.fault_line(host.instance, text), wire.ready_line(host.turn)])
+
+
+def _write(sink: TextIO, lines: Iterable[str]) -> None:
+    sink.write("\n".join(lines) + "\n")
+    sink.flush()
 
 
 if __name__ == "__main__":
--- a/wheatstile/simulator/wire.py
+++ b/wheatstile/simulator/wire.py
@@ -1,18 +1,17 @@
-"""The simulator's wire: lines to events, actions to lines. The tables of its names stand here.
+"""The simulator's wire: messages to events, actions to lines. The tables of its words stand here.
 
-No decision is made here. What is unknown is passed over; what is malformed raises WireError, whose
-text names the fault for whoever reads the log.
+No decision is made here. What is unknown is passed over; what is malformed raises WireError.
 """
 
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Callable, Mapping
+from enum import StrEnum
+from typing import NamedTuple
 
 from wheatstile import interface as api
 from wheatstile.config.endpoints import weight_of
-from wheatstile.config.reports import report_in
-from wheatstile.config.settings import REPORT_NAMES
+from wheatstile.simulator.line import Fields
 
-# The wire's word -> the interface's word.
+# The wire's word -> the interface's.
 OUTCOMES = {
     "pass": api.AttemptOutcome.OK,
     "fault": api.AttemptOutcome.ERROR,
@@ -28,189 +27,159 @@
     "Stopping": api.EndpointState.DRAINING,
     "Deleted": api.EndpointState.GONE,
 }
-LIST_KINDS = {
+UPDATE_KINDS = {
     "update": api.EndpointUpdateKind.DELTA,
     "replace": api.EndpointUpdateKind.FULL,
     "restored": api.EndpointUpdateKind.CACHED,
     "unavailable": api.EndpointUpdateKind.FAILED,
 }
-Fields = dict[str, str]
+TOPIC_LOAD = 1  # of a STATUS_NOTE
+TOPIC_LATENCY = 2
 
 
-class WireError(ValueError):
-    """A line that does not keep to the wire's form."""
+class Message(StrEnum):
+    """The messages that the host handles itself; those of an event stand in EVENTS."""
 
+    BATCH_STARTED = "ROUND"
+    BATCH_ENDED = "FLUSH"
+    ENDPOINT_LIST = "ROSTER"
+    ENDPOINT = "ROW"
+    ENDPOINT_UPDATE = "FLEET"
+    START_INSTANCE = "CONFIGURE"
+    STOP_INSTANCE = "TEARDOWN"
 
-def split_line(line: str) -> tuple[str, Fields]:
-    """The message's name and its fields."""
-    name, *parts = line.split("\t")
-    fields = {}
-    for part in parts:
-        key, mark, value = part.partition("=")
-        if not mark:
-            raise WireError(f"{name}: '{part}' is not name=value")
-        fields[key] = value
-    return name, fields
 
-
-def text(fields: Fields, key: str) -> str:
-    try:
-        return fields[key]
-    except KeyError:
-        raise WireError(f"{key} is missing") from None
-
-
-def whole(fields: Fields, key: str, default: int | None = None) -> int:
-    value = fields.get(key)
-    if value is None:
-        if default is None:
-            raise WireError(f"{key} is missing")
-        return default
-    try:
-        return int(value)
-    except ValueError:
-        raise WireError(f"{key} is not a whole number: {value}") from None
-
-
-def number(fields: Fields, key: str, default: float) -> float:
-    try:
-        return float(fields.get(key, default))
-    except ValueError:
-        raise WireError(f"{key} is not a number: {fields[key]}") from None
-
-
-def flag(fields: Fields, key: str) -> bool:
-    return fields.get(key, "0") == "1"
-
-
-def report(fields: Fields) -> api.LoadReport | None:
-    stats = fields.get("stats")
-    return report_in(stats, ":", REPORT_NAMES) if stats else None
-
-
-def _request(f: Fields) -> api.Request:
+def _request(fields: Fields) -> api.Request:
     return api.Request(
-        text(f, "requestId"),
-        text(f, "service"),
-        whole(f, "expiresInUs"),
-        f.get("resource", ""),
-        f.get("tenant", ""),
-        flag(f, "midflow"),
-        flag(f, "reconnect"),
-        flag(f, "retry"),
-        number(f, "workHintUs", 0.0),
-        f.get("teamId", ""),
+        fields.text("requestId"),
+        fields.text("service"),
+        fields.integer("expiresInUs"),
+        fields.text("resource", ""),
+        fields.text("tenant", ""),
+        fields.flag("midflow"),
+        fields.flag("reconnect"),
+        fields.flag("retry"),
+        fields.number("workHintUs", 0.0),
+        fields.text("teamId", ""),
     )
 
 
-def _open(f: Fields) -> api.ExistingConnection:
+def _existing_connection(fields: Fields) -> api.ExistingConnection:
     return api.ExistingConnection(
-        text(f, "requestId"),
-        text(f, "service"),
-        text(f, "server"),
-        f.get("resource", ""),
-        f.get("tenant", ""),
+        fields.text("requestId"),
+        fields.text("service"),
+        fields.text("server"),
+        fields.text("resource", ""),
+        fields.text("tenant", ""),
     )
 
 
-def _established(f: Fields) -> api.Established:
-    return api.Established(text(f, "requestId"), whole(f, "try"), text(f, "server"), whole(f, "rttUs", 0))
+def _established(fields: Fields) -> api.Established:
+    return api.Established(
+        fields.text("requestId"), fields.integer("try"), fields.text("server"), fields.integer("rttUs", 0)
+    )
 
 
-def _ended(f: Fields) -> api.AttemptEnded | None:
-    outcome = OUTCOMES.get(text(f, "verdict"))
-    if outcome is None:
-        # The attempt is over in a way this page does not know, so that it may have run.
-        outcome = api.AttemptOutcome.ERROR
+def _attempt_ended(fields: Fields) -> api.AttemptEnded:
     return api.AttemptEnded(
-        text(f, "requestId"),
-        whole(f, "try"),
-        text(f, "server"),
-        outcome,
-        whole(f, "rttUs", 0),
-        flag(f, "last"),
-        report(f),
+        fields.text("requestId"),
+        fields.integer("try"),
+        fields.text("server"),
+        _outcome(fields),
+        fields.integer("rttUs", 0),
+        fields.flag("last"),
+        fields.load_report(),
     )
 
 
-def _left(f: Fields) -> api.ClientDisconnected:
-    return api.ClientDisconnected(text(f, "requestId"))
+def _outcome(fields: Fields) -> api.AttemptOutcome:
+    """An unknown word is an error: the attempt is over in some way, so that it may have been executed."""
+    return OUTCOMES.get(fields.text("verdict"), api.AttemptOutcome.ERROR)
+
+
+def _client_disconnected(fields: Fields) -> api.ClientDisconnected:
+    return api.ClientDisconnected(fields.text("requestId"))
 
 
-def _probed(f: Fields) -> api.HealthCheckResult:
-    outcome = OUTCOMES.get(text(f, "verdict"), api.AttemptOutcome.ERROR)
-    return api.HealthCheckResult(text(f, "server"), outcome, whole(f, "rttUs", 0), report(f))
+def _health_check_result(fields: Fields) -> api.HealthCheckResult:
+    return api.HealthCheckResult(
+        fields.text("server"), _outcome(fields), fields.integer("rttUs", 0), fields.load_report()
+    )
 
 
-def _note(f: Fields) -> api.Event | None:
-    topic = whole(f, "topic")
-    if topic == 1:
-        return api.ConnectionLoadChanged(text(f, "requestId"), text(f, "server"), number(f, "x", 0.0))
-    if topic == 2:
-        return api.MessageLatencyChanged(text(f, "requestId"), text(f, "server"), number(f, "x", 0.0))
-    return None
+def _measurement(fields: Fields) -> api.ConnectionLoadChanged | api.MessageLatencyChanged | None:
+    topic = fields.integer("topic")
+    if topic == TOPIC_LOAD:
+        kind: type[api.ConnectionLoadChanged | api.MessageLatencyChanged] = api.ConnectionLoadChanged
+    elif topic == TOPIC_LATENCY:
+        kind = api.MessageLatencyChanged
+    else:
+        return None
+    return kind(fields.text("requestId"), fields.text("server"), fields.number("x", 0.0))
 
 
-def _timer(f: Fields) -> api.TimerFired:
-    return api.TimerFired(text(f, "tag"))
+def _timer_fired(fields: Fields) -> api.TimerFired:
+    return api.TimerFired(fields.text("tag"))
 
 
-# Events that need nothing but their own line. CONFIGURE, ROSTER, ROW, FLEET and TEARDOWN are the host's.
-EVENTS: dict[str, Callable[[Fields], api.Event | None]] = {
+# Messages that are one event each, and need nothing but their own line.
+EVENTS: Mapping[str, Callable[[Fields], api.Event | None]] = {
     "ARRIVAL": _request,
-    "EXISTING": _open,
+    "EXISTING": _existing_connection,
     "ACCEPTED": _established,
-    "RESOLVED": _ended,
-    "ABORTED": _left,
-    "CHECKED": _probed,
-    "STATUS_NOTE": _note,
-    "BELL": _timer,
+    "RESOLVED": _attempt_ended,
+    "ABORTED": _client_disconnected,
+    "CHECKED": _health_check_result,
+    "STATUS_NOTE": _measurement,
+    "BELL": _timer_fired,
 }
 
 
-def list_entry(f: Fields) -> api.Endpoint:
-    """One row of a server list. An unknown state gets no new connections, as if it drained."""
+def endpoint(fields: Fields) -> api.Endpoint:
+    """One row of an endpoint list. One of an unknown state gets nothing new, as if it were draining."""
     return api.Endpoint(
-        text(f, "server"),
-        STATES.get(text(f, "status"), api.EndpointState.DRAINING),
-        f.get("az", ""),
-        whole(f, "cohort", 0),
-        weight_of(number(f, "share", 1.0)),
-        whole(f, "startTimeUs", 0),
+        fields.text("server"),
+        STATES.get(fields.text("status"), api.EndpointState.DRAINING),
+        fields.text("az", ""),
+        fields.integer("cohort", 0),
+        weight_of(fields.number("share", 1.0)),
+        fields.integer("startTimeUs", 0),
     )
 
 
-def server_list(kind: str, entries: list[api.Endpoint]) -> api.EndpointUpdate | None:
-    """The list event; an unknown kind is passed over."""
-    if kind not in LIST_KINDS:
-        return None
-    return api.EndpointUpdate(LIST_KINDS[kind], entries)
+class ActionForm(NamedTuple):
+    """An action's name on the wire, and its fields there by the attribute that each holds."""
 
+    name: str
+    attributes: Mapping[str, str]
+    constant: str = ""  # a field that is always the same
 
-def _send(a: api.StartAttempt) -> str:
-    return f"requestId={a.id}\tserver={a.server}\tlimitUs={a.timeout_us}"
 
-
-def _refuse(a: api.Reject) -> str:
-    return f"requestId={a.id}\tcoolDownUs={a.retry_after_us}"
-
-
-# The action's type -> its name on the wire and its fields.
-ACTIONS: dict[type, tuple[str, Callable[[Any], str]]] = {
-    api.StartAttempt: ("TRANSMIT", _send),
-    api.Reject: ("SAY_NO", _refuse),
-    api.Fail: ("ABORT", lambda a: f"requestId={a.id}"),
-    api.Migrate: ("MIGRATE", lambda a: f"requestId={a.id}"),
-    api.CheckHealth: ("PROBE", lambda a: f"server={a.server}"),
-    api.SetTimer: ("ARM", lambda a: f"waitUs={a.delay_us}\ttag={a.token}"),
-    api.WatchEndpoints: ("STREAM_CHANGES", lambda a: "on=1"),
+ACTIONS: Mapping[type, ActionForm] = {
+    api.StartAttempt: ActionForm(
+        "TRANSMIT", {"requestId": "id", "server": "server", "limitUs": "timeout_us"}
+    ),
+    api.Reject: ActionForm("SAY_NO", {"requestId": "id", "coolDownUs": "retry_after_us"}),
+    api.Fail: ActionForm("ABORT", {"requestId": "id"}),
+    api.Migrate: ActionForm("MIGRATE", {"requestId": "id"}),
+    api.CheckHealth: ActionForm("PROBE", {"server": "server"}),
+    api.SetTimer: ActionForm("ARM", {"waitUs": "delay_us", "tag": "token"}),
+    api.WatchEndpoints: ActionForm("STREAM_CHANGES", {}, "on=1"),
 }
 
 
 def action_line(instance: int, action: api.Action) -> str:
     """One line of a reply."""
-    name, fields = ACTIONS[type(action)]
-    return f"{name}\tbalancer={instance}\t{fields(action)}"
+    form = ACTIONS[type(action)]
+    line = f"{form.name}\tbalancer={instance}"
+    for key, attribute in form.attributes.items():
+        line += f"\t{key}={getattr(action, attribute)}"
+    return f"{line}\t{form.constant}" if form.constant else line
+
+
+def ready_line(turn: str) -> str:
+    """The line that ends the reply to a batch."""
+    return f"READY\tturn={turn}"
 
 
 def fault_line(instance: int, message: str) -> str:
