--- a/tests/support/servers_section.py
+++ b/tests/support/servers_section.py
@@ -8,7 +8,7 @@
 from world import settings
 
 from wheatstile.config.operator import OperatorFile, parse
-from wheatstile.config.platform import ServerLimits
+from wheatstile.config.platform import UpstreamLimits
 from wheatstile.net.decision_loop import DecisionLoop
 from wheatstile.net.discovery_watcher import DiscoveryOnlyObserver, DiscoveryWatcher
 from wheatstile.net.upstream_pool import UpstreamPool
@@ -22,7 +22,7 @@
 
     def __init__(self, folder: Path) -> None:
         self.decisions = DecisionLoop(settings(), 1)
-        self.upstreams = UpstreamPool(self.decisions, ServerLimits(1.0, 1.0, False, 0.0, 100))
+        self.upstreams = UpstreamPool(self.decisions, UpstreamLimits(1.0, 1.0, False, 0.0, 100))
         observer = DiscoveryOnlyObserver(self.decisions, self.upstreams)
         self.discovery_watcher = DiscoveryWatcher(self.decisions, observer, UNUSED_ADDRESS)
         self.decisions.start(self.upstreams, self.discovery_watcher)
--- a/wheatstile/resolvers/endpoint_rows.py
+++ b/wheatstile/resolvers/endpoint_rows.py
@@ -106,7 +106,7 @@
 
     def _add_invalid(self, index: int, value: JsonValue) -> None:
         """Report what is wrong with the row's form, and with those values that have the right type."""
-        self.violations += shape.faults(value, EndpointRow, ("servers", index))
+        self.violations += shape.find_violations(value, EndpointRow, ("servers", index))
         if not isinstance(value, dict):
             return
         name = value.get("id")
