--- a/benchmarks/descriptions.py
+++ b/benchmarks/descriptions.py
@@ -24,7 +24,8 @@
 
 from servers_file import Balancer, Pings, ms  # noqa: E402
 
-from wheatstile.descriptions.routes import Matcher, path_tokens, split_path  # noqa: E402
+from wheatstile.descriptions.route_matcher import Matcher  # noqa: E402
+from wheatstile.descriptions.routes import path_tokens, split_path  # noqa: E402
 
 WORKER = "import sys; from wheatstile.descriptions import reader; reader.compile_paths([sys.argv[1]])"
 
@@ -124,7 +125,7 @@
     )
     balancer.arguments = ("serve", "--file", str(folder / "operator.json"))
     balancer.start([])
-    balancer.logged("descriptions taken")
+    balancer.logged("descriptions_applied")
     found = []
     for changing in (False, True):
         pings = Pings(balancer.listen)
@@ -132,7 +133,7 @@
         for number in range(rounds):
             if changing:
                 write(folder / "api.yaml", operations + number + 1)
-                balancer.logged("descriptions taken")
+                balancer.logged("descriptions_applied")
             else:
                 time.sleep(2.0)
         one = pings.stop()
--- a/tests/descriptions/fuzz_reader.py
+++ b/tests/descriptions/fuzz_reader.py
@@ -1,6 +1,6 @@
-"""Fuzzes the reader with coverage: `make fuzz`. Not among the tests: it runs for as long as it is let.
+"""Fuzzes the reader, guided by coverage: `make fuzz`. No test: it runs until it is stopped.
 
-Any error but the reader's own ends it, with the bytes that brought it kept in a file of its own.
+Any error but the reader's own ends it; the input that caused it is kept in a file.
 """
 
 import atexit
@@ -12,8 +12,8 @@
 import atheris
 
 with atheris.instrument_imports(include=["wheatstile.descriptions", "wheatstile.config"]):
-    from wheatstile.descriptions.model import DescriptionError
-    from wheatstile.descriptions.reader import read
+    from wheatstile.descriptions.findings import InvalidDescriptionError
+    from wheatstile.descriptions.reader import read_descriptions
 
 FOLDER = Path(tempfile.mkdtemp())
 atexit.register(shutil.rmtree, FOLDER, ignore_errors=True)
@@ -25,17 +25,18 @@
 )
 
 
-def one(data: bytes) -> None:
+def read_fuzzed_file(data: bytes) -> None:
+    """Read a description that begins well and goes on with fuzzed bytes."""
     provider = atheris.FuzzedDataProvider(data)
     start = STARTS[provider.ConsumeIntInRange(0, len(STARTS) - 1)]
     path = FOLDER / ("a.json" if provider.ConsumeBool() else "a.yaml")
     path.write_bytes(start.encode() + provider.ConsumeBytes(4096))
     try:
-        read([path])
-    except DescriptionError as error:
+        read_descriptions([path])
+    except InvalidDescriptionError as error:
         assert error.lines()
 
 
 if __name__ == "__main__":
-    atheris.Setup(sys.argv, one)
+    atheris.Setup(sys.argv, read_fuzzed_file)
     atheris.Fuzz()
--- a/tests/descriptions/test_reader.py
+++ b/tests/descriptions/test_reader.py
@@ -1,4 +1,4 @@
-"""Files that are meant to hurt: a clear error each, within bounds; and any bytes at all."""
+"""Malicious and malformed files: each is rejected with a clear reason, within bounds."""
 
 import os
 from pathlib import Path
@@ -7,9 +7,9 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from wheatstile.descriptions import text
-from wheatstile.descriptions.model import DescriptionError
-from wheatstile.descriptions.reader import read
+from wheatstile.descriptions.findings import InvalidDescriptionError
+from wheatstile.descriptions.parsed_file import MAX_FILE_BYTES
+from wheatstile.descriptions.reader import read_descriptions
 
 BOMB = "a: &a [x, x, x, x, x, x, x, x, x, x]\n" + "".join(
     f"{new}: &{new} [{', '.join(['*' + old] * 10)}]\n"
@@ -18,7 +18,7 @@
 
 
 @pytest.mark.parametrize(
-    ("name", "data", "told"),
+    ("name", "data", "reason"),
     [
         ("a.yaml", b"openapi: 3.1.0\nx: \0", "a.yaml:2: /: a NUL byte"),
         ("a.yaml", b"openapi: \xff", "no UTF-8"),
@@ -34,28 +34,28 @@
         ("a.yaml", b"b: &b {}\na: {<<: *b}", "a merge key"),
         ("a.yaml", b"? [a]\n: b", "a key that is no text"),
         ("a.yaml", b"a: 1\n---\nb: 2", "more than one document"),
-        ("a.yaml", b"#" * (text.MOST_BYTES + 1), "at most"),
+        ("a.yaml", b"#" * (MAX_FILE_BYTES + 1), "at most"),
         ("a.yaml", b"", "is no description"),
     ],
 )
-def test_a_file_that_is_meant_to_hurt_is_refused(tmp_path: Path, name: str, data: bytes, told: str) -> None:
+def test_malicious_file_is_rejected(tmp_path: Path, name: str, data: bytes, reason: str) -> None:
     (tmp_path / name).write_bytes(data)
-    with pytest.raises(DescriptionError, match=None) as error:
-        read([tmp_path / name])
-    assert told in " ".join(error.value.lines())
+    with pytest.raises(InvalidDescriptionError) as error:
+        read_descriptions([tmp_path / name])
+    assert reason in " ".join(error.value.lines())
 
 
-def test_what_is_no_file_is_refused(tmp_path: Path) -> None:
+def test_path_that_is_no_regular_file_is_rejected(tmp_path: Path) -> None:
     os.mkfifo(tmp_path / "a.yaml")
-    for path, told in ((tmp_path / "a.yaml", "a FIFO"), (tmp_path / "b.yaml", "No such file")):
-        with pytest.raises(DescriptionError, match=told):
-            read([path])
+    for path, reason in ((tmp_path / "a.yaml", "a FIFO"), (tmp_path / "b.yaml", "No such file")):
+        with pytest.raises(InvalidDescriptionError, match=reason):
+            read_descriptions([path])
     (tmp_path / "in").mkdir()
-    with pytest.raises(DescriptionError, match="no file ends in"):
-        read([tmp_path / "in"])
+    with pytest.raises(InvalidDescriptionError, match="no file ends in"):
+        read_descriptions([tmp_path / "in"])
     (tmp_path / "in" / "a.yaml").symlink_to("/etc/hostname")
-    with pytest.raises(DescriptionError, match="leaves the folder"):
-        read([tmp_path / "in"])
+    with pytest.raises(InvalidDescriptionError, match="leaves the folder"):
+        read_descriptions([tmp_path / "in"])
 
 
 START = b"openapi: 3.1.0\ninfo: {title: t, version: '1'}\npaths: {/a: {get: {$ref: '#/x'}}}\n"
@@ -66,9 +66,9 @@
     st.binary(max_size=60) | st.binary(max_size=8).map(lambda data: START + data),
     st.sampled_from([".yaml", ".json"]),
 )
-def test_no_bytes_bring_any_other_error(tmp_path: Path, data: bytes, ending: str) -> None:
+def test_no_content_raises_any_other_error(tmp_path: Path, data: bytes, ending: str) -> None:
     (tmp_path / f"a{ending}").write_bytes(data)
     try:
-        read([tmp_path / f"a{ending}"])
-    except DescriptionError as error:
+        read_descriptions([tmp_path / f"a{ending}"])
+    except InvalidDescriptionError as error:
         assert error.lines()
--- /dev/null
+++ b/tests/descriptions/test_tightening.py
@@ -0,0 +1,44 @@
+"""Settings of classes tightened by descriptions."""
+
+import pytest
+
+from wheatstile.descriptions.tightening import tighten_settings
+from wheatstile.descriptions.worker_protocol import LearnedClass
+from wheatstile.interface import DeduplicationScope, Idempotency, ServiceClass, Settings
+
+KEY = Idempotency.IDEMPOTENCY_KEY
+SAFE = Idempotency.IDEMPOTENT
+UNSAFE = Idempotency.NON_IDEMPOTENT
+ALL = DeduplicationScope.ALL
+ZONE = DeduplicationScope.ZONE
+CELL = DeduplicationScope.CELL
+UNKNOWN = DeduplicationScope.UNKNOWN
+
+Policy = tuple[Idempotency, DeduplicationScope, int]  # idempotency, scope, window in microseconds
+
+
+def settings_of(policy: Policy) -> Settings:
+    """Settings with one class, `web`."""
+    service_class = ServiceClass("web", 300_000, *policy)
+    return Settings(1, "here", {"web": service_class}, 5, 0.2, 20_000_000, 3.0)
+
+
+@pytest.mark.parametrize(
+    ("platform", "learned", "expected"),
+    [
+        ((SAFE, ALL, 0), (UNSAFE, ALL, 0), (UNSAFE, ALL, 0)),
+        ((UNSAFE, ALL, 0), (SAFE, ALL, 0), (UNSAFE, ALL, 0)),
+        ((SAFE, ALL, 0), (KEY, ZONE, 60), (KEY, ZONE, 60)),
+        ((KEY, CELL, 30), (KEY, ZONE, 60), (KEY, CELL, 30)),
+        ((KEY, ALL, 60), (KEY, ZONE, 30), (KEY, ZONE, 30)),
+        ((KEY, UNKNOWN, 60), (KEY, CELL, 30), (KEY, UNKNOWN, 30)),
+    ],
+)
+def test_the_stricter_of_the_two_holds(platform: Policy, learned: Policy, expected: Policy) -> None:
+    tightened = tighten_settings(settings_of(platform), {"web": LearnedClass(*learned)})
+    assert tightened == settings_of(expected)
+
+
+def test_class_that_the_settings_lack_is_left_out() -> None:
+    settings = settings_of((SAFE, ALL, 0))
+    assert tighten_settings(settings, {"slow": LearnedClass(UNSAFE, ALL, 0)}) == settings
--- /dev/null
+++ b/tests/descriptions/test_worker_protocol.py
@@ -0,0 +1,64 @@
+"""The JSON between the balancer and the worker: its keys, and names that are not valid UTF-8."""
+
+import json
+
+import pytest
+
+from wheatstile.config.operator import Operator
+from wheatstile.descriptions.worker_protocol import (
+    ClassSettings,
+    CompilationRejected,
+    CompilationResult,
+    CompilationSummary,
+    CompileRequest,
+    LearnedClass,
+    decode_result,
+    encode_result,
+)
+from wheatstile.interface import DeduplicationScope, Idempotency
+
+UNDECODABLE_NAME = "caf\udce9.yaml"  # as os.fsdecode gives it
+SUMMARY = CompilationSummary(
+    classes={"web": LearnedClass(Idempotency.IDEMPOTENCY_KEY, DeduplicationScope.ZONE, 60)},
+    route_count=1,
+    files=[UNDECODABLE_NAME],
+    warnings=["w"],
+)
+SUMMARY_JSON = {
+    "classes": {"web": ["keyed", "zone", 60]},
+    "routes": 1,
+    "read": [UNDECODABLE_NAME],
+    "warnings": ["w"],
+}
+REJECTED = CompilationRejected(reasons=["r"], reason_count=7)
+REJECTED_JSON = {"refused": ["r"], "faults": 7}
+
+
+@pytest.mark.parametrize(
+    ("result", "fields"), [(SUMMARY, SUMMARY_JSON), (REJECTED, REJECTED_JSON)], ids=["summary", "rejected"]
+)
+def test_result_round_trips_with_its_json_keys(result: CompilationResult, fields: object) -> None:
+    encoded = encode_result(result)
+    assert json.loads(encoded) == fields
+    assert decode_result(encoded) == result
+
+
+@pytest.mark.parametrize("data", [b"", b"[]", b"{}", b'{"refused": 1}', b"\xff"])
+def test_result_that_is_none_raises_value_error(data: bytes) -> None:
+    with pytest.raises(ValueError):
+        decode_result(data)
+
+
+def test_request_round_trips_with_its_json_keys() -> None:
+    settings = ClassSettings(Idempotency.IDEMPOTENT, DeduplicationScope.UNKNOWN, 0, 2_000_000)
+    request = CompileRequest(
+        operator_path=f"/etc/{UNDECODABLE_NAME}",
+        classes={"web": settings},
+        settings=Operator(),
+        max_attempts=5,
+    )
+    encoded = request.encode()
+    fields = json.loads(encoded)
+    assert fields.keys() == {"operator", "classes", "settings", "max_attempts"}
+    assert fields["classes"] == {"web": ["safe", "unknown", 0, 2_000_000]}
+    assert CompileRequest.decode(encoded) == request
--- a/wheatstile/cli/check.py
+++ b/wheatstile/cli/check.py
@@ -85,13 +85,14 @@
     if not (section.paths or section.rules or section.classes):
         return []
     from wheatstile.descriptions import reader
-    from wheatstile.descriptions.model import DescriptionError
+    from wheatstile.descriptions.findings import InvalidDescriptionError
+    from wheatstile.descriptions.worker_protocol import class_settings
 
-    facts = reader.facts_of(platform) if platform else None
+    classes = reader.class_policies(class_settings(platform)) if platform else None
     attempts = platform.settings.max_attempts if platform else 5
     try:
-        compiled, _ = reader.compile_paths(map(found.near, section.paths), found, facts, attempts)
-    except DescriptionError as error:
+        compiled, _ = reader.compile_paths(map(found.near, section.paths), found, classes, attempts)
+    except InvalidDescriptionError as error:
         return error.lines()
     notes += [f"to the end: {warning}" for warning in compiled.warnings]
     return []
--- a/wheatstile/cli/descriptions.py
+++ b/wheatstile/cli/descriptions.py
@@ -13,8 +13,11 @@
 from wheatstile.config.platform import Config, ConfigError
 from wheatstile.config.violations import ConfigurationError
 from wheatstile.descriptions import reader
-from wheatstile.descriptions.compile import Compiled, Route
-from wheatstile.descriptions.model import NARROWER, TIGHTER, DescriptionError
+from wheatstile.descriptions.compile_types import CompiledDescriptions, Route
+from wheatstile.descriptions.findings import InvalidDescriptionError
+from wheatstile.descriptions.model import SCOPE_NARROWNESS, is_stricter
+from wheatstile.descriptions.worker_protocol import class_settings
+from wheatstile.interface import Idempotency
 
 LOOSENS = 3  # exit status of a comparison
 
@@ -31,7 +34,7 @@
     def invoke(self, context: click.Context) -> Any:
         try:
             return super().invoke(context)
-        except DescriptionError as error:
+        except InvalidDescriptionError as error:
             return refuse(error.lines())
         except ConfigurationError as refused:
             return refuse(refused.lines())
@@ -46,14 +49,14 @@
 
 def _compiled(
     paths: tuple[str, ...], operator_file: str | None = None, config: str | None = None, strict: bool = False
-) -> tuple[Compiled, reader.Reading, bool]:
+) -> tuple[CompiledDescriptions, reader.DescriptionSet, bool]:
     """What the descriptions come to, and whether the platform's classes are known."""
     config = config or os.environ.get("RELAY_CONFIG")
     found = operator.read(operator_file) if operator_file else None
     platform = Config.read({**os.environ, "RELAY_CONFIG": config}) if config else None
-    facts = reader.facts_of(platform) if platform else None
+    classes = reader.class_policies(class_settings(platform)) if platform else None
     attempts = platform.settings.max_attempts if platform else 5
-    compiled, reading = reader.compile_paths(paths, found, facts, attempts, strict)
+    compiled, reading = reader.compile_paths(paths, found, classes, attempts, strict)
     return compiled, reading, platform is not None
 
 
@@ -71,9 +74,12 @@
     click.echo(
         f"holds: {count} descriptions, {len(compiled.routes)} routes, {len(compiled.warnings)} warnings"
     )
-    for name, facts in sorted(compiled.classes.items()):
-        more = f", known for {facts.window / 1e6:g} s, scope {facts.scope}" if facts.repeat == "keyed" else ""
-        click.echo(f"class {name}: {facts.repeat}{more}")
+    for name, policy in sorted(compiled.classes.items()):
+        more = ""
+        if policy.idempotency is Idempotency.IDEMPOTENCY_KEY:
+            window_s = policy.deduplication_window_us / 1e6
+            more = f", known for {window_s:g} s, scope {policy.deduplication_scope}"
+        click.echo(f"class {name}: {policy.idempotency}{more}")
     if not known:
         click.echo(
             "not checked: against the platform's classes: neither --config nor RELAY_CONFIG names them"
@@ -87,15 +93,15 @@
         "action": operation.action,
         "route": route.template,
         "class": route.service_class,
-        "repeat": route.verdict.repeat,
-        "why": f"{route.verdict.why} ({route.verdict.place.short()})",
-        "place": operation.place.short(),
+        "repeat": route.retry_safety.idempotency.value,
+        "why": f"{route.retry_safety.reason} ({route.retry_safety.location.short()})",
+        "place": operation.location.short(),
         "operation": operation.id,
-        "description": operation.place.file,
+        "description": operation.location.file,
         "queue": operation.queue_group,
         "reply": operation.reply,
         "messages": [
-            {"name": one.name, "discriminator": one.discriminator, "most_bytes": one.most_bytes}
+            {"name": one.name, "discriminator": one.discriminator, "most_bytes": one.max_bytes}
             for one in operation.messages
         ],
     }
@@ -144,39 +150,46 @@
     return 0
 
 
-def _changes(old: Compiled, new: Compiled) -> Iterator[tuple[str, bool]]:
+def _changes(old: CompiledDescriptions, new: CompiledDescriptions) -> Iterator[tuple[str, bool]]:
     """Each change as a sentence, and whether it loosens what may be repeated."""
     before = {(one.operation.action, one.template): one for one in old.routes}
     after = {(one.operation.action, one.template): one for one in new.routes}
     for key in sorted(before.keys() | after.keys()):
         name, was, now = f"{key[0]} {key[1]}", before.get(key), after.get(key)
         if was is None and now:
-            yield f"{name}: added, {now.verdict.repeat}, class {now.service_class or 'none'}", False
+            yield f"{name}: added, {now.retry_safety.idempotency}, class {now.service_class or 'none'}", False
         elif now is None and was:
             yield f"{name}: removed", False
         elif was and now:
             yield from _route_changes(name, was, now)
     for name in sorted(old.classes.keys() & new.classes.keys()):
         one, other = old.classes[name], new.classes[name]
-        if one.repeat != other.repeat:
-            yield f"class {name}: {one.repeat} -> {other.repeat}", TIGHTER[other.repeat] < TIGHTER[one.repeat]
+        if one.idempotency != other.idempotency:
+            looser = is_stricter(one.idempotency, other.idempotency)
+            yield f"class {name}: {one.idempotency} -> {other.idempotency}", looser
 
 
 def _route_changes(name: str, was: Route, now: Route) -> Iterator[tuple[str, bool]]:
     if was.service_class != now.service_class:
         yield f"{name}: class {was.service_class or 'none'} -> {now.service_class or 'none'}", False
-    one, other = was.verdict, now.verdict
-    if one.repeat != other.repeat:
-        looser = TIGHTER[other.repeat] < TIGHTER[one.repeat]
+    one, other = was.retry_safety, now.retry_safety
+    if one.idempotency != other.idempotency:
+        looser = is_stricter(one.idempotency, other.idempotency)
         word = "becomes repeatable" if looser else "ceases to be repeatable"
-        yield f"{name}: {word}, {one.repeat} -> {other.repeat} ({other.why}, {other.place.short()})", looser
-    elif one.repeat == "keyed":
-        if one.scope != other.scope:
-            yield f"{name}: scope {one.scope} -> {other.scope}", NARROWER[other.scope] < NARROWER[one.scope]
-        if one.window != other.window:
+        change = f"{one.idempotency} -> {other.idempotency}"
+        yield f"{name}: {word}, {change} ({other.reason}, {other.location.short()})", looser
+    elif one.idempotency is Idempotency.IDEMPOTENCY_KEY:
+        scope, new_scope = one.deduplication_scope, other.deduplication_scope
+        window_us, new_window_us = one.deduplication_window_us, other.deduplication_window_us
+        if scope != new_scope:
             yield (
-                f"{name}: known for {one.window / 1e6:g} s -> {other.window / 1e6:g} s",
-                other.window > one.window,
+                f"{name}: scope {scope} -> {new_scope}",
+                SCOPE_NARROWNESS[new_scope] < SCOPE_NARROWNESS[scope],
+            )
+        if window_us != new_window_us:
+            yield (
+                f"{name}: known for {window_us / 1e6:g} s -> {new_window_us / 1e6:g} s",
+                new_window_us > window_us,
             )
 
 
@@ -206,12 +219,12 @@
 @click.option("--out", required=True, metavar="FILE.svg")
 def graph(paths: tuple[str, ...], operator_file: str | None, config: str | None, out: str) -> int:
     """Draw services, routes and classes as a picture."""
-    from wheatstile.descriptions.graph import drawing
+    from wheatstile.descriptions.graph import draw
 
     compiled, reading, _ = _compiled(paths, operator_file, config)
     titles = {one.file: one.title or one.file for one in reading.descriptions}
     try:
-        drawing(compiled.routes, titles).save_svg(out)
+        draw(compiled.routes, titles).save_svg(out)
     except OSError as error:
         return refuse([f"{out}: {error.strerror or error}"])
     click.echo(f"{out}: {len(compiled.routes)} routes")
--- a/wheatstile/config/operator.py
+++ b/wheatstile/config/operator.py
@@ -74,8 +74,8 @@
     )
 
 
-class ClassWord(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
-    """The operator's own word on a class."""
+class ClassOverride(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """What the operator says of a class, whatever its descriptions say."""
 
     repeat: Repeat
 
@@ -87,7 +87,7 @@
     rules: Annotated[list[DescriptionRule], _told("in order; the first that fits counts")] = msgspec.field(
         default_factory=list
     )
-    classes: Annotated[dict[str, ClassWord], _told("by name")] = msgspec.field(default_factory=dict)
+    classes: Annotated[dict[str, ClassOverride], _told("by name")] = msgspec.field(default_factory=dict)
     require_class: Annotated[bool, _told("refuse operations that nothing gives a class")] = False
     strict: Annotated[bool, _told("warnings are conflicts")] = False
     settle_s: Annotated[float, _told("how long changed files must stand unchanged", ge=0.02, le=60)] = 0.5
--- a/wheatstile/descriptions/asyncapi.py
+++ b/wheatstile/descriptions/asyncapi.py
@@ -1,171 +1,200 @@
-"""AsyncAPI 2.6 and 3.0: channels, who sends what on them, and what that says of being repeated. Pure.
+"""AsyncAPI 2.6 and 3.0: channels, what the application does on them, and whether it may be retried. Pure.
 
-`send` and `receive` are from the application's view, the one that the document describes: what it sends,
-others receive. 3.0 says so; 2.6 says the reverse, and its `publish` (others may publish) is read as
-`receive`, its `subscribe` as `send`.
+`send` and `receive` are from the view of the application that the document describes, as in AsyncAPI 3.0.
+In 2.6 the verbs are those of the others: `publish` (others may publish) is read as `receive`, `subscribe` as
+`send`.
 """
 
 import re
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
 from functools import partial
-from typing import Any
 
 from jsonschema import Draft202012Validator
 
-from wheatstile.descriptions import common
 from wheatstile.descriptions.asyncapi_schema import SCHEMAS
+from wheatstile.descriptions.document import MAX_SCHEMA_FINDINGS, build_description, schema_finding
+from wheatstile.descriptions.extensions import retry_extension_of, service_class_of, timeout_of
+from wheatstile.descriptions.findings import InvalidDescriptionError, SourceLocation
 from wheatstile.descriptions.model import (
     Description,
-    DescriptionError,
-    Finding,
+    Extension,
+    JsonValue,
     Message,
+    MessageAction,
     Operation,
-    Place,
-    Verdict,
+    OperationKind,
+    RetrySafety,
 )
-from wheatstile.descriptions.refs import Located
-
-SENSE_2 = {"publish": "receive", "subscribe": "send"}
+from wheatstile.descriptions.references import DocumentNode
+from wheatstile.descriptions.schema_size import discriminator_of, max_json_bytes
+from wheatstile.interface import Idempotency
+
+VERSION_KEY = "asyncapi"
+VERSION_2 = "2.6"
+VERSION_3 = "3.0"
+VERSIONS = (VERSION_2, VERSION_3)
+ACTIONS_OF_VERSION_2: Mapping[str, MessageAction] = {
+    "publish": MessageAction.RECEIVE,
+    "subscribe": MessageAction.SEND,
+}
 PARAMETER = re.compile(r"\{([^{}]*)\}")
+ANY_TOKEN = "*"
+SUBJECT_SEPARATOR = "."
+ADDRESS_SEPARATOR = "/"  # of addresses that are paths; others are separated as subjects are
+
 
+@dataclass(frozen=True, slots=True)
+class _OperationSource:
+    """Where the parts of one operation stand in a document of either version."""
 
-def version_of(value: Any) -> str | None:
-    """ "2.6" or "3.0"; None if this is no AsyncAPI document of those."""
-    found = value.get("asyncapi") if isinstance(value, dict) else None
-    match = re.fullmatch(r"(2\.6|3\.0)\.\d+(-.*)?", found) if isinstance(found, str) else None
-    return match[1] if match else None
+    action: str
+    address: str
+    name: str
+    channel: DocumentNode
+    operation: DocumentNode
+    messages: list[DocumentNode]
+    reply: str = ""  # address of the channel for replies
 
 
-def read(root: Located, version: str) -> Description:
-    """The operations of one document. Raises DescriptionError with every fault found."""
+def read_asyncapi(root: DocumentNode, version: str) -> Description:
+    """Return the operations of a document. Raises InvalidDescriptionError with every finding."""
     validator = Draft202012Validator(SCHEMAS[version])
-    findings = [common.schema_finding(error, root.text.place) for error in validator.iter_errors(root.value)]
+    findings = [schema_finding(error, root.file.locate) for error in validator.iter_errors(root.value)]
     if findings:
-        raise DescriptionError(findings[:100])
-    found = _operations_2(root) if version == "2.6" else _operations_3(root)
-    return common.described(root, f"asyncapi {version}", (partial(_operation, root, *one) for one in found))
-
-
-_Found = tuple[str, str, str, Located, Located, list[Located], str]  # what an operation is made of
-
-
-def _operations_2(root: Located) -> Iterator[_Found]:
-    channels = root.get("channels")
-    for address, channel in channels.items() if channels else ():
-        for word, action in SENSE_2.items():
-            if (at := channel.get(word)) is not None:
-                message = at.get("message")
-                several = message.get("oneOf") if message else None
-                messages = [one for _, one in several.items()] if several else [message] if message else []
-                yield action, address, at.text_of("operationId"), channel, at, messages, ""
-
-
-def _operations_3(root: Located) -> Iterator[_Found]:
-    operations = root.get("operations")
-    for name, at in operations.items() if operations else ():
-        channel = at.get("channel")
-        assert channel  # by the schema
-        address = _address(channel)
-        messages = at.get("messages") or channel.get("messages")
-        reply = at.get("reply")
-        answers = reply.get("channel") if reply else None
-        found = [one for _, one in messages.items()] if messages else []
-        yield at.text_of("action"), address, name, channel, at, found, _address(answers) if answers else ""
-
-
-def _address(channel: Located) -> str:
-    """A channel's address; one without is named by its place, as it is only known while running."""
-    return channel.text_of("address") or channel.pointer.rpartition("/")[2].replace("~1", "/").replace(
-        "~0", "~"
-    )
+        raise InvalidDescriptionError(findings[:MAX_SCHEMA_FINDINGS])
+    sources = _operations_of_version_2(root) if version == VERSION_2 else _operations_of_version_3(root)
+    builders = (partial(_operation, root, source) for source in sources)
+    return build_description(root, f"asyncapi {version}", builders)
+
+
+def _operations_of_version_2(root: DocumentNode) -> Iterator[_OperationSource]:
+    for address, channel in _members(root, "channels"):
+        for key, action in ACTIONS_OF_VERSION_2.items():
+            if (node := channel.get(key)) is not None:
+                messages = _messages_of_version_2(node)
+                yield _OperationSource(action, address, node.get_text("operationId"), channel, node, messages)
+
+
+def _messages_of_version_2(operation: DocumentNode) -> list[DocumentNode]:
+    message = operation.get("message")
+    if message is None:
+        return []
+    alternatives = message.get("oneOf")
+    return [alternative for _, alternative in alternatives.items()] if alternatives else [message]
+
+
+def _operations_of_version_3(root: DocumentNode) -> Iterator[_OperationSource]:
+    for name, node in _members(root, "operations"):
+        channel = node.get("channel")
+        assert channel  # the schema requires it
+        messages = node.get("messages") or channel.get("messages")
+        reply = node.get("reply")
+        reply_channel = reply.get("channel") if reply else None
+        yield _OperationSource(
+            node.get_text("action"),
+            _address(channel),
+            name,
+            channel,
+            node,
+            [message for _, message in messages.items()] if messages else [],
+            _address(reply_channel) if reply_channel else "",
+        )
+
+
+def _address(channel: DocumentNode) -> str:
+    """Return a channel's address; a channel without one (known only at run time) goes by its own name."""
+    return channel.get_text("address") or channel.name
 
 
-def _operation(
-    root: Located,
-    action: str,
-    address: str,
-    name: str,
-    channel: Located,
-    at: Located,
-    messages: list[Located],
-    reply: str,
-) -> Operation:
-    service_class, class_place = common.class_of(at, channel, root)
-    timeout, timeout_place = common.timeout_of(at, channel, root)
-    tags = [one.text_of("name") for _, one in _members(at, "tags")]
-    bindings = at.get("bindings")
+def _operation(root: DocumentNode, source: _OperationSource) -> Operation:
+    node = source.operation
+    service_class, class_location = service_class_of(node, source.channel, root)
+    timeout_us, timeout_location = timeout_of(node, source.channel, root)
+    tags = [tag.get_text("name") for _, tag in _members(node, "tags")]
+    bindings = node.get("bindings")
     nats = bindings.get("nats") if bindings else None
     return Operation(
-        "message",
-        action,
-        subject_of(address, channel.place),
-        name,
-        at.place,
-        _verdict(at, channel, root),
+        OperationKind.MESSAGE,
+        source.action,
+        subject_of(source.address, source.channel.location),
+        source.name,
+        node.location,
+        _retry_safety(source, root),
         tuple(tag for tag in tags if tag),
-        channel=address,
-        servers=tuple(_servers(root, channel)),
-        queue_group=nats.text_of("queue") if nats else "",
-        messages=tuple(_message(one) for one in messages),
-        reply=reply,
+        channel=source.address,
+        servers=tuple(_servers(root, source.channel)),
+        queue_group=nats.get_text("queue") if nats else "",
+        messages=tuple(_message(message) for message in source.messages),
+        reply=source.reply,
         service_class=service_class,
-        class_place=class_place,
-        timeout=timeout,
-        timeout_place=timeout_place,
-        bindings=bindings.value if bindings and isinstance(bindings.value, dict) else {},
+        class_location=class_location,
+        timeout_us=timeout_us,
+        timeout_location=timeout_location,
+        bindings=_object(bindings),
     )
 
 
-def _members(at: Located, key: str) -> list[tuple[str, Located]]:
-    found = at.get(key)
-    return found.items() if found else []
+def _object(node: DocumentNode | None) -> Mapping[str, JsonValue]:
+    return node.value if node and isinstance(node.value, dict) else {}
 
 
-def _servers(root: Located, channel: Located) -> Iterator[str]:
-    """The protocols and hosts of the channel's servers, of all servers where it names none."""
-    chosen = _members(channel, "servers")
-    for name, one in _members(root, "servers"):
-        named = not chosen or any(
-            server.value == name or server.pointer == one.pointer for _, server in chosen
-        )
-        if named:
-            yield f"{one.text_of('protocol')}://{one.text_of('host') or one.text_of('url')}"
-
-
-def _message(at: Located) -> Message:
-    payload = at.get("payload")
-    if payload and isinstance(payload.value, dict) and "schemaFormat" in payload.value:
-        payload = payload.get("schema")
-    discriminator, most = common.schema_facts(payload)
-    name = at.text_of("name") or at.pointer.rpartition("/")[2]
-    return Message(name, at.place, discriminator, most, at.text_of("contentType"))
+def _members(node: DocumentNode, key: str) -> list[tuple[str, DocumentNode]]:
+    container = node.get(key)
+    return container.items() if container else []
 
 
-def _verdict(at: Located, channel: Located, root: Located) -> Verdict:
-    told = common.repeat_of(at, channel, root)
-    if told is None:
-        return Verdict(
-            "unsafe", f"AsyncAPI says nothing of repeating, and there is no {common.REPEAT}", at.place
+def _servers(root: DocumentNode, channel: DocumentNode) -> Iterator[str]:
+    """URLs of the channel's servers; of all servers of the document if the channel names none."""
+    references = [reference for _, reference in _members(channel, "servers")]
+    for name, server in _members(root, "servers"):
+        # 2.6 names a server, 3.0 refers to it.
+        is_named = any(
+            reference.value == name or reference.pointer == server.pointer for reference in references
         )
-    if told.repeat == "safe" and not told.because:
-        reason = f"says safe, which nothing in AsyncAPI bears out: say why in {common.BECAUSE}"
-        raise DescriptionError([Finding(told.place, reason, at.place)])
-    because = f": {told.because}" if told.because else ""
-    return Verdict(
-        told.repeat, f"{common.REPEAT} says {told.repeat}{because}", told.place, told.scope, told.window
+        if is_named or not references:
+            yield f"{server.get_text('protocol')}://{server.get_text('host') or server.get_text('url')}"
+
+
+def _message(node: DocumentNode) -> Message:
+    schema = node.get("payload")
+    if schema and isinstance(schema.value, dict) and "schemaFormat" in schema.value:
+        schema = schema.get("schema")
+    return Message(
+        node.get_text("name") or node.pointer.rpartition("/")[2],
+        node.location,
+        discriminator_of(schema),
+        max_json_bytes(schema),
+        node.get_text("contentType"),
     )
 
 
-def subject_of(address: str, place: Place) -> str:
-    """The address as a subject pattern: each parameter is one token, `*`. Raises DescriptionError."""
-    separator = "/" if "/" in address else "."
+def _retry_safety(source: _OperationSource, root: DocumentNode) -> RetrySafety:
+    """By the extension alone: AsyncAPI itself says nothing of retries."""
+    location = source.operation.location
+    extension = retry_extension_of(source.operation, source.channel, root)
+    if extension is None:
+        reason = f"AsyncAPI says nothing of repeating, and there is no {Extension.RETRY}"
+        return RetrySafety(Idempotency.NON_IDEMPOTENT, reason, location)
+    if extension.lacks_reason:
+        reason = f"says safe, which nothing in AsyncAPI bears out: say why in {Extension.BECAUSE}"
+        raise InvalidDescriptionError.at(extension.location, reason, location)
+    return extension.retry_safety()
+
+
+def subject_of(address: str, location: SourceLocation) -> str:
+    """Return the address as a subject pattern, in which each parameter is the token `*`.
+
+    Raises InvalidDescriptionError at the location if a token is empty or only partly a parameter.
+    """
+    separator = ADDRESS_SEPARATOR if ADDRESS_SEPARATOR in address else SUBJECT_SEPARATOR
     tokens = []
     for token in address.split(separator):
         if PARAMETER.fullmatch(token):
-            tokens.append("*")
+            tokens.append(ANY_TOKEN)
         elif PARAMETER.search(token) or not token:
             reason = f'"{address}": a parameter is a whole token between "{separator}", and no token is empty'
-            raise DescriptionError([Finding(place, reason)])
+            raise InvalidDescriptionError.at(location, reason)
         else:
             tokens.append(token)
-    return ".".join(tokens)
+    return SUBJECT_SEPARATOR.join(tokens)
--- a/wheatstile/descriptions/asyncapi_schema.py
+++ b/wheatstile/descriptions/asyncapi_schema.py
@@ -1,86 +1,107 @@
-"""JSON Schemas of the parts of AsyncAPI documents that are used here; what is not used is not judged."""
+"""JSON Schemas of AsyncAPI documents. They cover the parts that are read here; all else is allowed."""
 
-from typing import Any
+from collections.abc import Mapping
+from typing import TypeAlias
 
-_TEXT: dict[str, Any] = {"type": "string"}
-_NAMED = {"type": "object"}
-_REF: dict[str, Any] = {"type": "object", "properties": {"$ref": _TEXT}, "required": ["$ref"]}
-_EXTENSIONS = {
-    "x-wheatstile-class": {"type": "string", "minLength": 1},
-    "x-wheatstile-repeat": {"enum": ["safe", "keyed", "unsafe"]},
-    "x-wheatstile-because": _TEXT,
-    "x-wheatstile-scope": {"enum": ["all", "zone", "cell"]},
-    "x-wheatstile-window-s": {"type": "number", "exclusiveMinimum": 0},
-    "x-wheatstile-timeout-ms": {"type": "number", "exclusiveMinimum": 0},
+from wheatstile.descriptions.model import DEDUPLICATION_SCOPES, Extension, JsonValue, MessageAction
+from wheatstile.interface import Idempotency
+
+Schema: TypeAlias = dict[str, JsonValue]
+
+TEXT: Schema = {"type": "string"}
+OBJECT: Schema = {"type": "object"}
+REFERENCE: Schema = {"type": "object", "properties": {"$ref": TEXT}, "required": ["$ref"]}
+EXTENSIONS: Schema = {
+    Extension.CLASS.value: {"type": "string", "minLength": 1},
+    Extension.RETRY.value: {"enum": [idempotency.value for idempotency in Idempotency]},
+    Extension.BECAUSE.value: TEXT,
+    Extension.SCOPE.value: {"enum": [scope.value for scope in DEDUPLICATION_SCOPES]},
+    Extension.WINDOW_S.value: {"type": "number", "exclusiveMinimum": 0},
+    Extension.TIMEOUT_MS.value: {"type": "number", "exclusiveMinimum": 0},
 }
-_INFO = {"type": "object", "required": ["title", "version"], "properties": {"title": _TEXT, "version": _TEXT}}
-_TAGS = {"type": "array", "items": {"type": "object"}}
-_BINDINGS = {"type": "object", "properties": {"nats": {"type": "object", "properties": {"queue": _TEXT}}}}
-_MESSAGE_2 = {"type": "object", "properties": {"oneOf": {"type": "array", "items": _NAMED, "minItems": 1}}}
-_OPERATION_2 = {
+INFO: Schema = {
+    "type": "object",
+    "required": ["title", "version"],
+    "properties": {"title": TEXT, "version": TEXT},
+}
+TAGS: Schema = {"type": "array", "items": OBJECT}
+BINDINGS: Schema = {
+    "type": "object",
+    "properties": {"nats": {"type": "object", "properties": {"queue": TEXT}}},
+}
+MESSAGE_OF_VERSION_2: Schema = {
+    "type": "object",
+    "properties": {"oneOf": {"type": "array", "items": OBJECT, "minItems": 1}},
+}
+OPERATION_OF_VERSION_2: Schema = {
     "type": "object",
     "properties": {
-        "operationId": _TEXT, "tags": _TAGS, "bindings": _BINDINGS, "message": _MESSAGE_2, **_EXTENSIONS,
+        "operationId": TEXT,
+        "tags": TAGS,
+        "bindings": BINDINGS,
+        "message": MESSAGE_OF_VERSION_2,
+        **EXTENSIONS,
     },
-}  # fmt: skip
-_CHANNEL_2 = {
+}
+CHANNEL_OF_VERSION_2: Schema = {
     "type": "object",
     "properties": {
-        "publish": _OPERATION_2,
-        "subscribe": _OPERATION_2,
-        "parameters": _NAMED,
-        "servers": {"type": "array", "items": _TEXT},
-        **_EXTENSIONS,
+        "publish": OPERATION_OF_VERSION_2,
+        "subscribe": OPERATION_OF_VERSION_2,
+        "parameters": OBJECT,
+        "servers": {"type": "array", "items": TEXT},
+        **EXTENSIONS,
     },
 }
-_CHANNEL_3 = {
+CHANNEL_OF_VERSION_3: Schema = {
     "type": "object",
     "properties": {
         "address": {"type": ["string", "null"]},
-        "messages": {"type": "object", "additionalProperties": _NAMED},
-        "parameters": _NAMED,
-        "servers": {"type": "array", "items": _REF},
-        **_EXTENSIONS,
+        "messages": {"type": "object", "additionalProperties": OBJECT},
+        "parameters": OBJECT,
+        "servers": {"type": "array", "items": REFERENCE},
+        **EXTENSIONS,
     },
 }
-_OPERATION_3 = {
+OPERATION_OF_VERSION_3: Schema = {
     "type": "object",
     "anyOf": [
         {"required": ["$ref"]},
         {
             "required": ["action", "channel"],
             "properties": {
-                "action": {"enum": ["send", "receive"]},
-                "channel": _REF,
-                "messages": {"type": "array", "items": _REF},
-                "tags": _TAGS,
-                "bindings": _BINDINGS,
-                "reply": _NAMED,
-                **_EXTENSIONS,
+                "action": {"enum": [action.value for action in MessageAction]},
+                "channel": REFERENCE,
+                "messages": {"type": "array", "items": REFERENCE},
+                "tags": TAGS,
+                "bindings": BINDINGS,
+                "reply": OBJECT,
+                **EXTENSIONS,
             },
         },
     ],
 }
-SCHEMAS: dict[str, dict[str, Any]] = {
+SCHEMAS: Mapping[str, Schema] = {
     "2.6": {
         "type": "object",
         "required": ["asyncapi", "info", "channels"],
         "properties": {
-            "info": _INFO,
-            "servers": {"type": "object", "additionalProperties": _NAMED},
-            "channels": {"type": "object", "additionalProperties": _CHANNEL_2},
-            **_EXTENSIONS,
+            "info": INFO,
+            "servers": {"type": "object", "additionalProperties": OBJECT},
+            "channels": {"type": "object", "additionalProperties": CHANNEL_OF_VERSION_2},
+            **EXTENSIONS,
         },
     },
     "3.0": {
         "type": "object",
         "required": ["asyncapi", "info"],
         "properties": {
-            "info": _INFO,
-            "servers": {"type": "object", "additionalProperties": _NAMED},
-            "channels": {"type": "object", "additionalProperties": _CHANNEL_3},
-            "operations": {"type": "object", "additionalProperties": _OPERATION_3},
-            **_EXTENSIONS,
+            "info": INFO,
+            "servers": {"type": "object", "additionalProperties": OBJECT},
+            "channels": {"type": "object", "additionalProperties": CHANNEL_OF_VERSION_3},
+            "operations": {"type": "object", "additionalProperties": OPERATION_OF_VERSION_3},
+            **EXTENSIONS,
         },
     },
 }
+"""Schemas by the version of the document."""
--- /dev/null
+++ b/wheatstile/descriptions/class_compiler.py
@@ -0,0 +1,89 @@
+"""Derives what each service class may retry from the routes that belong to it. Pure."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, replace
+
+from wheatstile.descriptions.compile_types import ClassPolicies, ClassPolicy, CompileOptions, Route
+from wheatstile.descriptions.findings import FindingCollector, SourceLocation
+from wheatstile.descriptions.model import IDEMPOTENCY_STRICTNESS, is_stricter, narrower, stricter
+from wheatstile.interface import Idempotency
+
+
+@dataclass(frozen=True, slots=True)
+class ClassCompiler:
+    """Compiles class policies from the platform's classes (None: not known) and their routes."""
+
+    classes: ClassPolicies | None
+    options: CompileOptions
+    findings: FindingCollector
+
+    def compile(self, routes: Iterable[Route]) -> dict[str, ClassPolicy]:
+        """Return the policy of each class that has routes, tightened by them."""
+        routes_by_class: dict[str, list[Route]] = {}
+        for route in routes:
+            if route.service_class:
+                routes_by_class.setdefault(route.service_class, []).append(route)
+        policies = {}
+        for name, members in routes_by_class.items():
+            policy = (self.classes or {}).get(name) or ClassPolicy(name)
+            self._check(policy, members)
+            policies[name] = tightened(policy, members)
+        return policies
+
+    def _check(self, policy: ClassPolicy, members: Sequence[Route]) -> None:
+        """Report routes that contradict their class or each other."""
+        strictest = max(members, key=_strictness)
+        loosest = min(members, key=_strictness)
+        safety = strictest.retry_safety
+        if policy.override and is_stricter(safety.idempotency, policy.override):
+            reason = (
+                f"{strictest.operation.name} is {safety.idempotency} ({safety.reason}), and the "
+                f'class "{policy.name}" is told to be {policy.override}'
+            )
+            self.findings.conflict(safety.location, reason, policy.override_location)
+        elif self._mixes_unsafe(policy, strictest, loosest):
+            reason = (
+                f'the class "{policy.name}" mixes {strictest.operation.name} (unsafe) with '
+                f"{loosest.operation.name} ({loosest.retry_safety.idempotency}), and attempts after a "
+                "possible run are on: give them two classes, or say that the class is unsafe"
+            )
+            self.findings.conflict(strictest.operation.location, reason, loosest.operation.location)
+        elif is_stricter(safety.idempotency, policy.idempotency):
+            reason = f'the class "{policy.name}" was {policy.idempotency} and is {safety.idempotency} now'
+            self.findings.warn(safety.location, reason)
+
+    def _mixes_unsafe(self, policy: ClassPolicy, strictest: Route, loosest: Route) -> bool:
+        """Whether one non-idempotent route would take retries away from others that allow them."""
+        return (
+            self.options.max_attempts > 1
+            and policy.override is not Idempotency.NON_IDEMPOTENT
+            and strictest.retry_safety.idempotency is Idempotency.NON_IDEMPOTENT
+            and loosest.retry_safety.idempotency is not Idempotency.NON_IDEMPOTENT
+        )
+
+
+def _strictness(route: Route) -> tuple[int, SourceLocation]:
+    return IDEMPOTENCY_STRICTNESS[route.retry_safety.idempotency], route.operation.location
+
+
+def tightened(policy: ClassPolicy, members: Iterable[Route]) -> ClassPolicy:
+    """Return the policy with the strictest idempotency, the narrowest scope and the shortest window."""
+    idempotency = policy.idempotency
+    if policy.override:
+        idempotency = stricter(idempotency, policy.override)
+    scope = policy.deduplication_scope
+    windows_us = []
+    if idempotency is Idempotency.IDEMPOTENCY_KEY:
+        windows_us.append(policy.deduplication_window_us)
+    for route in members:
+        safety = route.retry_safety
+        idempotency = stricter(idempotency, safety.idempotency)
+        if safety.idempotency is Idempotency.IDEMPOTENCY_KEY:
+            windows_us.append(safety.deduplication_window_us)
+            scope = narrower(scope, safety.deduplication_scope)
+    return replace(
+        policy,
+        idempotency=idempotency,
+        deduplication_scope=scope,
+        deduplication_window_us=min(windows_us, default=policy.deduplication_window_us),
+    )
--- /dev/null
+++ b/wheatstile/descriptions/document_folder.py
@@ -0,0 +1,60 @@
+"""Reads files below one folder; nothing outside it is read."""
+
+import os
+from pathlib import Path
+from urllib.parse import unquote, urlsplit
+
+from wheatstile.descriptions.model import JsonValue
+from wheatstile.descriptions.parsed_file import MAX_FILE_BYTES, ParsedFile
+from wheatstile.descriptions.parser import parse
+from wheatstile.descriptions.references import DocumentNode, DocumentStore
+from wheatstile.resolvers.files import open_regular, snapshot
+
+MAX_FILES = 1000  # of all descriptions and what they refer to
+
+
+class DocumentFolder:
+    """The documents below one folder. Each file is read once, and its fingerprint kept in `fingerprints`."""
+
+    def __init__(self, root: Path, fingerprints: dict[str, bytes]) -> None:
+        self.root = Path(os.path.realpath(root))
+        self._fingerprints = fingerprints  # by path, shared by all folders of one reading
+        self._store = DocumentStore(self._retrieve)
+
+    def document(self, path: Path) -> DocumentNode:
+        """Return the document in this file. Raises ValueError or InvalidDescriptionError."""
+        real_path = Path(os.path.realpath(path))
+        if not real_path.is_relative_to(self.root):
+            raise ValueError(f"{path} is a link that leaves the folder {self.root}")
+        return self._store.root(real_path.as_uri())
+
+    def value_at(self, uri: str) -> JsonValue:
+        """Return the value of the file at this URI. Raises ValueError or InvalidDescriptionError."""
+        return self._store.file_at(uri).value
+
+    def _retrieve(self, uri: str) -> ParsedFile:
+        path = Path(os.path.realpath(unquote(urlsplit(uri).path)))
+        if not path.is_relative_to(self.root):
+            raise ValueError(f"leaves the folder {self.root}")
+        return self._read(path)
+
+    def _read(self, path: Path) -> ParsedFile:
+        name = _shown_name(path)
+        if len(self._fingerprints) >= MAX_FILES:
+            raise ValueError(f"more than {MAX_FILES} files")
+        try:
+            descriptor = open_regular(path)
+            try:
+                found = snapshot(descriptor, MAX_FILE_BYTES)
+            finally:
+                os.close(descriptor)
+        except OSError as error:
+            raise ValueError(f"{name}: {error.strerror or error}") from None
+        self._fingerprints[str(path)] = found.fingerprint
+        return parse(name, found.data)
+
+
+def _shown_name(path: Path) -> str:
+    """Return the name in messages: relative where the file is below the current folder."""
+    relative = os.path.relpath(path)
+    return str(path) if relative.startswith("..") else relative
--- a/wheatstile/descriptions/language.py
+++ b/wheatstile/descriptions/language.py
@@ -1,44 +1,59 @@
-"""The small language of the operator's rules: which operations a rule is about. Pure.
+"""The language of the operator's rules, in which a condition selects operations. Pure.
 
     method == "POST" and path ~ "/orders/**" and not tag in ["internal", "test"]
 
 Fields: method, path, tag, operationId, channel, message, server, action, kind, file. A field with several
-values (tag, message, server) fits if one of them does; `!=` fits if none does. In `~`, a `*` stands for
-any text without the separator (`/`, in channels `.` too), `**` for any text, `?` for one character.
+values (tag, message, server) satisfies a comparison if one of its values does; `!=` holds if none is equal.
+In a glob (`~`), `*` stands for any text without a separator (`/`; in channels `.` too), `**` for any text,
+`?` for one character.
 """
 
 import re
 from collections.abc import Callable
-from typing import Any
+from typing import TypeAlias
 
 from lark import Lark, Token, Transformer, UnexpectedInput, UnexpectedToken
 from lark.exceptions import VisitError
 
 from wheatstile.config.violations import nearest
-from wheatstile.descriptions.model import Operation
-
-MOST_CHARACTERS = 2000
-MOST_DEPTH = 40  # parentheses and nots within each other
-Condition = Callable[[Operation], bool]
-
-FIELDS: dict[str, Callable[[Operation], tuple[str, ...]]] = {
-    "method": lambda one: (one.action,) if one.kind == "http" else (),
-    "action": lambda one: (one.action,),
-    "path": lambda one: (one.route,) if one.kind == "http" else (),
-    "tag": lambda one: one.tags,
-    "operationId": lambda one: (one.id,) if one.id else (),
-    "channel": lambda one: (one.channel,) if one.channel else (),
-    "message": lambda one: tuple(message.name for message in one.messages),
-    "server": lambda one: one.servers,
-    "kind": lambda one: (one.kind,),
-    "file": lambda one: (one.place.file,),
+from wheatstile.descriptions.findings import DescriptionError
+from wheatstile.descriptions.model import Operation, OperationKind
+
+MAX_CHARACTERS = 2000
+MAX_NESTING_DEPTH = 40  # parentheses and negations within each other
+MAX_QUOTED_CHARACTERS = 20  # of a condition, in a message
+END_OF_INPUT = "$END"  # lark's name for it
+
+Condition: TypeAlias = Callable[[Operation], bool]
+Field: TypeAlias = Callable[[Operation], tuple[str, ...]]
+
+
+def _present(value: str) -> tuple[str, ...]:
+    return (value,) if value else ()
+
+
+def _if_http(operation: Operation, value: str) -> tuple[str, ...]:
+    return (value,) if operation.kind is OperationKind.HTTP else ()
+
+
+FIELDS: dict[str, Field] = {
+    "method": lambda operation: _if_http(operation, operation.action),
+    "action": lambda operation: (operation.action,),
+    "path": lambda operation: _if_http(operation, operation.route),
+    "tag": lambda operation: operation.tags,
+    "operationId": lambda operation: _present(operation.id),
+    "channel": lambda operation: _present(operation.channel),
+    "message": lambda operation: tuple(message.name for message in operation.messages),
+    "server": lambda operation: operation.servers,
+    "kind": lambda operation: (operation.kind,),
+    "file": lambda operation: (operation.location.file,),
 }
 GRAMMAR = r"""
-?start: either
-?either: both ("or" both)*
-?both: simple ("and" simple)*
-?simple: "not" simple -> negated
-       | "(" either ")"
+?start: any_of
+?any_of: all_of ("or" all_of)*
+?all_of: simple ("and" simple)*
+?simple: "not" simple -> negation
+       | "(" any_of ")"
        | FIELD "==" TEXT -> equal
        | FIELD "!=" TEXT -> unequal
        | FIELD "~" TEXT -> like
@@ -47,88 +62,103 @@
 TEXT: /"([^"\\]|\\.)*"/
 %ignore /[ \t\n]+/
 """
+PARSER = Lark(GRAMMAR, parser="lalr", maybe_placeholders=False)
+NESTING_MARK = re.compile(r'"(?:[^"\\]|\\.)*"|[()]|\bnot\b')
+NESTING_STEP = {"(": 1, "not": 1, ")": -1}
+ESCAPE = re.compile(r"\\(.)")
+GLOB_PART = re.compile(r"\*\*|\*|\?|[^*?]+")
 
 
-class RuleError(ValueError):
-    """A condition that cannot be read; column counts from 1."""
+class RuleSyntaxError(DescriptionError):
+    """A condition that cannot be parsed; `column` counts from 1."""
 
     def __init__(self, reason: str, column: int) -> None:
-        self.reason, self.column = reason, column
+        self.reason = reason
+        self.column = column
         super().__init__(f"column {column}: {reason}")
 
 
-def glob(pattern: str) -> re.Pattern[str]:
-    """A glob as a regular expression."""
-    parts = []
-    for piece in re.findall(r"\*\*|\*|\?|[^*?]+", pattern):
-        parts.append(
-            {"**": ".*", "*": "[^/.]*" if "/" not in pattern else "[^/]*", "?": "."}.get(piece)
-            or re.escape(piece)
-        )
+def parse_condition(text: str) -> Condition:
+    """Return the condition in this text, as a function. Raises RuleSyntaxError with the column."""
+    if len(text) > MAX_CHARACTERS:
+        raise RuleSyntaxError(f"{len(text)} characters; {MAX_CHARACTERS} at most", 1)
+    _check_nesting(text)
+    try:
+        return _ConditionBuilder().transform(PARSER.parse(text))
+    except UnexpectedInput as error:
+        if isinstance(error, UnexpectedToken) and error.token.type == END_OF_INPUT:
+            raise RuleSyntaxError("ends where more has to come", len(text) + 1) from None
+        position = error.pos_in_stream or 0
+        excerpt = text[position : position + MAX_QUOTED_CHARACTERS]
+        raise RuleSyntaxError(f"does not understand {excerpt!r} here", position + 1) from None
+    except VisitError as error:
+        if isinstance(error.orig_exc, RuleSyntaxError):
+            raise error.orig_exc from None
+        raise
+
+
+def _check_nesting(text: str) -> None:
+    """Bound the recursion of the parser's result. Raises RuleSyntaxError."""
+    depth = 0
+    for mark in NESTING_MARK.finditer(text):
+        depth += NESTING_STEP.get(mark.group(), 0)
+        if depth > MAX_NESTING_DEPTH:
+            raise RuleSyntaxError(f"nested deeper than {MAX_NESTING_DEPTH}", mark.start() + 1)
+
+
+def compile_glob(pattern: str) -> re.Pattern[str]:
+    """Return a glob as a regular expression."""
+    wildcards = {"**": ".*", "*": "[^/]*" if "/" in pattern else "[^/.]*", "?": "."}
+    parts = [wildcards.get(part) or re.escape(part) for part in GLOB_PART.findall(pattern)]
     return re.compile("".join(parts), re.DOTALL)
 
 
-class _Conditions(Transformer[Token, Condition]):
-    """A tree to a function of an operation."""
+class _ConditionBuilder(Transformer[Token, Condition]):
+    """Turns the parse tree into a function of an operation, from the leaves up."""
 
-    def either(self, parts: list[Condition]) -> Condition:
-        return lambda one: any(part(one) for part in parts)
+    def any_of(self, parts: list[Condition]) -> Condition:
+        """Combine conditions by `or`."""
+        return lambda operation: any(part(operation) for part in parts)
 
-    def both(self, parts: list[Condition]) -> Condition:
-        return lambda one: all(part(one) for part in parts)
+    def all_of(self, parts: list[Condition]) -> Condition:
+        """Combine conditions by `and`."""
+        return lambda operation: all(part(operation) for part in parts)
 
-    def negated(self, parts: list[Condition]) -> Condition:
-        return lambda one: not parts[0](one)
+    def negation(self, parts: list[Condition]) -> Condition:
+        """Negate a condition."""
+        return lambda operation: not parts[0](operation)
 
     def equal(self, parts: list[Token]) -> Condition:
-        values, wanted = _field(parts[0]), _text(parts[1])
-        return lambda one: wanted in values(one)
+        """Build `FIELD == TEXT`."""
+        values = _field(parts[0])
+        expected = _text(parts[1])
+        return lambda operation: expected in values(operation)
 
     def unequal(self, parts: list[Token]) -> Condition:
-        values, wanted = _field(parts[0]), _text(parts[1])
-        return lambda one: wanted not in values(one)
+        """Build `FIELD != TEXT`."""
+        values = _field(parts[0])
+        expected = _text(parts[1])
+        return lambda operation: expected not in values(operation)
 
     def like(self, parts: list[Token]) -> Condition:
-        values, pattern = _field(parts[0]), glob(_text(parts[1]))
-        return lambda one: any(pattern.fullmatch(value) for value in values(one))
+        """Build `FIELD ~ TEXT`."""
+        values = _field(parts[0])
+        pattern = compile_glob(_text(parts[1]))
+        return lambda operation: any(pattern.fullmatch(value) for value in values(operation))
 
     def one_of(self, parts: list[Token]) -> Condition:
-        values, wanted = _field(parts[0]), {_text(part) for part in parts[1:]}
-        return lambda one: any(value in wanted for value in values(one))
+        """Build `FIELD in [TEXT, ...]`."""
+        values = _field(parts[0])
+        expected = {_text(part) for part in parts[1:]}
+        return lambda operation: any(value in expected for value in values(operation))
 
 
-def _field(token: Token) -> Callable[[Operation], tuple[str, ...]]:
+def _field(token: Token) -> Field:
     if token.value not in FIELDS:
-        raise RuleError(f'unknown field "{token.value}"{nearest(token.value, FIELDS)}', token.column or 1)
+        reason = f'unknown field "{token.value}"{nearest(token.value, FIELDS)}'
+        raise RuleSyntaxError(reason, token.column or 1)
     return FIELDS[token.value]
 
 
 def _text(token: Token) -> str:
-    return re.sub(r"\\(.)", r"\1", token.value[1:-1])
-
-
-_PARSER = Lark(GRAMMAR, parser="lalr", maybe_placeholders=False)
-
-
-def condition(text: str) -> Condition:
-    """What a rule's text asks of an operation. Raises RuleError with the column."""
-    if len(text) > MOST_CHARACTERS:
-        raise RuleError(f"{len(text)} characters; {MOST_CHARACTERS} at most", 1)
-    depth = 0
-    for mark in re.finditer(r'"(?:[^"\\]|\\.)*"|[()]|\bnot\b', text):
-        depth += {"(": 1, "not": 1, ")": -1}.get(mark.group(), 0)
-        if depth > MOST_DEPTH:
-            raise RuleError(f"nested deeper than {MOST_DEPTH}", mark.start() + 1)
-    try:
-        tree: Any = _PARSER.parse(text)
-        made: Condition = _Conditions().transform(tree)
-        return made
-    except UnexpectedInput as error:
-        at = error.pos_in_stream or 0
-        if isinstance(error, UnexpectedToken) and error.token.type == "$END":
-            raise RuleError("ends where more has to come", len(text) + 1) from None
-        raise RuleError(f"does not understand {text[at : at + 20]!r} here", at + 1) from None
-    except VisitError as error:
-        if isinstance(error.orig_exc, RuleError):
-            raise error.orig_exc from None
-        raise
+    return ESCAPE.sub(r"\1", token.value[1:-1])
--- a/wheatstile/descriptions/openapi.py
+++ b/wheatstile/descriptions/openapi.py
@@ -1,153 +1,150 @@
-"""OpenAPI 3.0, 3.1 and 3.2: which operations there are, and what each says of being repeated. Pure."""
+"""OpenAPI 3.0, 3.1 and 3.2: the operations of a document, and whether each may be retried. Pure."""
 
-import re
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 from functools import partial
-from typing import Any
 
-from wheatstile.descriptions import common
+from wheatstile.descriptions.document import build_description
+from wheatstile.descriptions.extensions import (
+    deduplication_of,
+    retry_extension_of,
+    service_class_of,
+    timeout_of,
+)
+from wheatstile.descriptions.findings import InvalidDescriptionError
 from wheatstile.descriptions.model import (
     Description,
-    DescriptionError,
-    Finding,
+    Extension,
     Message,
     Operation,
-    Place,
-    Verdict,
+    OperationKind,
+    RetrySafety,
 )
-from wheatstile.descriptions.refs import Located
+from wheatstile.descriptions.references import DocumentNode
+from wheatstile.descriptions.schema_size import discriminator_of, max_json_bytes
+from wheatstile.interface import Idempotency
 
+VERSION_KEY = "openapi"
+VERSIONS = ("3.0", "3.1", "3.2")
 METHODS = ("get", "put", "post", "delete", "options", "head", "patch", "trace", "query")
-# RFC 9110, 9.2.1 and 9.2.2: the effect of several is that of one. QUERY is safe by its own draft.
-IDEMPOTENT = {
-    "GET": "safe", "HEAD": "safe", "OPTIONS": "safe", "TRACE": "safe", "QUERY": "safe",
-    "PUT": "idempotent", "DELETE": "idempotent",
-}  # fmt: skip
+SAFE = "safe"  # the words of RFC 9110, for messages
+IDEMPOTENT = "idempotent"
+METHOD_PROPERTIES: Mapping[str, str] = {
+    "GET": SAFE,
+    "HEAD": SAFE,
+    "OPTIONS": SAFE,
+    "TRACE": SAFE,
+    "QUERY": SAFE,  # by its own draft
+    "PUT": IDEMPOTENT,
+    "DELETE": IDEMPOTENT,
+}
+"""Methods whose repetition has no further effect (RFC 9110, 9.2.1 and 9.2.2)."""
+
+KEY_LOCATION = "header"
 KEY_HEADER = "idempotency-key"
-TEMPLATE = re.compile(r"\{([^{}]*)\}")
-
-
-def version_of(value: Any) -> str | None:
-    """ "3.0", "3.1" or "3.2"; None if this is no OpenAPI document of those."""
-    found = value.get("openapi") if isinstance(value, dict) else None
-    match = re.fullmatch(r"(3\.[012])\.\d+(-.*)?", found) if isinstance(found, str) else None
-    return match[1] if match else None
 
 
-def read(root: Located, version: str) -> Description:
-    """The operations of one document. Raises DescriptionError with every fault found."""
+def read_openapi(root: DocumentNode, version: str) -> Description:
+    """Return the operations of a document. Raises InvalidDescriptionError with every finding."""
     paths = root.get("paths")
-    makers = [
-        partial(_operation, root, path, item, method.upper(), raw)
-        for path, item in (paths.items() if paths else ())
+    builders = [
+        partial(_operation, root, path, path_item, method.upper(), unresolved)
+        for path, path_item in (paths.items() if paths else ())
         for method in METHODS
-        if (raw := item.raw(method)) is not None
+        if (unresolved := path_item.get_unresolved(method)) is not None
     ]
-    return common.described(root, f"openapi {version}", makers)
+    return build_description(root, f"openapi {version}", builders)
 
 
-def _operation(root: Located, path: str, item: Located, method: str, raw: Located) -> Operation:
-    at = raw.followed()
+def _operation(
+    root: DocumentNode, path: str, path_item: DocumentNode, method: str, unresolved: DocumentNode
+) -> Operation:
+    node = unresolved.resolved()
     if not path.startswith("/"):
-        raise DescriptionError([Finding(item.place, f'the path "{path}" does not begin with /')])
-    servers = at.get("servers") or item.get("servers") or root.get("servers")
-    tags = at.get("tags")
-    service_class, class_place = common.class_of(at, item, root)
-    timeout, timeout_place = common.timeout_of(at, item, root)
+        raise InvalidDescriptionError.at(path_item.location, f'the path "{path}" does not begin with /')
+    servers = node.get("servers") or path_item.get("servers") or root.get("servers")
+    service_class, class_location = service_class_of(node, path_item, root)
+    timeout_us, timeout_location = timeout_of(node, path_item, root)
     return Operation(
-        "http",
+        OperationKind.HTTP,
         method,
         path,
-        at.text_of("operationId"),
-        at.place,
-        _verdict(method, item, at, root),
-        tuple(tag for tag in tags.value if isinstance(tag, str))
-        if tags and isinstance(tags.value, list)
-        else (),
-        servers=tuple(one.text_of("url") for _, one in servers.items()) if servers else (),
-        messages=tuple(_bodies(at)),
+        node.get_text("operationId"),
+        node.location,
+        _retry_safety(method, path_item, node, root),
+        _tags(node),
+        servers=tuple(server.get_text("url") for _, server in servers.items()) if servers else (),
+        messages=tuple(_request_bodies(node)),
         service_class=service_class,
-        class_place=class_place,
-        timeout=timeout,
-        timeout_place=timeout_place,
+        class_location=class_location,
+        timeout_us=timeout_us,
+        timeout_location=timeout_location,
     )
 
 
-def _verdict(method: str, item: Located, at: Located, root: Located) -> Verdict:
-    """By the extension, else by an Idempotency-Key parameter, else by the method; never by a name."""
-    told = common.repeat_of(at, item, root)
-    effect = IDEMPOTENT.get(method)
-    if told:
-        if told.repeat == "safe" and effect is None and not told.because:
-            raise DescriptionError(
-                [
-                    Finding(
-                        told.place,
-                        f"says safe, but {method} has an effect each time (RFC 9110): say why in "
-                        "x-wheatstile-because, or say keyed or unsafe",
-                        at.place,
-                    )
-                ]
+def _tags(operation: DocumentNode) -> tuple[str, ...]:
+    tags = operation.get("tags")
+    if tags is None or not isinstance(tags.value, list):
+        return ()
+    return tuple(tag for tag in tags.value if isinstance(tag, str))
+
+
+def _retry_safety(
+    method: str, path_item: DocumentNode, operation: DocumentNode, root: DocumentNode
+) -> RetrySafety:
+    """By the extension, else by the method, else by an Idempotency-Key parameter; never by a name."""
+    extension = retry_extension_of(operation, path_item, root)
+    method_property = METHOD_PROPERTIES.get(method)
+    if extension:
+        if extension.lacks_reason and method_property is None:
+            reason = (
+                f"says safe, but {method} has an effect each time (RFC 9110): say why in "
+                f"{Extension.BECAUSE}, or say keyed or unsafe"
             )
-        why = f"{common.REPEAT} says {told.repeat}" + (f": {told.because}" if told.because else "")
-        return Verdict(told.repeat, why, told.place, told.scope, told.window)
-    if effect:
-        return Verdict("safe", f"{method} is {effect} (RFC 9110)", at.place)
-    for parameter in _parameters(item, at):
-        if parameter.text_of("in") == "header" and parameter.text_of("name").lower() == KEY_HEADER:
-            scope, window = common.scope_and_window(parameter, at)
-            required = parameter.get("required")
-            if required and required.value is True:
-                return Verdict("keyed", "it carries an Idempotency-Key", parameter.place, scope, window)
-            return Verdict(
-                "unsafe", "its Idempotency-Key is optional, so a request may lack it", parameter.place
-            )
-    return Verdict("unsafe", f"{method} is not idempotent (RFC 9110), and nothing else is said", at.place)
+            raise InvalidDescriptionError.at(extension.location, reason, operation.location)
+        return extension.retry_safety()
+    if method_property:
+        reason = f"{method} is {method_property} (RFC 9110)"
+        return RetrySafety(Idempotency.IDEMPOTENT, reason, operation.location)
+    for parameter in _parameters(path_item, operation):
+        if _is_idempotency_key(parameter):
+            return _keyed_retry_safety(parameter, operation)
+    reason = f"{method} is not idempotent (RFC 9110), and nothing else is said"
+    return RetrySafety(Idempotency.NON_IDEMPOTENT, reason, operation.location)
+
+
+def _is_idempotency_key(parameter: DocumentNode) -> bool:
+    return parameter.get_text("in") == KEY_LOCATION and parameter.get_text("name").lower() == KEY_HEADER
+
+
+def _keyed_retry_safety(parameter: DocumentNode, operation: DocumentNode) -> RetrySafety:
+    """Allow retries of an operation with an Idempotency-Key only if every request must carry one."""
+    deduplication = deduplication_of(parameter, operation)
+    required = parameter.get("required")
+    if required is None or required.value is not True:
+        reason = "its Idempotency-Key is optional, so a request may lack it"
+        return RetrySafety(Idempotency.NON_IDEMPOTENT, reason, parameter.location)
+    return RetrySafety(
+        Idempotency.IDEMPOTENCY_KEY,
+        "it carries an Idempotency-Key",
+        parameter.location,
+        deduplication.scope,
+        deduplication.window_us,
+    )
 
 
-def _parameters(item: Located, at: Located) -> Iterator[Located]:
-    """The operation's own before its path's."""
-    for holder in (at, item):
-        found = holder.get("parameters")
-        for _, parameter in found.items() if found else ():
+def _parameters(path_item: DocumentNode, operation: DocumentNode) -> Iterator[DocumentNode]:
+    """Return the operation's own parameters, then those of its path."""
+    for holder in (operation, path_item):
+        parameters = holder.get("parameters")
+        for _, parameter in parameters.items() if parameters else ():
             yield parameter
 
 
-def _bodies(at: Located) -> Iterator[Message]:
-    body = at.get("requestBody")
+def _request_bodies(operation: DocumentNode) -> Iterator[Message]:
+    """One message for each media type of the request body."""
+    body = operation.get("requestBody")
     content = body.get("content") if body else None
-    for media, one in content.items() if content else ():
-        schema = one.get("schema")
-        discriminator, most = common.schema_facts(schema)
-        yield Message(at.text_of("operationId") or "body", one.place, discriminator, most, media)
-
-
-def validation_findings(
-    value: Mapping[str, Any],
-    version: str,
-    uri: str,
-    read_file: Callable[[str], Any],
-    place: Callable[[str], Place],
-) -> list[Finding]:
-    """What the format's own rules say, by openapi-spec-validator; its references read by read_file alone."""
-    import openapi_spec_validator as validators
-
-    kinds = {
-        "3.0": validators.OpenAPIV30SpecValidator,
-        "3.1": validators.OpenAPIV31SpecValidator,
-        "3.2": validators.OpenAPIV32SpecValidator,
-    }
-
-    class Local(kinds[version]):  # type: ignore[misc, valid-type]
-        resolver_handlers = {"": read_file, "file": read_file, "http": read_file, "https": read_file}  # noqa: RUF012
-
-    found: list[Finding] = []
-    try:
-        for error in Local(value, base_uri=uri).iter_errors():
-            found.append(common.schema_finding(error, place))
-            if len(found) >= 100:
-                break
-    except Exception as error:  # it goes on into documents that it has found no sound ones, and fails there
-        if not found:
-            found.append(Finding(place(""), f"cannot be checked: {type(error).__name__} {error}"))
-    return found
+    name = operation.get_text("operationId") or "body"
+    for content_type, media in content.items() if content else ():
+        schema = media.get("schema")
+        yield Message(name, media.location, discriminator_of(schema), max_json_bytes(schema), content_type)
--- a/wheatstile/descriptions/reader.py
+++ b/wheatstile/descriptions/reader.py
@@ -1,203 +1,149 @@
-"""The one part that reads files: descriptions, what they refer to in their folder, the operator's rules."""
+"""Reads descriptions from files and folders, and compiles them with the operator's rules."""
 
-import os
+import json
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
-from urllib.parse import unquote, urlsplit
 
-from wheatstile.config.operator import MOST_BYTES as MOST_OPERATOR_BYTES
 from wheatstile.config.operator import Descriptions, OperatorFile
-from wheatstile.config.platform import Config
-from wheatstile.config.violations import ConfigurationError, Violation, load, locate, nearest, pointer
-from wheatstile.descriptions import asyncapi, openapi, text
-from wheatstile.descriptions.compile import ClassFacts, Compiled, Options, Rule, compiled
-from wheatstile.descriptions.language import RuleError, condition
-from wheatstile.descriptions.model import Description, DescriptionError, Finding, Place
-from wheatstile.descriptions.refs import Library, reference_findings
-from wheatstile.descriptions.text import Text
-from wheatstile.resolvers.files import open_regular, snapshot
-
-MOST_FILES = 1000  # of all descriptions and what they refer to
-ENDINGS = (".yaml", ".yml", ".json")
-KINDS = ("openapi", "asyncapi", "swagger")
+from wheatstile.descriptions import asyncapi, openapi
+from wheatstile.descriptions.compile import compile_descriptions
+from wheatstile.descriptions.compile_types import (
+    ClassPolicies,
+    ClassPolicy,
+    CompiledDescriptions,
+    CompileOptions,
+)
+from wheatstile.descriptions.document import version_of
+from wheatstile.descriptions.document_folder import DocumentFolder
+from wheatstile.descriptions.findings import (
+    Finding,
+    InvalidDescriptionError,
+    SourceLocation,
+    by_location,
+)
+from wheatstile.descriptions.model import Description, JsonValue
+from wheatstile.descriptions.openapi_validation import validate_openapi
+from wheatstile.descriptions.operator_rules import read_operator_rules
+from wheatstile.descriptions.references import DocumentNode, reference_findings
+from wheatstile.descriptions.worker_protocol import ClassSettings
+
+SUFFIXES = (".yaml", ".yml", ".json")
+SWAGGER_KEY = "swagger"
+FORMAT_KEYS = (openapi.VERSION_KEY, asyncapi.VERSION_KEY, SWAGGER_KEY)
+DEFAULT_MAX_ATTEMPTS = 5
+MAX_SHOWN_CHARACTERS = 60  # of a value in a message
 
 
 @dataclass(slots=True)
-class Reading:
+class DescriptionSet:
     """Descriptions as read, and the files that they were read from with their fingerprints."""
 
     descriptions: list[Description] = field(default_factory=list)
     files: dict[str, bytes] = field(default_factory=dict)
 
 
-def _error(file: str, reason: str) -> DescriptionError:
-    return DescriptionError([Finding(Place(file, 1, ""), reason)])
-
-
-class _Folder:
-    """Files below one folder, read once each; nothing outside is."""
+def read_descriptions(paths: Iterable[str | Path]) -> DescriptionSet:
+    """Every description at these paths: a file, or all below a folder.
 
-    def __init__(self, root: Path, reading: Reading) -> None:
-        self.root, self.reading = Path(os.path.realpath(root)), reading
-        self.library = Library(self.retrieve)
-
-    def retrieve(self, uri: str) -> Text:
-        """The file at this URI. Raises ValueError or DescriptionError."""
-        path = Path(os.path.realpath(unquote(urlsplit(uri).path)))
-        if not path.is_relative_to(self.root):
-            raise ValueError(f"leaves the folder {self.root}")
-        return self.read(path)
-
-    def read(self, path: Path) -> Text:
-        name = os.path.relpath(path)
-        name = str(path) if name.startswith("..") else name
-        if len(self.reading.files) >= MOST_FILES:
-            raise ValueError(f"more than {MOST_FILES} files")
-        try:
-            descriptor = open_regular(path)
-            try:
-                found = snapshot(descriptor, text.MOST_BYTES)
-            finally:
-                os.close(descriptor)
-        except OSError as error:
-            raise ValueError(f"{name}: {error.strerror or error}") from None
-        self.reading.files[str(path)] = found.fingerprint
-        return text.parse(name, found.data)
-
-
-def read(paths: Iterable[str | Path], validate: bool = True) -> Reading:
-    """Every description at these paths: a file, or all of a folder. Raises DescriptionError."""
-    reading = Reading()
+    Raises InvalidDescriptionError with every finding.
+    """
+    result = DescriptionSet()
     findings: list[Finding] = []
     for path in map(Path, paths):
-        if path.is_dir():
-            folder = _Folder(path, reading)
-            found = sorted(one for one in path.rglob("*") if one.suffix in ENDINGS and one.is_file())
-            if not found:
-                findings.append(Finding(Place(str(path), 1, ""), f"no file ends in {', '.join(ENDINGS)}"))
-        else:
-            folder, found = _Folder(path.parent, reading), [path]
-        for one in found:
+        is_folder = path.is_dir()
+        folder = DocumentFolder(path if is_folder else path.parent, result.files)
+        files = _description_files(path) if is_folder else [path]
+        if not files:
+            location = SourceLocation(str(path), 1, "")
+            findings.append(Finding(location, f"no file ends in {', '.join(SUFFIXES)}"))
+        for file in files:
             try:
-                description = _describe(folder, one, path.is_dir(), validate)
-                if description:
-                    reading.descriptions.append(description)
-            except DescriptionError as error:
+                description = _read_description(folder, file, may_be_part=is_folder)
+            except InvalidDescriptionError as error:
                 findings += error.findings
             except (ValueError, RecursionError) as error:
-                findings.append(Finding(Place(str(one), 1, ""), str(error) or type(error).__name__))
+                location = SourceLocation(str(file), 1, "")
+                findings.append(Finding(location, str(error) or type(error).__name__))
+            else:
+                result.descriptions += [description] if description else []
     if findings:
-        raise DescriptionError(sorted(set(findings), key=lambda one: (one.place, one.reason)))
-    return reading
-
-
-def _describe(folder: _Folder, path: Path, scanned: bool, validate: bool) -> Description | None:
-    """The description in a file; None for a part that others refer to."""
-    uri = Path(os.path.realpath(path)).as_uri()
-    if not Path(os.path.realpath(path)).is_relative_to(folder.root):
-        raise ValueError(f"{path} is a link that leaves the folder {folder.root}")
-    root = folder.library.root(uri)
-    value, file = root.value, root.text.file
-    if not isinstance(value, dict) or not any(kind in value for kind in KINDS):
-        if scanned:
+        raise InvalidDescriptionError(by_location(findings))
+    return result
+
+
+def _description_files(folder: Path) -> list[Path]:
+    return sorted(file for file in folder.rglob("*") if file.suffix in SUFFIXES and file.is_file())
+
+
+def _read_description(folder: DocumentFolder, path: Path, *, may_be_part: bool) -> Description | None:
+    """Return the description in a file; None for a part that others refer to, where that is allowed."""
+    root = folder.document(path)
+    document = root.value
+    if not isinstance(document, dict) or not any(key in document for key in FORMAT_KEYS):
+        if may_be_part:
             return None
-        raise _error(file, f"is no description: none of the keys {', '.join(KINDS)} is there")
-    # First of all: the validator follows references too, and would not say as plainly what is wrong there.
-    if found := reference_findings(root):
-        raise DescriptionError(found)
-    if (version := openapi.version_of(value)) is not None:
-        if validate:
-
-            def read_file(other: str) -> Any:
-                return folder.library.at(other).value
-
-            found = openapi.validation_findings(value, version, uri, read_file, root.text.place)
-            if found:
-                raise DescriptionError(found)
-        return openapi.read(root, version)
-    if (version := asyncapi.version_of(value)) is not None:
-        return asyncapi.read(root, version)
-    if "swagger" in value:
+        reason = f"is no description: none of the keys {', '.join(FORMAT_KEYS)} is there"
+        raise InvalidDescriptionError.at(SourceLocation(root.file.name, 1, ""), reason)
+    # First of all: the validator follows references too, and its messages say less of what is wrong there.
+    if findings := reference_findings(root):
+        raise InvalidDescriptionError(findings)
+    if (version := version_of(document, openapi.VERSION_KEY, openapi.VERSIONS)) is not None:
+        if findings := validate_openapi(root, version, folder.value_at):
+            raise InvalidDescriptionError(findings)
+        return openapi.read_openapi(root, version)
+    if (version := version_of(document, asyncapi.VERSION_KEY, asyncapi.VERSIONS)) is not None:
+        return asyncapi.read_asyncapi(root, version)
+    raise _unsupported(root, document)
+
+
+def _unsupported(root: DocumentNode, document: Mapping[str, JsonValue]) -> InvalidDescriptionError:
+    """Return the error for a description of another format or version."""
+    if SWAGGER_KEY in document:
+        key = SWAGGER_KEY
         reason = "is Swagger 2.0, which is not read: convert it to OpenAPI 3.0 (swagger2openapi does)"
-        raise DescriptionError([Finding(root.text.place("/swagger"), reason)])
-    kind = next(kind for kind in KINDS if kind in value)
-    reason = (
-        f"{kind} {text.dumps(value[kind])} is not read: OpenAPI 3.0, 3.1 and 3.2, AsyncAPI 2.6 and 3.0 are"
-    )
-    raise DescriptionError([Finding(root.text.place(f"/{kind}"), reason)])
-
-
-def rules_of(operator: OperatorFile | None) -> tuple[list[Rule], dict[str, tuple[Any, Place]]]:
-    """The operator's rules and words on classes, with their places. Raises DescriptionError."""
-    if operator is None:
-        return [], {}
-    section: Descriptions = operator.settings.descriptions
-    pointers = [pointer("descriptions", "rules", index, "when") for index in range(len(section.rules))]
-    words = {name: pointer("descriptions", "classes", name, "repeat") for name in section.classes}
-    places = _places(str(operator.path), [*pointers, *words.values()])
-    rules, findings = [], []
-    for rule, where in zip(section.rules, pointers, strict=True):
-        try:
-            rules.append(Rule(condition(rule.when), rule.service_class, places[where], rule.repeat))
-        except RuleError as error:
-            findings.append(Finding(places[where], str(error)))
-    if findings:
-        raise DescriptionError(findings)
-    return rules, {name: (section.classes[name].repeat, places[where]) for name, where in words.items()}
+    else:
+        key = next(key for key in FORMAT_KEYS if key in document)
+        version = _abbreviated(document[key])
+        reason = f"{key} {version} is not read: OpenAPI 3.0, 3.1 and 3.2, AsyncAPI 2.6 and 3.0 are"
+    return InvalidDescriptionError.at(root.file.locate(f"/{key}"), reason)
 
 
-def _places(file: str, pointers: list[str]) -> dict[str, Place]:
-    try:
-        with open(file, "rb") as source:
-            found, _ = load(file, source.read(MOST_OPERATOR_BYTES + 1), MOST_OPERATOR_BYTES)
-    except (OSError, ConfigurationError):  # it has just been read; it changes while it is read
-        return {one: Place(file, 1, one) for one in pointers}
-    located = locate(found, [Violation(one, "") for one in pointers])
-    return {fault.pointer: Place(file, fault.line, fault.pointer) for fault in located}
+def _abbreviated(value: JsonValue) -> str:
+    """Return a value for a message: short, on one line."""
+    text = json.dumps(value, ensure_ascii=False, default=str)
+    return text if len(text) <= MAX_SHOWN_CHARACTERS else text[: MAX_SHOWN_CHARACTERS - 3] + "..."
 
 
-def facts_of(config: Config) -> dict[str, ClassFacts]:
-    """What the platform says of each class."""
-    patience = config.channels.deadlines
+def class_policies(settings: Mapping[str, ClassSettings]) -> dict[str, ClassPolicy]:
+    """Return the policies of the platform's classes, before anything is said of them here."""
     return {
-        name: ClassFacts(
+        name: ClassPolicy(
             name,
-            one.idempotency.value,
-            one.deduplication_scope.value,
-            one.deduplication_window_us,
-            patience.get(name, 0) * 1000,
+            service_class.idempotency,
+            service_class.deduplication_scope,
+            service_class.deduplication_window_us,
+            service_class.client_deadline_us,
         )
-        for name, one in config.settings.classes.items()
+        for name, service_class in settings.items()
     }
 
 
 def compile_paths(
     paths: Iterable[str | Path],
     operator: OperatorFile | None = None,
-    facts: Mapping[str, ClassFacts] | None = None,
-    max_attempts: int = 5,
+    classes: ClassPolicies | None = None,
+    max_attempts: int = DEFAULT_MAX_ATTEMPTS,
     strict: bool = False,
-) -> tuple[Compiled, Reading]:
+) -> tuple[CompiledDescriptions, DescriptionSet]:
     """Read and compile, with the operator's rules and the platform's classes (None: not known).
 
-    Raises DescriptionError with every conflict.
+    Raises InvalidDescriptionError with every conflict.
     """
-    rules, words = rules_of(operator)
+    operator_rules = read_operator_rules(operator)
     section = operator.settings.descriptions if operator else Descriptions()
-    if facts is not None:
-        unknown = [
-            Finding(place, f'the class "{name}" is not in the settings{nearest(name, facts)}')
-            for name, (_, place) in words.items()
-            if name not in facts
-        ]
-        if unknown:
-            raise DescriptionError(unknown)
-        facts = {
-            name: replace(one, told=words[name][0], told_place=words[name][1]) if name in words else one
-            for name, one in facts.items()
-        }
-    reading = read(paths)
-    options = Options(max_attempts, section.require_class, strict or section.strict)
-    return compiled(reading.descriptions, rules, facts, options), reading
+    if classes is not None:
+        classes = operator_rules.override(classes)
+    source = read_descriptions(paths)
+    options = CompileOptions(max_attempts, section.require_class, strict or section.strict)
+    return compile_descriptions(source.descriptions, operator_rules.rules, classes, options), source
--- /dev/null
+++ b/wheatstile/descriptions/references.py
@@ -0,0 +1,165 @@
+"""Nodes of documents, and references (`$ref`) between them. Pure: whoever reads files is passed in."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from urllib.parse import unquote, urldefrag, urljoin, urlsplit
+
+from referencing import Registry, Resource
+from referencing.exceptions import Unresolvable
+from referencing.typing import URI
+
+from wheatstile.config.violations import pointer as pointer_to
+from wheatstile.descriptions.findings import (
+    Finding,
+    InvalidDescriptionError,
+    SourceLocation,
+    by_location,
+)
+from wheatstile.descriptions.model import JsonValue
+from wheatstile.descriptions.parsed_file import ParsedFile
+
+REFERENCE_KEY = "$ref"
+LITERAL_MEMBERS = ("example", "default", "enum", "const")  # hold plain data, in which a $ref is no reference
+MAX_REFERENCE_CHAIN = 50  # references that lead to references
+FILE_SCHEME = "file"
+
+
+@dataclass(slots=True, eq=False)
+class DocumentNode:
+    """A value of a document, with the file that it stands in and its JSON pointer there."""
+
+    store: "DocumentStore"
+    uri: URI
+    file: ParsedFile
+    pointer: str
+    value: JsonValue
+
+    @property
+    def location(self) -> SourceLocation:
+        """Where the node stands."""
+        return self.file.locate(self.pointer)
+
+    @property
+    def name(self) -> str:
+        """The key or index under which the node stands."""
+        return self.pointer.rpartition("/")[2].replace("~1", "/").replace("~0", "~")
+
+    @property
+    def reference(self) -> str | None:
+        """What the node refers to; None if it is no reference."""
+        target = self.value.get(REFERENCE_KEY) if isinstance(self.value, dict) else None
+        return target if isinstance(target, str) else None
+
+    def get(self, key: str) -> "DocumentNode | None":
+        """Return the member of this name, references resolved; None if there is none."""
+        member = self.get_unresolved(key)
+        return member.resolved() if member else None
+
+    def get_unresolved(self, key: str) -> "DocumentNode | None":
+        """Return the member of this name as it stands, references unresolved; None if there is none."""
+        if not isinstance(self.value, dict) or key not in self.value:
+            return None
+        return self._child(key, self.value[key])
+
+    def get_text(self, key: str) -> str:
+        """Return the member of this name if it is a string, else the empty string."""
+        member = self.get(key)
+        return member.value if member and isinstance(member.value, str) else ""
+
+    def items(self) -> "list[tuple[str, DocumentNode]]":
+        """Return the members of an object or the elements of a list, references resolved."""
+        return [(key, child.resolved()) for key, child in self.unresolved_items()]
+
+    def unresolved_items(self) -> "list[tuple[str, DocumentNode]]":
+        """Return the members of an object or the elements of a list as they stand, references unresolved."""
+        pairs: Iterable[tuple[str | int, JsonValue]] = ()
+        if isinstance(self.value, dict):
+            pairs = self.value.items()
+        elif isinstance(self.value, list):
+            pairs = enumerate(self.value)
+        return [(str(key), self._child(key, value)) for key, value in pairs]
+
+    def _child(self, key: str | int, value: JsonValue) -> "DocumentNode":
+        return DocumentNode(self.store, self.uri, self.file, self.pointer + pointer_to(key), value)
+
+    def resolved(self) -> "DocumentNode":
+        """Return the node, or the one that its references lead to. Raises InvalidDescriptionError."""
+        node = self
+        length = 0
+        while (reference := node.reference) is not None:
+            length += 1
+            if length > MAX_REFERENCE_CHAIN:
+                reason = f'"{self.reference}" leads from reference to reference without an end'
+                raise InvalidDescriptionError.at(self.location, reason)
+            node = self.store.resolve(node, reference)
+        return node
+
+
+class DocumentStore:
+    """The files of one set of descriptions, by URI. Identifiers in schemas (`$id`) are ignored.
+
+    retrieve reads and parses the file at a URI. It raises ValueError for a file that cannot be read, or that
+    may not be.
+    """
+
+    def __init__(self, retrieve: Callable[[URI], ParsedFile]) -> None:
+        self._retrieve = retrieve
+        self._files: dict[URI, ParsedFile] = {}
+        self._registry: Registry[JsonValue] = Registry(retrieve=self._resource)  # type: ignore[call-arg]
+
+    def _resource(self, uri: URI) -> Resource[JsonValue]:
+        return Resource.opaque(self.file_at(uri).value)
+
+    def file_at(self, uri: URI) -> ParsedFile:
+        """Return the file at this URI, read once. Raises ValueError."""
+        if uri not in self._files:
+            self._files[uri] = self._retrieve(uri)
+        return self._files[uri]
+
+    def root(self, uri: URI) -> DocumentNode:
+        """Return the whole document at this URI. Raises ValueError."""
+        file = self.file_at(uri)
+        return DocumentNode(self, uri, file, "", file.value)
+
+    def resolve(self, node: DocumentNode, reference: str) -> DocumentNode:
+        """Return the node that a reference points to.
+
+        Raises InvalidDescriptionError at the location of the referring node.
+        """
+        uri, fragment = urldefrag(urljoin(node.uri, reference))
+        if urlsplit(uri).scheme != FILE_SCHEME:
+            reason = f'"{reference}" names a network address; references stay within the folder'
+            raise InvalidDescriptionError.at(node.location, reason)
+        pointer = unquote(fragment)
+        if pointer and not pointer.startswith("/"):
+            reason = f'"{reference}" names an anchor; references are JSON pointers here'
+            raise InvalidDescriptionError.at(node.location, reason)
+        try:
+            file = self.file_at(uri)
+            value = self._registry.resolver(base_uri=node.uri).lookup(reference).contents
+        except Unresolvable:
+            raise InvalidDescriptionError.at(node.location, f'"{reference}" points to nothing') from None
+        except InvalidDescriptionError:
+            raise
+        except ValueError as error:
+            raise InvalidDescriptionError.at(node.location, f'"{reference}": {error}') from None
+        return DocumentNode(self, uri, file, pointer, value)
+
+
+def reference_findings(root: DocumentNode) -> list[Finding]:
+    """Every reference that cannot be resolved, in this document and all that it leads to."""
+    findings: list[Finding] = []
+    visited: set[tuple[URI, str]] = set()
+    pending = [root]
+    while pending:
+        node = pending.pop()
+        if (node.uri, node.pointer) in visited:
+            continue
+        visited.add((node.uri, node.pointer))
+        if node.reference is not None:
+            try:
+                pending.append(node.resolved())
+            except InvalidDescriptionError as error:
+                findings += error.findings
+        pending += [child for key, child in node.unresolved_items() if key not in LITERAL_MEMBERS]
+    return by_location(findings)
--- /dev/null
+++ b/wheatstile/descriptions/route_matcher.py
@@ -0,0 +1,151 @@
+"""A matcher for routes whose cost does not grow with their number. Pure."""
+
+import re
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+from typing import Generic, NamedTuple, TypeVar
+
+from wheatstile.descriptions.routes import MAX_TOKENS, Relation, Token, TokenKind, relation, tokens_overlap
+
+Value = TypeVar("Value")
+
+
+class RouteEntry(NamedTuple, Generic[Value]):
+    """A route in the matcher, and the value that was added with it."""
+
+    tokens: tuple[Token, ...]
+    value: Value
+
+
+class _PartialChild(NamedTuple, Generic[Value]):
+    """A child that is reached by a partial token."""
+
+    token: Token
+    pattern: re.Pattern[str]
+    node: "_Node[Value]"
+
+
+@dataclass(slots=True)
+class _Node(Generic[Value]):
+    """A node of the tree: what follows one list of tokens."""
+
+    literals: "dict[str, _Node[Value]]" = field(default_factory=dict)
+    partials: list[_PartialChild[Value]] = field(default_factory=list)
+    parameter: "_Node[Value] | None" = None
+    rest: list[RouteEntry[Value]] = field(default_factory=list)  # routes with a rest token from here
+    ends: list[RouteEntry[Value]] = field(default_factory=list)  # routes that end here
+
+    def child(self, token: Token) -> "_Node[Value]":
+        """Return the child by this token, made where there is none."""
+        if token.kind is TokenKind.LITERAL:
+            return self.literals.setdefault(token.text, _Node())
+        if token.kind is TokenKind.PARAMETER:
+            self.parameter = self.parameter or _Node()
+            return self.parameter
+        for known in self.partials:
+            if known.token == token:
+                return known.node
+        child = _PartialChild[Value](token, token.pattern(), _Node())
+        self.partials.append(child)
+        return child.node
+
+    def children(self) -> "Iterator[_Node[Value]]":
+        """All children."""
+        yield from self.literals.values()
+        for child in self.partials:
+            yield child.node
+        if self.parameter is not None:
+            yield self.parameter
+
+    def overlapping_children(self, token: Token) -> "Iterator[_Node[Value]]":
+        """Return the children by tokens that may match a text that this token matches too."""
+        if token.kind is TokenKind.LITERAL:
+            if (literal := self.literals.get(token.text)) is not None:
+                yield literal
+        else:
+            for text, node in self.literals.items():
+                if tokens_overlap(token, Token(TokenKind.LITERAL, text)):
+                    yield node
+        for child in self.partials:
+            if tokens_overlap(token, child.token):
+                yield child.node
+        if self.parameter is not None:
+            yield self.parameter
+
+
+class Matcher(Generic[Value]):
+    """Routes by their tokens, in a tree: a match descends by the tokens of what is matched."""
+
+    def __init__(self) -> None:
+        self._root: _Node[Value] = _Node()
+        self._size = 0
+
+    def __len__(self) -> int:
+        return self._size
+
+    def add(self, tokens: tuple[Token, ...], value: Value) -> None:
+        """Add a route; the same tokens may be added more than once."""
+        node = self._root
+        self._size += 1
+        for token in tokens:
+            if token.kind is TokenKind.REST:
+                node.rest.append(RouteEntry(tokens, value))
+                return
+            node = node.child(token)
+        node.ends.append(RouteEntry(tokens, value))
+
+    def matches(self, target: Sequence[str]) -> list[RouteEntry[Value]]:
+        """All routes that match these tokens; a more specific one before a less specific one."""
+        matched: list[RouteEntry[Value]] = []
+        if len(target) <= MAX_TOKENS:
+            self._collect(self._root, target, 0, matched)
+        if len(matched) > 1:
+            matched.sort(
+                key=lambda entry: sum(
+                    relation(entry.tokens, other.tokens) is Relation.NARROWER for other in matched
+                ),
+                reverse=True,
+            )
+        return matched
+
+    def _collect(
+        self, node: _Node[Value], target: Sequence[str], index: int, matched: list[RouteEntry[Value]]
+    ) -> None:
+        """Add the routes below the node that match the target from the index on."""
+        if index == len(target):
+            matched.extend(node.ends)
+            return
+        token = target[index]
+        if (literal := node.literals.get(token)) is not None:
+            self._collect(literal, target, index + 1, matched)
+        for _, pattern, child in node.partials:
+            if pattern.fullmatch(token):
+                self._collect(child, target, index + 1, matched)
+        if node.parameter is not None and token:
+            self._collect(node.parameter, target, index + 1, matched)
+        matched.extend(node.rest)
+
+    def overlapping(self, tokens: Sequence[Token]) -> Iterator[RouteEntry[Value]]:
+        """Return the routes that may match something that this route matches too."""
+        yield from self._overlapping(self._root, tokens, 0)
+
+    def _overlapping(
+        self, node: _Node[Value], tokens: Sequence[Token], index: int
+    ) -> Iterator[RouteEntry[Value]]:
+        if index == len(tokens):
+            yield from node.ends
+            return
+        yield from node.rest
+        token = tokens[index]
+        if token.kind is TokenKind.REST:
+            yield from self._below(node)
+            return
+        for child in node.overlapping_children(token):
+            yield from self._overlapping(child, tokens, index + 1)
+
+    def _below(self, node: _Node[Value]) -> Iterator[RouteEntry[Value]]:
+        """All routes with one token or more below the node."""
+        yield from node.rest
+        for child in node.children():
+            yield from child.ends
+            yield from self._below(child)
--- /dev/null
+++ b/wheatstile/descriptions/schema_size.py
@@ -0,0 +1,100 @@
+"""What a message's JSON Schema says of the message: its discriminator and a bound on its size. Pure."""
+
+from typing import TypeAlias
+
+from wheatstile.descriptions.model import JsonValue
+from wheatstile.descriptions.references import DocumentNode
+
+MAX_BYTES_PER_CHARACTER = 6  # as an escape: \\u0000
+QUOTES = 2
+BRACKETS = 2
+COMMA = 1
+LITERAL_BYTES = 5  # `false`, the longest of true, false and null
+KEY_PUNCTUATION = 4  # quotes, colon and comma
+
+_Sizes: TypeAlias = dict[tuple[str, str], int | None]  # by URI and pointer of a schema
+_SchemaObject: TypeAlias = dict[str, JsonValue]
+
+
+def discriminator_of(schema: DocumentNode | None) -> str:
+    """Return the property that tells the schema's alternatives apart; empty if it names none."""
+    if schema is None or not isinstance(schema.value, dict):
+        return ""
+    discriminator = schema.value.get("discriminator", "")
+    if isinstance(discriminator, dict):
+        discriminator = discriminator.get("propertyName", "")
+    return discriminator if isinstance(discriminator, str) else ""
+
+
+def max_json_bytes(schema: DocumentNode | None) -> int | None:
+    """Return the size of the longest compact JSON that the schema allows; None: it sets no bound."""
+    return None if schema is None else _bound(schema, {})
+
+
+def _bound(schema: DocumentNode, known: _Sizes) -> int | None:
+    """Return the bound of a schema; one that contains itself has none.
+
+    It is computed once for all references to the schema.
+    """
+    key = (schema.uri, schema.pointer)
+    if key not in known:
+        known[key] = None
+        known[key] = _compute_bound(schema, known)
+    return known[key]
+
+
+def _compute_bound(schema: DocumentNode, known: _Sizes) -> int | None:
+    value = schema.value
+    if not isinstance(value, dict):
+        return None
+    if "const" in value:
+        return _text_bytes(len(str(value["const"])))
+    if isinstance(choices := value.get("enum"), list):
+        return max((_text_bytes(len(str(choice))) for choice in choices), default=0)
+    match value.get("type"):
+        case "boolean" | "null":
+            return LITERAL_BYTES
+        case "integer":
+            return _integer_bound(value)
+        case "string":
+            length = value.get("maxLength")
+            return _text_bytes(length) if isinstance(length, int) else None
+        case "array":
+            return _array_bound(schema, value, known)
+        case "object":
+            return _object_bound(schema, value, known)
+    return None
+
+
+def _text_bytes(characters: int) -> int:
+    return MAX_BYTES_PER_CHARACTER * characters + QUOTES
+
+
+def _integer_bound(value: _SchemaObject) -> int | None:
+    maximum = value.get("maximum")
+    minimum = value.get("minimum")
+    if not isinstance(maximum, int) or not isinstance(minimum, int):
+        return None
+    return max(len(str(maximum)), len(str(minimum)))
+
+
+def _array_bound(schema: DocumentNode, value: _SchemaObject, known: _Sizes) -> int | None:
+    max_items = value.get("maxItems")
+    items = schema.get("items")
+    if not isinstance(max_items, int) or not items:
+        return None
+    item_bytes = _bound(items, known)
+    return None if item_bytes is None else BRACKETS + max_items * (item_bytes + COMMA)
+
+
+def _object_bound(schema: DocumentNode, value: _SchemaObject, known: _Sizes) -> int | None:
+    if value.get("additionalProperties") is not False or "patternProperties" in value:
+        return None
+    properties = schema.get("properties")
+    total = BRACKETS
+    for name, member in properties.items() if properties else []:
+        member_bytes = _bound(member, known)
+        if member_bytes is None:
+            return None
+        total += MAX_BYTES_PER_CHARACTER * len(name) + KEY_PUNCTUATION + member_bytes
+    return total
--- a/wheatstile/descriptions/worker.py
+++ b/wheatstile/descriptions/worker.py
@@ -1,49 +1,59 @@
 """Compiles descriptions in a process of its own: `python -m wheatstile.descriptions.worker`.
 
-The balancer's loop is never stopped by it, its memory is given back, and time and memory are bounded by the
-system. A request comes as JSON on standard input, one answer goes as JSON to standard output.
+The event loop of the balancer never waits for it, its memory is returned to the system, and the system bounds
+its time and memory. It reads one request as JSON from standard input and writes one result as JSON to
+standard output (`worker_protocol`).
 """
 
-import json
 import resource
 import sys
 from pathlib import Path
-from typing import Any
 
-import msgspec
-
-from wheatstile.config.operator import Operator, OperatorFile
-from wheatstile.descriptions.compile import ClassFacts
-from wheatstile.descriptions.model import DescriptionError
-from wheatstile.descriptions.reader import compile_paths
-
-SECONDS, BYTES = 120, 2 << 30  # of processor time and of memory, at most
-MOST_REASONS = 100
-
-
-def answer(asked: dict[str, Any]) -> dict[str, Any]:
-    """What came of one request: the classes as they hold, or the reasons for none."""
-    operator = OperatorFile(Path(asked["operator"]), msgspec.convert(asked["settings"], Operator))
-    facts = {name: ClassFacts(name, *values) for name, values in asked["classes"].items()}
+from wheatstile.config.operator import OperatorFile
+from wheatstile.descriptions.findings import InvalidDescriptionError
+from wheatstile.descriptions.reader import class_policies, compile_paths
+from wheatstile.descriptions.worker_protocol import (
+    CompilationRejected,
+    CompilationResult,
+    CompilationSummary,
+    CompileRequest,
+    LearnedClass,
+    encode_result,
+)
+
+MAX_CPU_TIME_S = 120
+MAX_MEMORY_BYTES = 2 << 30
+MAX_REASONS = 100  # that a result holds; also of warnings
+
+
+def compile_request(request: CompileRequest) -> CompilationResult:
+    """Compile what the request asks for: the classes as they hold, or the reasons for rejecting it."""
+    operator = OperatorFile(Path(request.operator_path), request.settings)
     paths = [operator.near(path) for path in operator.settings.descriptions.paths]
+    policies = class_policies(request.classes)
     try:
-        compiled, reading = compile_paths(paths, operator, facts, asked["max_attempts"])
-    except DescriptionError as error:
-        return {"refused": error.lines()[:MOST_REASONS], "faults": len(error.findings)}
+        compiled, source = compile_paths(paths, operator, policies, request.max_attempts)
+    except InvalidDescriptionError as error:
+        return CompilationRejected(reasons=error.lines()[:MAX_REASONS], reason_count=len(error.findings))
     except MemoryError:
-        return {"refused": [f"needs more than {BYTES >> 20} MB"], "faults": 1}
-    return {
-        "classes": {name: [one.repeat, one.scope, one.window] for name, one in compiled.classes.items()},
-        "routes": len(compiled.routes),
-        "read": sorted(reading.files),
-        "warnings": [str(one) for one in compiled.warnings[:MOST_REASONS]],
-    }
+        return CompilationRejected(reasons=[f"needs more than {MAX_MEMORY_BYTES >> 20} MB"], reason_count=1)
+    return CompilationSummary(
+        classes={
+            name: LearnedClass(policy.idempotency, policy.deduplication_scope, policy.deduplication_window_us)
+            for name, policy in compiled.classes.items()
+        },
+        route_count=len(compiled.routes),
+        files=sorted(source.files),
+        warnings=[str(warning) for warning in compiled.warnings[:MAX_REASONS]],
+    )
 
 
 def main() -> None:
-    resource.setrlimit(resource.RLIMIT_CPU, (SECONDS, SECONDS))
-    resource.setrlimit(resource.RLIMIT_AS, (BYTES, BYTES))
-    json.dump(answer(json.load(sys.stdin)), sys.stdout)
+    """Bound this process, then answer the request on standard input."""
+    resource.setrlimit(resource.RLIMIT_CPU, (MAX_CPU_TIME_S, MAX_CPU_TIME_S))
+    resource.setrlimit(resource.RLIMIT_AS, (MAX_MEMORY_BYTES, MAX_MEMORY_BYTES))
+    request = CompileRequest.decode(sys.stdin.buffer.read())
+    sys.stdout.buffer.write(encode_result(compile_request(request)))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/wheatstile/descriptions/yaml_parser.py
@@ -0,0 +1,172 @@
+"""Parses YAML with the line of every value. Pure; bounded in time and memory.
+
+The events of libyaml are built into values without recursion, by the core schema of YAML 1.2. Keys are
+strings, no key stands twice, tags of other languages are rejected. An alias counts as all that it stands for
+each time it is used, so that a few lines cannot stand for gigabytes.
+"""
+
+from dataclasses import dataclass
+
+import yaml
+
+from wheatstile.config.violations import pointer as pointer_to
+from wheatstile.descriptions.findings import InvalidDescriptionError
+from wheatstile.descriptions.model import JsonValue
+from wheatstile.descriptions.parsed_file import MAX_NESTING_DEPTH, MAX_VALUES, ParsedFile, parse_error
+from wheatstile.descriptions.yaml_scalars import plain_scalar
+
+LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)  # libyaml's where it is built in
+MERGE_KEY = "<<"
+NON_SPECIFIC_TAG = "!"
+CORE_TYPES = ("str", "map", "seq", "int", "float", "bool", "null")
+ALLOWED_TAGS = {NON_SPECIFIC_TAG, *(f"tag:yaml.org,2002:{name}" for name in CORE_TYPES)}
+
+
+def parse_yaml(file: str, text: str) -> ParsedFile:
+    """Parse one YAML document. Raises InvalidDescriptionError."""
+    builder = _DocumentBuilder(file)
+    try:
+        for event in yaml.parse(text, Loader=LOADER):
+            builder.add_event(event)
+    except yaml.MarkedYAMLError as error:
+        mark = error.problem_mark or error.context_mark
+        line = mark.line + 1 if mark else 1
+        raise parse_error(file, line, f"no YAML: {error.problem or error}") from None
+    except yaml.YAMLError as error:
+        raise parse_error(file, 1, f"no YAML: {str(error).splitlines()[0]}") from None
+    return ParsedFile(file, builder.root, builder.lines)
+
+
+@dataclass(slots=True)
+class _OpenContainer:
+    """A mapping or sequence whose end has not come yet."""
+
+    value: dict[str, JsonValue] | list[JsonValue]
+    pointer: str
+    anchor: str | None
+    key: str | None = None  # of a mapping: the key whose value comes next
+    size: int = 1  # values in it, aliases counted as all that they stand for
+
+
+class _DocumentBuilder:
+    """Builds the value of one document from YAML events."""
+
+    def __init__(self, file: str) -> None:
+        self.lines: dict[str, int] = {}
+        self.root: JsonValue = None
+        self._file = file
+        self._documents = 0
+        self._stack: list[_OpenContainer] = []
+        self._anchors: dict[str, tuple[JsonValue, int]] = {}  # value and size
+        self._values = 0
+
+    def add_event(self, event: yaml.Event) -> None:
+        """Take in the next event. Raises InvalidDescriptionError."""
+        line = event.start_mark.line + 1 if event.start_mark else 1
+        match event:
+            case yaml.ScalarEvent():
+                self._add_scalar(event, line)
+            case yaml.MappingStartEvent():
+                self._open({}, event, line)
+            case yaml.SequenceStartEvent():
+                self._open([], event, line)
+            case yaml.MappingEndEvent() | yaml.SequenceEndEvent():
+                self._close(line)
+            case yaml.AliasEvent():
+                self._add_alias(event, line)
+            case yaml.DocumentStartEvent():
+                self._documents += 1
+                if self._documents > 1:
+                    raise self._error(line, "more than one document in the file")
+
+    def _error(self, line: int, reason: str, pointer: str = "") -> InvalidDescriptionError:
+        return parse_error(self._file, line, reason, pointer)
+
+    def _add_scalar(self, event: yaml.ScalarEvent, line: int) -> None:
+        top = self._stack[-1] if self._stack else None
+        if top and isinstance(top.value, dict) and top.key is None:
+            self._add_key(top, top.value, event, line)
+            return
+        pointer = self._next_pointer(line)
+        self._check_tag(event, line, pointer)
+        value = plain_scalar(event.value) if event.implicit[0] else event.value
+        if event.anchor:
+            self._anchors[event.anchor] = (value, 1)
+        self._add_value(value, line)
+
+    def _add_key(
+        self, top: _OpenContainer, mapping: dict[str, JsonValue], event: yaml.ScalarEvent, line: int
+    ) -> None:
+        key = event.value
+        pointer = top.pointer + pointer_to(key)
+        if key == MERGE_KEY and event.implicit[0]:
+            raise self._error(line, "a merge key (<<), which YAML 1.2 does not have: write it out", pointer)
+        if key in mapping:
+            first_line = self.lines.get(pointer, 1)
+            raise self._error(line, f"the key stands twice, first on line {first_line}", pointer)
+        top.key = key
+        self.lines[pointer] = line
+
+    def _check_tag(
+        self, event: yaml.ScalarEvent | yaml.CollectionStartEvent, line: int, pointer: str
+    ) -> None:
+        if event.tag and event.tag not in ALLOWED_TAGS:
+            raise self._error(line, f"the tag {event.tag}", pointer)
+
+    def _add_value(self, value: JsonValue, line: int, size: int = 1) -> None:
+        """Put a complete value into the innermost open container."""
+        self._values += size
+        if self._values > MAX_VALUES:
+            raise self._error(line, f"more than {MAX_VALUES} values, aliases counted each time they are used")
+        if not self._stack:
+            self.root = value
+            return
+        top = self._stack[-1]
+        top.size += size
+        if isinstance(top.value, list):
+            top.value.append(value)
+        elif top.key is None:
+            raise self._key_error(line, top)
+        else:
+            top.value[top.key] = value
+            top.key = None
+
+    def _key_error(self, line: int, mapping: _OpenContainer) -> InvalidDescriptionError:
+        return self._error(line, "a key that is no text", mapping.pointer)
+
+    def _next_pointer(self, line: int) -> str:
+        """Return the pointer of the value that begins now."""
+        if not self._stack:
+            self.lines[""] = line
+            return ""
+        top = self._stack[-1]
+        if isinstance(top.value, list):
+            pointer = f"{top.pointer}/{len(top.value)}"
+            self.lines[pointer] = line
+            return pointer
+        if top.key is None:
+            raise self._key_error(line, top)
+        return top.pointer + pointer_to(top.key)
+
+    def _open(
+        self, value: dict[str, JsonValue] | list[JsonValue], event: yaml.CollectionStartEvent, line: int
+    ) -> None:
+        if len(self._stack) >= MAX_NESTING_DEPTH:
+            raise self._error(line, f"nested deeper than {MAX_NESTING_DEPTH}")
+        pointer = self._next_pointer(line)
+        self._check_tag(event, line, pointer)
+        self._stack.append(_OpenContainer(value, pointer, event.anchor))
+
+    def _close(self, line: int) -> None:
+        container = self._stack.pop()
+        if container.anchor:
+            self._anchors[container.anchor] = (container.value, container.size)
+        self._values -= container.size - 1  # its members were counted when they were added
+        self._add_value(container.value, line, container.size)
+
+    def _add_alias(self, event: yaml.AliasEvent, line: int) -> None:
+        pointer = self._next_pointer(line)
+        if event.anchor not in self._anchors:
+            raise self._error(line, f"the alias *{event.anchor} stands for nothing, or for itself", pointer)
+        value, size = self._anchors[event.anchor]
+        self._add_value(value, line, size)
--- /dev/null
+++ b/wheatstile/descriptions/yaml_scalars.py
@@ -0,0 +1,25 @@
+"""Values of plain (unquoted) YAML scalars, by the core schema of YAML 1.2. Pure."""
+
+import re
+
+BOOLEANS = {"true": True, "True": True, "TRUE": True, "false": False, "False": False, "FALSE": False}
+NULLS = ("", "~", "null", "Null", "NULL")
+INTEGER = re.compile(r"[-+]?[0-9]{1,300}")
+OCTAL = re.compile(r"0o[0-7]{1,300}")
+HEXADECIMAL = re.compile(r"0x[0-9a-fA-F]{1,300}")
+FLOAT = re.compile(r"[-+]?(\.[0-9]+|[0-9]+(\.[0-9]*)?)([eE][-+]?[0-9]+)?")
+
+
+def plain_scalar(text: str) -> bool | int | float | str | None:
+    """Return the value of an unquoted scalar; `yes` and `no` are strings, as in JSON."""
+    if text in NULLS:
+        return None
+    if text in BOOLEANS:
+        return BOOLEANS[text]
+    if INTEGER.fullmatch(text):
+        return int(text)
+    if OCTAL.fullmatch(text) or HEXADECIMAL.fullmatch(text):
+        return int(text, 0)
+    if FLOAT.fullmatch(text):
+        return float(text)
+    return text
--- a/wheatstile/node.py
+++ b/wheatstile/node.py
@@ -10,7 +10,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import replace
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import structlog
 import uvloop
@@ -26,7 +26,7 @@
 
 if TYPE_CHECKING:  # what is switched off is not imported
     from wheatstile.config.operator import OperatorFile
-    from wheatstile.descriptions.section import DescriptionsSection
+    from wheatstile.descriptions.section import DescriptionsSection, StartupCompilation
     from wheatstile.resolvers.section import ServersSection
 
 log = structlog.get_logger()
@@ -84,9 +84,13 @@
     """The running balancer: its parts, and what its signals do to them."""
 
     def __init__(
-        self, config: Config, operator: "OperatorFile | None" = None, learnt: dict[str, Any] | None = None
+        self,
+        config: Config,
+        operator: "OperatorFile | None" = None,
+        descriptions: "StartupCompilation | None" = None,
     ) -> None:
-        self.config, self.operator, self.learnt = config, operator, learnt
+        self.config, self.operator = config, operator
+        self.startup_descriptions = descriptions
         self.terminated = asyncio.Event()
         self.decisions = DecisionLoop(config.settings, config.seed)
         self.upstreams = UpstreamPool(self.decisions, config.servers)
@@ -161,7 +165,7 @@
         if self.descriptions_section is None and self.operator.settings.descriptions.paths:
             from wheatstile.descriptions.section import DescriptionsSection
 
-            self.descriptions_section = DescriptionsSection(self.decisions, self.learnt)
+            self.descriptions_section = DescriptionsSection(self.decisions, self.startup_descriptions)
             self.configure()
         elif self.descriptions_section:
             self.descriptions_section.follow(self.operator, self.config)
@@ -207,9 +211,11 @@
 
 
 async def balance(
-    config: Config, operator: "OperatorFile | None" = None, learnt: dict[str, Any] | None = None
+    config: Config,
+    operator: "OperatorFile | None" = None,
+    descriptions: "StartupCompilation | None" = None,
 ) -> None:
-    await Node(config, operator, learnt).run()
+    await Node(config, operator, descriptions).run()
 
 
 def main(file: str | None = None, log_format: str | None = None, log_level: str | None = None) -> int:
@@ -239,18 +245,20 @@
     except ConfigError as error:
         print(f"wheatstile: {error}", file=sys.stderr)
         return 2
-    learnt = None
+    descriptions: StartupCompilation | None = None
     if operator and operator.settings.descriptions.paths:
-        from wheatstile.descriptions.section import compile_first
+        from wheatstile.descriptions.section import compile_at_startup
+        from wheatstile.descriptions.worker_protocol import CompilationRejected
 
-        learnt = compile_first(operator, config)
-        if "refused" in learnt:
-            print("\n".join(learnt["refused"]), file=sys.stderr)
+        compiled = compile_at_startup(operator, config)
+        if isinstance(compiled, CompilationRejected):
+            print("\n".join(compiled.reasons), file=sys.stderr)
             return 1
+        descriptions = compiled
     _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
     try:
-        uvloop.run(balance(config, operator, learnt))
+        uvloop.run(balance(config, operator, descriptions))
     except OSError as error:
         print(f"wheatstile: {config.listen[0]}:{config.listen[1]}: {error}", file=sys.stderr)
         return 1
