--- a/wheatstile/process/balancer_process.py
+++ b/wheatstile/process/balancer_process.py
@@ -15,11 +15,12 @@
 from wheatstile.process.background_tasks import running_in_background
 from wheatstile.process.graceful_shutdown import answer_pending_clients, migrate_clients
 from wheatstile.process.listener_socket import bind_listener
-from wheatstile.process.operator_sections import FirstCompilation, OperatorSections
+from wheatstile.process.operator_sections import OperatorSections
 from wheatstile.process.reload import reload_operator_file, reload_platform_config
 
 if TYPE_CHECKING:  # what is switched off is not imported
     from wheatstile.config.operator import OperatorFile
+    from wheatstile.descriptions.section import StartupCompilation
 
 log = structlog.get_logger()
 
@@ -31,7 +32,7 @@
         self,
         config: Config,
         operator: "OperatorFile | None" = None,
-        first_compilation: FirstCompilation | None = None,
+        startup_compilation: "StartupCompilation | None" = None,
     ) -> None:
         self.config = config
         self.operator = operator
@@ -42,7 +43,7 @@
         self.discovery_watcher = DiscoveryWatcher(self.decisions, discovery_only, config.discovery)
         self.client_listener = ClientListener(self.decisions, self.upstreams, config.client_limits)
         self.sections = OperatorSections(
-            self.decisions, self.upstreams, self.discovery_watcher, first_compilation
+            self.decisions, self.upstreams, self.discovery_watcher, startup_compilation
         )
         signals.install_handlers(self.shutdown_requested.set, self.reload, self.report_counters)
 
--- a/wheatstile/process/operator_sections.py
+++ b/wheatstile/process/operator_sections.py
@@ -1,6 +1,6 @@
 """The subsystems that the operator's file switches on; what is switched off is not imported."""
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from wheatstile.config.platform import Config
 from wheatstile.net.decision_loop import DecisionLoop
@@ -9,11 +9,9 @@
 
 if TYPE_CHECKING:
     from wheatstile.config.operator import OperatorFile
-    from wheatstile.descriptions.section import DescriptionsSection
+    from wheatstile.descriptions.section import DescriptionsSection, StartupCompilation
     from wheatstile.resolvers.section import ServersSection
 
-FirstCompilation = dict[str, Any]  # what the descriptions' worker answered before the start
-
 
 class OperatorSections:
     """Owns the subsystem of each section of the operator's file, and applies the file to them."""
@@ -23,12 +21,12 @@
         decisions: DecisionLoop,
         upstreams: UpstreamPool,
         discovery_watcher: DiscoveryWatcher,
-        first_compilation: FirstCompilation | None,
+        startup_compilation: "StartupCompilation | None",
     ) -> None:
         self.decisions = decisions
         self.upstreams = upstreams
         self.discovery_watcher = discovery_watcher
-        self.first_compilation = first_compilation
+        self.startup_compilation = startup_compilation
         self.servers: ServersSection | None = None
         self.descriptions: DescriptionsSection | None = None
 
@@ -67,5 +65,5 @@
         elif operator.settings.descriptions.paths:
             from wheatstile.descriptions.section import DescriptionsSection
 
-            self.descriptions = DescriptionsSection(self.decisions, self.first_compilation)
+            self.descriptions = DescriptionsSection(self.decisions, self.startup_compilation)
             self.configure(operator, config)
