Split the module's tests by concern, each file beside the module that it tests

Cause: tests/test_rules.py had 960 lines in the order in which faults were found. Change: tests/decisions/ has a file for each module; the harness for one instance and the model of a fleet stand in tests/support/. test_weights is test_lookup_table, test_ratio_rule is test_exploration, test_crowd is test_fleet, test_limits is test_package, test_decision_replay is test_replay, their tests by the same names.

Old names and new (file: name): test_a_request_held_without_answers_is_refused_before_its_time_is_out -> requests: test_request_without_answers_is_rejected_before_its_deadline test_closing_answers_whatever_is_open_and_whatever_comes_after -> requests: test_shutdown_answers_all_that_waits_and_all_that_comes test_closing_refuses_also_a_client_that_was_moved_and_comes_back_for_its_target -> requests: test_shutdown_rejects_a_migrated_client_that_comes_back test_an_empty_list_ends_in_a_refusal -> requests: test_empty_endpoint_list_ends_in_a_rejection test_time_outs_leave_room_for_a_further_attempt -> requests: test_timeout_leaves_room_for_another_attempt test_attempts_end_at_the_limit -> requests: test_attempts_end_at_the_limit test_any_order_of_events_keeps_the_rules -> requests: test_any_order_of_events_keeps_the_rules test_what_may_have_run_is_neither_repeated_nor_refused_when_unsafe -> requests: test_non_idempotent_request_that_may_have_run_fails test_what_never_ran_is_repeated_even_when_unsafe -> requests: test_non_idempotent_request_that_never_ran_is_retried test_keyed_repeats_stay_in_the_group_that_discards_them -> requests: test_keyed_retry_stays_in_its_deduplication_scope test_keyed_repeats_end_with_the_window -> requests: test_keyed_retry_ends_with_the_deduplication_window test_a_request_heard_twice_is_held_once -> requests: test_duplicate_request_is_held_once test_a_returning_client_is_not_held_to_its_first_pair -> requests: test_reconnecting_client_gets_other_candidates test_a_full_pair_in_a_fleet_with_room_is_drawn_anew -> requests: test_overloaded_candidates_are_drawn_again_while_the_fleet_has_room test_a_slow_answer_is_waited_for_no_longer_than_the_hold -> requests: test_slow_check_is_waited_for_no_longer_than_the_candidate_timeout test_without_probes_requests_are_still_placed -> requests: test_requests_are_placed_without_health_checks test_events_for_what_is_not_held_are_passed_over -> requests: test_events_of_unknown_connections_are_ignored test_impossible_settings_are_named -> requests: test_impossible_settings_are_named test_actions_do_not_hang_on_the_hash_seed -> requests: test_actions_do_not_depend_on_the_hash_seed test_what_may_have_run_and_cannot_be_repeated_is_answered_at_once -> requests: test_request_that_cannot_be_repeated_is_answered_at_once test_a_held_request_asks_again_and_again_but_ever_less_often -> requests: test_waiting_request_checks_ever_less_often test_a_timer_that_comes_early_is_not_lost -> requests: test_early_timer_is_not_lost test_lists_are_asked_for_within_the_time_that_the_settings_give_for_it -> endpoint_list: test_list_is_asked_for_within_the_poll_interval test_nothing_new_to_a_server_that_drains_or_is_gone -> endpoint_list: test_nothing_new_goes_to_a_server_that_drains_or_is_gone test_a_drain_told_while_the_probes_are_out_counts -> endpoint_list: test_drain_during_the_health_checks_counts test_a_failed_list_call_keeps_the_list_and_is_repeated_later_each_time -> endpoint_list: test_failed_call_keeps_the_list_and_backs_off test_a_repeat_goes_to_a_cold_server_only_with_twice_the_credit -> slow_start: test_retry_needs_twice_the_budget test_two_hundred_balancers_do_not_save_up_one_request_each_for_a_cold_server -> slow_start: test_two_hundred_balancers_do_not_save_up_one_request_each test_a_cold_server_owes_what_it_was_sent_before_its_start_was_told -> slow_start: test_attempts_before_the_start_was_known_are_owed test_a_cold_servers_budget_is_for_the_window_that_the_settings_give -> slow_start: test_budget_is_for_the_window_of_the_settings test_a_cold_server_gets_a_small_part_until_it_is_warm -> slow_start: test_server_in_slow_start_gets_a_small_part test_a_restarted_server_starts_a_new_budget_whatever_it_was_sent_before -> slow_start: test_restarted_server_begins_a_new_budget test_every_balancer_draws_the_same_pair_for_a_key -> selection: test_every_balancer_draws_the_same_candidates_for_a_key test_a_group_grows_to_the_same_servers_at_every_balancer -> selection: test_affinity_group_grows_to_the_same_servers_everywhere test_crossing_zones_has_its_price -> selection: test_crossing_zones_has_its_cost test_clients_of_one_group_draw_one_pair -> selection: test_clients_of_one_affinity_group_draw_the_same_candidates test_suspects_that_answer_are_sent_to_when_no_other_is_left -> selection: test_ejected_servers_that_answer_are_used_when_no_other_is_left test_an_unread_load_is_unknown_and_not_idle -> load: test_unread_load_is_unknown_and_not_idle test_reports_in_answers_are_read_where_probes_are_not_allowed -> load: test_reports_in_answers_are_read_without_health_checks test_counts_rank_servers_but_do_not_fill_them -> load: test_counts_rank_servers_but_do_not_fill_them test_hung_servers_do_not_make_the_fleet_look_full -> load: test_unreachable_servers_do_not_make_the_fleet_look_full test_two_full_servers_at_the_own_site_do_not_make_the_fleet_look_full -> load: test_two_full_servers_in_the_own_zone_do_not_make_the_fleet_look_full test_a_full_fleet_refuses_part_of_its_requests_unprobed -> admission: test_full_fleet_rejects_part_of_its_requests_without_a_check test_a_balancer_that_found_the_fleet_full_asks_again_before_long -> admission: test_balancer_that_found_the_fleet_full_checks_again_soon test_midflow_packets_wait_for_their_turn_while_set_ups_fail -> admission: test_midflow_requests_are_limited_while_setups_fail test_repeated_set_ups_are_paced_once_they_fail -> admission: test_repeated_setups_are_limited_once_they_fail test_the_pace_comes_back_by_the_connections_held_as_failures_do -> admission: test_pace_recovers_by_the_connections_held test_a_full_fleet_refuses_with_advice -> admission: test_full_fleet_rejects_with_a_retry_after test_a_wave_of_returning_clients_is_set_up_while_servers_have_room -> admission: test_reconnect_wave_is_set_up_while_servers_have_room test_a_refused_probe_is_not_yet_a_sick_server -> health: test_first_check_that_is_turned_away_is_no_failure test_a_refused_probe_of_a_server_whose_delays_grow_is_silence -> health: test_check_turned_away_where_latency_grows_is_a_failure test_no_probe_where_probes_are_not_allowed -> health: test_no_check_where_checks_are_not_allowed test_an_answered_probe_does_not_end_suspicion -> health: test_answered_check_does_not_end_an_ejection test_a_probe_that_never_went_out_says_nothing_of_its_server -> health: test_check_that_was_not_sent_says_nothing_of_its_server test_a_server_that_answers_looks_with_errors_keeps_its_clients_and_gets_no_more -> health: test_server_that_answers_checks_with_errors_keeps_its_clients_and_gets_no_more test_a_server_whose_messages_are_late_loses_the_share_above_the_mean -> rebalancing: test_server_with_late_messages_loses_its_excess test_a_server_that_answers_no_probe_loses_all -> rebalancing: test_unreachable_server_loses_all test_relief_reads_are_spread -> rebalancing: test_load_checks_after_late_messages_are_spread test_growing_delays_outweigh_a_late_report -> rebalancing: test_growing_latency_outweighs_a_late_report test_messages_within_the_aim_move_nobody -> rebalancing: test_messages_within_their_objective_migrate_nobody test_a_full_server_is_relieved_where_no_delay_notes_come -> rebalancing: test_overloaded_server_is_relieved_without_latency_reports test_a_look_that_is_not_answered_is_repeated_before_anybody_is_moved -> rebalancing: test_unanswered_load_check_is_repeated_before_anybody_is_migrated test_any_reading_of_a_full_server_relieves_it_where_no_delay_is_told -> rebalancing: test_any_reading_of_a_full_server_relieves_it test_a_change_of_the_list_brings_the_next_looks_forward -> rebalancing: test_endpoint_change_brings_load_checks_forward test_relief_leaves_alone_whoever_has_just_come -> rebalancing: test_connections_that_have_just_come_stay test_a_server_read_as_full_is_read_again_until_it_is_not -> rebalancing: test_full_server_is_checked_until_it_is_not

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -19,7 +19,7 @@
 ROOT = Path(__file__).parents[1]
 sys.path[:0] = [str(ROOT), str(ROOT / "tests")]
 
-from world import World  # noqa: E402
+from support.balancer_harness import BalancerHarness  # noqa: E402
 
 from wheatstile import interface as api  # noqa: E402
 
@@ -40,26 +40,28 @@
     """Seconds for a decision, a report and a list's change; bytes that this balancer holds."""
     names = [f"s{number}" for number in range(servers)]
     tracemalloc.start()
-    world = World(*names, reports_message_latency=False)
+    harness = BalancerHarness(*names, reports_message_latency=False)
     for index in range(connections):
-        world.connect(f"c{index}", names[index % servers], f"k{index}")
+        harness.connect(f"c{index}", names[index % servers], f"k{index}")
     held = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
 
     def decide(index: int) -> None:
-        world.log.clear()
-        world.request(f"r{index}", key=f"r{index}", affinity_group=f"r{index}")
-        assert any(isinstance(action, api.StartAttempt) for action in world.log)
-        world.tell(api.ClientDisconnected(f"r{index}"))
+        harness.log.clear()
+        harness.request(f"r{index}", key=f"r{index}", affinity_group=f"r{index}")
+        assert any(isinstance(action, api.StartAttempt) for action in harness.log)
+        harness.dispatch(api.ClientDisconnected(f"r{index}"))
 
     def report(index: int) -> None:
         server = names[index % servers]
-        world.balancer.servers[server].is_being_checked = True  # as if it had been asked
-        world.tell(api.HealthCheckResult(server, api.AttemptOutcome.OK, 1000, {"load": 0.4}))
+        harness.balancer.servers[server].is_being_checked = True  # as if it had been asked
+        harness.dispatch(api.HealthCheckResult(server, api.AttemptOutcome.OK, 1000, {"load": 0.4}))
 
     def change(index: int) -> None:
         state = (api.EndpointState.DRAINING, api.EndpointState.READY)[index % 2]
-        world.tell(api.EndpointUpdate(api.EndpointUpdateKind.DELTA, [api.Endpoint(names[0], state, "here")]))
+        harness.dispatch(
+            api.EndpointUpdate(api.EndpointUpdateKind.DELTA, [api.Endpoint(names[0], state, "here")])
+        )
 
     return seconds(decide, times), seconds(report, times), seconds(change, times), held
 
--- a/tests/test_ratio_rule.py
+++ b/tests/decisions/test_exploration.py
@@ -3,7 +3,7 @@
 from collections import Counter
 
 import pytest
-from world import SECOND, World, entries, of
+from support.balancer_harness import SECOND_US, BalancerHarness, entries, of_type
 
 from wheatstile import Balancer
 from wheatstile import interface as api
@@ -44,103 +44,105 @@
     assert return_probability(1.0, 0.5, n=1, gamma=0.05) == 0.0
 
 
-def explored(world: World, number: int) -> list[api.Migrate]:
+def explored(harness: BalancerHarness, number: int) -> list[api.Migrate]:
     for index in range(number):
-        world.connect(f"c{index}", "a", f"k{index}")
-    return of(world.run(SLOT_US), api.Migrate)
+        harness.connect(f"c{index}", "a", f"k{index}")
+    return of_type(harness.run(SLOT_US), api.Migrate)
 
 
 def test_share_that_explores_is_gamma() -> None:
-    moves = sum(len(explored(World("a", "b", "c", seed=seed), 2000)) for seed in range(5))
+    moves = sum(len(explored(BalancerHarness("a", "b", "c", seed=seed), 2000)) for seed in range(5))
     assert moves == pytest.approx(10000 * GAMMA_CAP, rel=0.25)
 
 
 def test_explorers_go_uniformly_to_the_other_servers() -> None:
     targets: Counter[str] = Counter()
     for seed in range(20):
-        world = World("a", "b", "c", "d", seed=seed)
-        for move in explored(world, 2000):
-            world.request(f"again-{move.id}", key=f"k{move.id[1:]}", reconnecting=True)
-        targets.update(send.server for send in of(world.log, api.StartAttempt))
+        harness = BalancerHarness("a", "b", "c", "d", seed=seed)
+        for move in explored(harness, 2000):
+            harness.request(f"again-{move.id}", key=f"k{move.id[1:]}", reconnecting=True)
+        targets.update(send.server for send in of_type(harness.log, api.StartAttempt))
     assert set(targets) == {"b", "c", "d"}
     assert min(targets.values()) > 0.8 * sum(targets.values()) / 3
 
 
-def explore_one(world: World) -> str:
+def explore_one(harness: BalancerHarness) -> str:
     """Let one connection on a explore and come back here; the server that it now is on."""
-    moves = explored(world, 1000)
+    moves = explored(harness, 1000)
     assert moves
-    world.request("again", key=f"k{moves[0].id[1:]}", reconnecting=True)
-    return world.establish("again")
+    harness.request("again", key=f"k{moves[0].id[1:]}", reconnecting=True)
+    return harness.establish("again")
 
 
 @pytest.mark.parametrize(("after", "returns"), [(0.5, True), (0.4, True), (0.1, False)])
 def test_next_slot_compares_the_load_before_with_the_load_after(after: float, returns: bool) -> None:
-    world = World("a", "b", loads={"a": 0.4, "b": 0.3})
-    assert explore_one(world) == "b"
-    world.loads["b"] = after
-    moved = [move.id for move in of(world.run(SLOT_US), api.Migrate)]
+    harness = BalancerHarness("a", "b", loads={"a": 0.4, "b": 0.3})
+    assert explore_one(harness) == "b"
+    harness.loads["b"] = after
+    moved = [move.id for move in of_type(harness.run(SLOT_US), api.Migrate)]
     assert ("again" in moved) is returns
     if returns:
-        world.request("home", key=next(f"k{m.id[1:]}" for m in of(world.log, api.Migrate)), reconnecting=True)
-        assert of(world.log, api.StartAttempt)[-1].server == "a"
+        harness.request(
+            "home", key=next(f"k{m.id[1:]}" for m in of_type(harness.log, api.Migrate)), reconnecting=True
+        )
+        assert of_type(harness.log, api.StartAttempt)[-1].server == "a"
 
 
 def test_a_refusal_after_a_move_counts_as_a_load_above() -> None:
-    world = World("a", "b", "c", loads={"a": 0.4, "b": 0.3, "c": 0.3})
-    moves = explored(world, 1000)
-    world.request("again", key=f"k{moves[0].id[1:]}", reconnecting=True)
-    target = of(world.log, api.StartAttempt)[-1].server
+    harness = BalancerHarness("a", "b", "c", loads={"a": 0.4, "b": 0.3, "c": 0.3})
+    moves = explored(harness, 1000)
+    harness.request("again", key=f"k{moves[0].id[1:]}", reconnecting=True)
+    target = of_type(harness.log, api.StartAttempt)[-1].server
     assert target != "a"
-    world.tell(api.AttemptEnded("again", 0, target, api.AttemptOutcome.OVERLOADED))
-    assert [send.server for send in of(world.log, api.StartAttempt)] == [target, "a"]
+    harness.dispatch(api.AttemptEnded("again", 0, target, api.AttemptOutcome.OVERLOADED))
+    assert [send.server for send in of_type(harness.log, api.StartAttempt)] == [target, "a"]
 
 
 def test_a_drop_after_a_move_counts_as_a_load_above() -> None:
-    world = World("a", "b", loads={"a": 0.4, "b": 0.3})
-    assert explore_one(world) == "b"
-    key = f"k{of(world.log, api.Migrate)[0].id[1:]}"
-    world.tell(api.AttemptEnded("again", 0, "b", api.AttemptOutcome.RESET, closed=True))
-    world.request("home", key=key, reconnecting=True)
-    assert of(world.log, api.StartAttempt)[-1].server == "a"
+    harness = BalancerHarness("a", "b", loads={"a": 0.4, "b": 0.3})
+    assert explore_one(harness) == "b"
+    key = f"k{of_type(harness.log, api.Migrate)[0].id[1:]}"
+    harness.dispatch(api.AttemptEnded("again", 0, "b", api.AttemptOutcome.RESET, closed=True))
+    harness.request("home", key=key, reconnecting=True)
+    assert of_type(harness.log, api.StartAttempt)[-1].server == "a"
 
 
 def test_a_fleet_of_one_does_not_explore() -> None:
-    assert explored(World("a"), 2000) == []
+    assert explored(BalancerHarness("a"), 2000) == []
 
 
 def test_slots_start_at_a_seeded_phase() -> None:
-    first = {World("a", seed=seed).timers[0][0] for seed in range(8)}
+    first = {BalancerHarness("a", seed=seed).timers[0][0] for seed in range(8)}
     assert len(first) == 8
-    assert all(0 < at - 1000 * SECOND <= SLOT_US for at in first)
+    assert all(0 < at - 1000 * SECOND_US <= SLOT_US for at in first)
 
 
 def test_newcomers_go_to_the_better_of_two_random_servers() -> None:
     names = ("a", "b", "c", "d")
-    world = World(*names, loads={"a": 0.1, "b": 0.2, "c": 0.3, "d": 0.5})
+    harness = BalancerHarness(*names, loads={"a": 0.1, "b": 0.2, "c": 0.3, "d": 0.5})
     for index in range(1200):
-        world.request(f"r{index}", key=f"k{index}")
-    sent = Counter(send.server for send in of(world.log, api.StartAttempt))
+        harness.request(f"r{index}", key=f"k{index}")
+    sent = Counter(send.server for send in of_type(harness.log, api.StartAttempt))
     for name, pairs in zip(names, (3, 2, 1, 0), strict=True):  # of six pairs, those that it wins
         assert sent[name] == pytest.approx(1200 * pairs / 6, rel=0.15)
 
 
 def test_same_seed_and_events_give_the_same_actions() -> None:
     def play(seed: int) -> list[api.Action]:
-        world = World("a", "b", "c", seed=seed)
+        harness = BalancerHarness("a", "b", "c", seed=seed)
         for index in range(200):
-            world.request(f"r{index}", key=f"k{index}")
-        world.run(10 * SECOND)
-        return world.log
+            harness.request(f"r{index}", key=f"k{index}")
+        harness.run(10 * SECOND_US)
+        return harness.log
 
     assert play(3) == play(3)
     assert play(3) != play(4)
 
 
 def test_instances_share_nothing() -> None:
-    one, two = World("a", "b"), World("a", "b")
-    one.tell(api.EndpointUpdate(api.EndpointUpdateKind.FULL, entries("a")))
+    one, two = BalancerHarness("a", "b"), BalancerHarness("a", "b")
+    one.dispatch(api.EndpointUpdate(api.EndpointUpdateKind.FULL, entries("a")))
     assert isinstance(two.balancer, Balancer)
     two.loads = {"a": 0.6, "b": 0.1}
     two.request("r")
-    assert of(two.log, api.StartAttempt)[-1].server == "b"
+    assert of_type(two.log, api.StartAttempt)[-1].server == "b"
--- a/tests/test_weights.py
+++ b/tests/decisions/test_lookup_table.py
@@ -4,7 +4,7 @@
 from zlib import crc32
 
 import pytest
-from world import World, entries
+from support.balancer_harness import BalancerHarness, entries
 
 from wheatstile import interface as api
 from wheatstile.decisions.selection import pick
@@ -14,17 +14,17 @@
 CHI_SQUARE = {1: 10.83, 9: 27.88, 19: 43.82}  # degrees of freedom -> exceeded by chance once in a thousand
 
 
-def weighted(weights: dict[str, float]) -> World:
-    world = World()
-    world.tell(
+def weighted(weights: dict[str, float]) -> BalancerHarness:
+    harness = BalancerHarness()
+    harness.dispatch(
         api.EndpointUpdate(
             api.EndpointUpdateKind.FULL, [entries(name, weight=weight)[0] for name, weight in weights.items()]
         )
     )
-    return world
+    return harness
 
 
-def connection(group: str) -> Connection:
+def connection_of(group: str) -> Connection:
     kind = api.ServiceClass("web", 1)
     return Connection("id", "key", kind, 0, False, placement_hash=crc32(group.encode()))
 
@@ -39,10 +39,10 @@
 )
 @pytest.mark.parametrize("keyed", [False, True])
 def test_a_hundred_thousand_draws_follow_the_weights(weights: dict[str, float], keyed: bool) -> None:
-    world, draws = weighted(weights), 100_000
+    harness, draws = weighted(weights), 100_000
     found: Counter[str] = Counter()
     for number in range(draws):
-        server = pick(world.balancer.state, connection(f"group{number}") if keyed else None)
+        server = pick(harness.balancer.state, connection_of(f"group{number}") if keyed else None)
         assert server
         found[server.endpoint.name] += 1
     total = sum(weights.values())
@@ -53,16 +53,16 @@
 
 @pytest.mark.parametrize("weight", [1.0, 0.3])
 def test_equal_weights_draw_as_before(weight: float) -> None:
-    world = World(*NAMES) if weight == 1.0 else weighted(dict.fromkeys(NAMES, weight))
-    drawn = [pick(world.balancer.state, None) for _ in range(12)]
+    harness = BalancerHarness(*NAMES) if weight == 1.0 else weighted(dict.fromkeys(NAMES, weight))
+    drawn = [pick(harness.balancer.state, None) for _ in range(12)]
     names = [server.endpoint.name for server in drawn if server]
     if weight == 1.0:  # the draws of the version before weights, from the same seed
         assert names == ["s0", "s3", "s5", "s9", "s6", "s2", "s6", "s9", "s8", "s3", "s4", "s7"]
     pairs = []
     for number in range(8):
-        conn = connection(f"g{number}")
-        first = pick(world.balancer.state, conn)
-        second = pick(world.balancer.state, conn, first)
+        connection = connection_of(f"g{number}")
+        first = pick(harness.balancer.state, connection)
+        second = pick(harness.balancer.state, connection, first)
         assert first and second
         pairs.append(first.endpoint.name + second.endpoint.name)
     assert pairs == ["s9s2", "s4s6", "s3s0", "s2s7", "s4s7", "s2s5", "s1s4", "s4s0"]
@@ -71,20 +71,20 @@
 def test_every_balancer_draws_the_same_pair_for_a_group_whatever_it_heard_before() -> None:
     weights = dict(zip(NAMES, map(float, range(1, 11)), strict=True))
     first, second = weighted(weights), weighted(dict.fromkeys(NAMES, 3.0))
-    second.tell(
+    second.dispatch(
         api.EndpointUpdate(
             api.EndpointUpdateKind.DELTA, [entries(name, weight=weights[name])[0] for name in reversed(NAMES)]
         )
     )
     for number in range(200):
-        a, b = (pick(world.balancer.state, connection(f"g{number}")) for world in (first, second))
+        a, b = (pick(harness.balancer.state, connection_of(f"g{number}")) for harness in (first, second))
         assert a and b and a.endpoint.name == b.endpoint.name
 
 
 def test_the_last_server_left_is_found_by_weight_too() -> None:
     """With nearly all suspected the table is given up for a look through the list, which weighs as well."""
-    world = weighted({"heavy": 3.0, "light": 1.0} | {f"off{number}": 100.0 for number in range(60)})
-    for name, server in world.balancer.servers.items():
-        server.ejected_until_us = world.now + 1 if name.startswith("off") else 0
-    found = Counter(one.endpoint.name for _ in range(2000) if (one := pick(world.balancer.state, None)))
+    harness = weighted({"heavy": 3.0, "light": 1.0} | {f"off{number}": 100.0 for number in range(60)})
+    for name, server in harness.balancer.servers.items():
+        server.ejected_until_us = harness.now + 1 if name.startswith("off") else 0
+    found = Counter(one.endpoint.name for _ in range(2000) if (one := pick(harness.balancer.state, None)))
     assert set(found) == {"heavy", "light"} and 2.3 < found["heavy"] / found["light"] < 3.9
--- a/tests/test_limits.py
+++ b/tests/decisions/test_package.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-ROOT = Path(__file__).parents[1]
+ROOT = Path(__file__).parents[2]
 PACKAGE = ROOT / "wheatstile" / "decisions"
 POLICY = [ROOT / name for name in tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["policy"]]
 DECIDES_NOTHING = {"__init__.py", "balancer.py", "lookup_table.py", "state.py", "token_bucket.py"}
--- a/tests/crowd.py
+++ b/tests/support/fleet_model.py
@@ -10,8 +10,7 @@
 from itertools import count
 from random import Random
 
-from world import SECOND, settings
-
+from support.balancer_harness import SECOND_US, settings
 from wheatstile import Balancer
 from wheatstile import interface as api
 
@@ -19,11 +18,11 @@
 HOP = 2_000  # to a server and back
 
 
-class Crowd:
+class FleetModel:
     """Balancers by number, servers by name; clients that are refused or moved come again elsewhere."""
 
     def __init__(self, balancers: int, servers: list[str], holds: int, seed: int, **changes: object) -> None:
-        self.now, self.random, self.holds = 1000 * SECOND, Random(seed), holds
+        self.now, self.random, self.holds = 1000 * SECOND_US, Random(seed), holds
         self.settings = settings(fleet_size=balancers, reports_message_latency=False, **changes)
         self._due: list[tuple[int, int, Callable[[], None]]] = []
         self._order, self._ids = count(), count()
@@ -39,7 +38,9 @@
             balancer = Balancer(self.settings, self.random.getrandbits(32))
             self.balancers.append(balancer)
             self.carry_out(number, balancer.start(self.now))
-            self.tell(number, api.EndpointUpdate(api.EndpointUpdateKind.CACHED, list(self.entries.values())))
+            self.dispatch(
+                number, api.EndpointUpdate(api.EndpointUpdateKind.CACHED, list(self.entries.values()))
+            )
 
     def later(self, delay: int, work: Callable[[], None]) -> None:
         heapq.heappush(self._due, (self.now + delay, next(self._order), work))
@@ -56,7 +57,7 @@
         self.entries |= {entry.name: entry for entry in changed}
         for number in range(len(self.balancers)):
             event = api.EndpointUpdate(api.EndpointUpdateKind.DELTA, list(changed))
-            self.later(self.random.randrange(SECOND // 2), lambda n=number, e=event: self.tell(n, e))  # type: ignore[misc]
+            self.later(self.random.randrange(SECOND_US // 2), lambda n=number, e=event: self.dispatch(n, e))  # type: ignore[misc]
 
     def load(self, server: str) -> float:
         """What the server holds over what it can bear now."""
@@ -71,22 +72,24 @@
     def _request(self, reconnecting: bool) -> None:
         id = f"c{next(self._ids)}"
         self.waiting.add(id)
-        request = api.Request(id, "web", 2 * SECOND, key=id, affinity_group=id, reconnecting=reconnecting)
-        self.tell(self.random.choice(range(len(self.balancers))), request)
+        request = api.Request(id, "web", 2 * SECOND_US, key=id, affinity_group=id, reconnecting=reconnecting)
+        self.dispatch(self.random.choice(range(len(self.balancers))), request)
 
     def end(self, id: str) -> None:
         """An open connection is over, and its balancer is told."""
         number, server = self.where.pop(id)
         self.held[server] -= 1
         attempt = max(0, self.attempts[id] - 1)
-        self.tell(number, api.AttemptEnded(id, attempt, server, api.AttemptOutcome.CANCELLED, closed=True))
+        self.dispatch(
+            number, api.AttemptEnded(id, attempt, server, api.AttemptOutcome.CANCELLED, closed=True)
+        )
 
-    def tell(self, number: int, event: api.Event) -> None:
+    def dispatch(self, number: int, event: api.Event) -> None:
         self.carry_out(number, self.balancers[number].handle(self.now, event))
 
     def carry_out(self, number: int, actions: list[api.Action]) -> None:
         def to_it(delay: int, event: Callable[[], api.Event]) -> None:
-            self.later(delay, lambda: self.tell(number, event()))
+            self.later(delay, lambda: self.dispatch(number, event()))
 
         for action in actions:
             match action:
@@ -98,11 +101,11 @@
                     self.sends.append((self.now, server))
                     to_it(HOP, lambda id=id, server=server: self.sent(number, id, server))  # type: ignore[misc]
                 case api.Reject(id):
-                    self.later(SECOND, lambda id=id: self.waiting.discard(id))  # type: ignore[misc]
-                    self.arrive(SECOND, reconnecting=True)
+                    self.later(SECOND_US, lambda id=id: self.waiting.discard(id))  # type: ignore[misc]
+                    self.arrive(SECOND_US, reconnecting=True)
                 case api.Migrate(id) if id in self.where:  # else its server has just ended it
                     self.end(id)
-                    self.arrive(100_000 + self.random.randrange(SECOND), reconnecting=True)
+                    self.arrive(100_000 + self.random.randrange(SECOND_US), reconnecting=True)
 
     def probed(self, server: str) -> api.Event:
         # Reports are late: what is read is how it was.
@@ -127,7 +130,7 @@
                 id, number = f"o{next(self._ids)}", index % len(self.balancers)
                 self.held[server] += 1
                 self.where[id] = number, server
-                self.tell(number, api.ExistingConnection(id, "web", server, id))
+                self.dispatch(number, api.ExistingConnection(id, "web", server, id))
 
     def most_within(self, server: str, window: int) -> int:
         """The most attempts that this server got within any window of this length."""
--- a/tests/support/servers_section.py
+++ b/tests/support/servers_section.py
@@ -5,8 +5,8 @@
 from pathlib import Path
 
 from peers import PATIENCE
-from world import settings
 
+from support.balancer_harness import settings
 from wheatstile.config.operator import OperatorFile, parse
 from wheatstile.config.platform import UpstreamLimits
 from wheatstile.net.decision_loop import DecisionLoop
