Split the upstream pool: attempts, health checks, latency, replies in modules of their own

Cause: one module of 297 lines held the servers, the attempts, the health checks (a function of 58 lines) and the latency notes, with tuples of strings for results and a pseudo-outcome "up".

Change: `upstream` (one server), `upstream_attempt` (`UpstreamAttempt.connect_and_open`, `AttemptResult`), `upstream_reply` (what a server's line means), `health_checker` (`HealthChecker`, `HealthCheckConnections`), `latency_monitor` and `errors`; `upstream_pool` holds the servers by name. Counters: `probe X` is `health_check_X`, `probe repeated` is `health_check_repeated`, `attempt X` is `attempt_X`, `attempt up` is `attempt_established`; the log event `a prober failed` is `health_checker_failed`. Five tests waited for the counter `event ServerList`, which has been `event EndpointUpdate` since the interface was renamed: they wait for that.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -191,7 +191,7 @@
         with self.stopped():
             probe.send("PONG x0=0.3")  # first the answer that sends it on, then its end
             client.close()
-        self.assertEqual(self.goes_on(3)["attempt up"], 2)
+        self.assertEqual(self.goes_on(3)["attempt_established"], 2)
 
     def test_a_class_that_a_reload_takes_away_from_a_held_request(self) -> None:
         self.start()
@@ -239,7 +239,7 @@
                 client = self.open()
                 self.connecting(self.server)
                 watch.chunk(2, self.member(phase="draining"), self.member("s2", host_port=other.address))
-                self.until("event ServerList", 2)
+                self.until("event EndpointUpdate", 2)
                 server = self.let_in(self.server, ahead)
                 self.assertEqual(server.line(), "")
                 second, line = other.rpc()
@@ -257,7 +257,7 @@
         _client = self.open()
         self.connecting(self.server)
         watch.chunk(2, self.member("s2", host_port=other.address), complete=True)
-        self.until("event ServerList", 2)
+        self.until("event EndpointUpdate", 2)
         self.assertEqual(self.let_in(self.server, ahead).line(), "")
         self.assertIn("0000000000000001", other.rpc()[1])
 
@@ -328,8 +328,8 @@
                 self.setUp()
                 self.settled().close(reset)  # as if it had been closed before the probe came
                 counters = self.served()
-                self.assertEqual(counters.get("probe repeated"), 1)
-                self.assertNotIn("probe reset", counters)
+                self.assertEqual(counters.get("health_check_repeated"), 1)
+                self.assertNotIn("health_check_reset", counters)
                 self.stop()
 
     def test_a_probes_time_is_twice_the_shortest_aim_of_the_settings(self) -> None:
@@ -341,7 +341,7 @@
         again = self.server.accept()
         self.assertEqual(again.line(), "STATS")
         again.close()
-        self.until("probe reset", 1)
+        self.until("health_check_reset", 1)
 
     def test_a_second_answer_is_not_taken_for_the_next(self) -> None:
         probe = self.settled()
@@ -369,7 +369,7 @@
         self.indented(watch, 2, self.member(host_port="127.0.0.1:2"))
         watch.send("1", "\n")
         self.indented(watch, 3, self.member())
-        self.until("event ServerList", 3)
+        self.until("event EndpointUpdate", 3)
         self.up()
 
     def test_a_change_from_before_the_list_that_stands_undoes_nothing(self) -> None:
@@ -379,7 +379,7 @@
         watch.chunk(5, self.member(phase="draining"))
         watch.chunk(4, self.member(phase="ready"))
         watch.chunk(6, self.member("s2", phase="draining"))
-        self.until("event ServerList", 3)
+        self.until("event EndpointUpdate", 3)
         client = self.open(wait=300)
         self.assertRegex(client.line(), "^BUSY")
         self.assertEqual(select.select([self.server.sock], [], [], 0)[0], [])
@@ -411,7 +411,7 @@
         watch, _ = self.discovery.watch()
         watch.begin_watch()
         watch.send("1", "\n")
-        self.until("event ServerList", 5)
+        self.until("event EndpointUpdate", 5)
         watch.close()
         broke = time.monotonic()
         self.discovery.watch()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -269,13 +269,13 @@
         resource.prlimit(self.node.pid, resource.RLIMIT_NOFILE, (3, 1024))
         client.send(f"OPEN {1:016x} key c=web,d=9000,g=a")
         counters: dict[str, int] = {}
-        while not counters.get("probe not_sent"):
+        while not counters.get("health_check_not_sent"):
             self.node.send_signal(signal.SIGUSR1)
             counters = self.logged("counters")
         resource.prlimit(self.node.pid, resource.RLIMIT_NOFILE, (1024, 1024))
         self.server.rpc()[0].send("UP r")
         self.assertEqual(client.line(), "UP r")
-        self.assertNotIn("probe connect_failed", counters)
+        self.assertNotIn("health_check_connect_failed", counters)
 
 
 class Discovery(NodeTest):
@@ -394,7 +394,7 @@
         assert self.node
         self.node.send_signal(signal.SIGUSR1)
         counters = self.logged("counters")
-        self.assertEqual((counters["RPCs"], counters["attempt up"]), (1, 1))
+        self.assertEqual((counters["RPCs"], counters["attempt_established"]), (1, 1))
 
     def test_sigterm_still_accepts_and_then_moves_everyone(self) -> None:
         self.start()
--- a/wheatstile/net/client_connection.py
+++ b/wheatstile/net/client_connection.py
@@ -10,9 +10,12 @@
 from wheatstile import interface as api
 from wheatstile.config.platform import ChannelLimits
 from wheatstile.net.decision_loop import DecisionLoop
-from wheatstile.net.line_stream import LINGER, LineStream, LineTooLongError
+from wheatstile.net.errors import LineTooLongError
+from wheatstile.net.line_stream import LINGER, LineStream
 from wheatstile.net.open_request import OpenRequest, ProtocolError
-from wheatstile.net.upstream_pool import Attempt, UpstreamPool, verdict_of
+from wheatstile.net.upstream_attempt import AttemptResult, UpstreamAttempt
+from wheatstile.net.upstream_pool import UpstreamPool
+from wheatstile.net.upstream_reply import parse_final_reply
 
 T = TypeVar("T")
 
@@ -65,7 +68,7 @@
         self.task: asyncio.Task[None]  # its whole life
         self.id = ""
         self.number = 0  # of the attempt
-        self.attempt: Attempt | None = None
+        self.attempt: UpstreamAttempt | None = None
         self.up = False
         self._decisions: asyncio.Queue[api.StartAttempt | api.Reject | api.Fail] = asyncio.Queue()
         self._answered = asyncio.Event()  # the module has said its last, maybe while an attempt is out
@@ -103,7 +106,7 @@
 
     def unanswered(self, now: int) -> int:
         """For how long a line of the client's has waited for the server."""
-        asked_at = self.attempt.upstream.open.get(self.id, 0) if self.up and self.attempt else 0
+        asked_at = self.attempt.upstream.waiting_since_us.get(self.id, 0) if self.up and self.attempt else 0
         return now - asked_at if asked_at else 0
 
     async def run(self) -> None:
@@ -131,7 +134,7 @@
 
     def _drop_attempt(self, reset: bool = False) -> None:
         if self.attempt:
-            self.attempt.upstream.open.pop(self.id, None)
+            self.attempt.upstream.waiting_since_us.pop(self.id, None)
             self.attempt.close(reset)
             self.attempt = None
 
@@ -259,10 +262,10 @@
                 continue  # given up on before it was sent: the answer is the next
             start = self.decisions.now()
             timeout = (action.timeout_us or longest * 1000) / 1e6
-            outcome, line = await self._try(first.with_wait, action.server, timeout)
+            result = await self._try(first.with_wait, action.server, timeout)
             elapsed = self.decisions.now() - start
-            if outcome == "up":
-                self._send_up(line)
+            if result.established:
+                self._send_up(result.line)
                 if self._answered.is_set():  # the module gave up in the same turn, and has forgotten it
                     self.number = 0
                     self.decisions.dispatch(
@@ -271,16 +274,15 @@
                 else:
                     self.decisions.dispatch(api.Established(self.id, self.number, action.server, elapsed))
                 return b""
-            report = self.attempt.report if self.attempt else None
             self._drop_attempt()  # before the module can ask for the next
-            closed = outcome == "ok"
+            closed = result.outcome is api.AttemptOutcome.OK
             self.decisions.dispatch(
                 api.AttemptEnded(
-                    self.id, self.number, action.server, api.AttemptOutcome(outcome), elapsed, closed, report
+                    self.id, self.number, action.server, result.outcome, elapsed, closed, result.report
                 )
             )
             if closed:
-                return line
+                return result.line
             self.number += 1
 
     async def _reopen(self, first: OpenRequest) -> bytes:
@@ -288,47 +290,47 @@
         server, within = first.fields["at"], min(first.wait / 1000, REOPEN_WITHIN)
         # All balancers reopen all their connections at once, and a packet lost then comes again after 1 s.
         as_is = first.with_wait(first.wait)
-        outcome, line = await self._try(lambda _: as_is, server, within, patient=True)
-        if outcome == "up":
-            self._send_up(line)
+        result = await self._try(lambda _: as_is, server, within, reopening=True)
+        if result.established:
+            self._send_up(result.line)
             self.decisions.dispatch(api.ExistingConnection(self.id, first.fields["c"], server, first.key))
             return b""
-        self.decisions.counters[f"not reopened, {outcome}"] += (
+        self.decisions.counters[f"not reopened, {result.outcome}"] += (
             1  # no log line for each: any client can write at=
         )
         return b"ERR\r\n"
 
     async def _try(
-        self, first_line: Callable[[int], bytes], server: str, timeout: float, patient: bool = False
-    ) -> tuple[str, bytes]:
+        self, first_line: Callable[[int], bytes], server: str, timeout: float, reopening: bool = False
+    ) -> AttemptResult:
         """One attempt. The one before it was closed when it ended, so that there are never two."""
         self._check_waiting()
-        self.attempt = self.front.upstreams.attempt(server)
+        self.attempt = self.front.upstreams.new_attempt(server)
         if self.attempt is None:
-            return "connect_failed", b""
+            return AttemptResult(api.AttemptOutcome.CONNECT_FAILED)
 
         def still_wanted(wait: int) -> bytes | None:
             self._check_waiting()
             return None if self._answered.is_set() else first_line(wait)
 
-        run = asyncio.create_task(self.attempt.run(still_wanted, timeout, patient))
+        run = asyncio.create_task(self.attempt.connect_and_open(still_wanted, timeout, reopening))
         answered = asyncio.create_task(self._answered.wait())
         try:
             await self._unless_left(_first_of(run, answered))
-            outcome, line = run.result() if run.done() else ("cancelled", b"")
+            result = run.result() if run.done() else AttemptResult(api.AttemptOutcome.CANCELLED)
         finally:
             run.cancel()
             answered.cancel()
             await asyncio.wait([run, answered])
             if not run.cancelled():
                 run.exception()  # that the client has left may be known from the reader already
-        self.decisions.counters[f"attempt {outcome}"] += 1
-        return outcome, line
+        self.decisions.counters[f"attempt_{result.label}"] += 1
+        return result
 
     def _send_up(self, line: bytes) -> None:
         """In one turn: were its time out in between, the client would get a second final answer."""
         assert self.attempt
-        self.attempt.upstream.open[self.id] = 0
+        self.attempt.upstream.waiting_since_us[self.id] = 0
         self.up = True  # from here on the reader passes the client's lines on
         try:
             self._unsent = self.lines.send_now(line)
@@ -357,7 +359,8 @@
             async with asyncio.timeout(LINGER):
                 await self._to_client.acquire()  # and keep it: no further line may follow the last
             if self._farewell:  # the server's last line was on its way
-                outcome, report = verdict_of(self._farewell)
+                final = parse_final_reply(self._farewell)
+                outcome, report = final.outcome.value, final.report
                 return b""
             if last == b"MOVE\r\n":
                 self.decisions.counters[f"MOVE, {self._ending.result()}"] += 1
@@ -383,13 +386,13 @@
 
     async def _pump(self) -> tuple[str, api.LoadReport | None, bool]:
         """The server's lines to the client, whole ones only; how the server ended it, and if by a reset."""
-        assert self.attempt and self.attempt.lines
+        assert self.attempt and self.attempt.stream
         upstream, last = self.attempt.upstream, b""
         reset = False
         while True:
             lines, self._unsent = self._unsent, b""
             try:
-                lines = lines or await self.attempt.lines.read_lines()
+                lines = lines or await self.attempt.stream.read_lines()
             except OSError:
                 lines, reset = b"", True
             except LineTooLongError:
@@ -401,7 +404,7 @@
                 if word == b"LOAD":
                     self._note_load(rest)
                 elif word not in (b"BYE", b"MOVE"):
-                    upstream.answered(self.id, self.decisions.now())
+                    upstream.on_upstream_line(self.id, self.decisions.now())
                 last = line
             try:
                 async with self._to_client:
@@ -409,8 +412,10 @@
                     self._farewell = last if last.startswith((b"BYE", b"MOVE")) else b""
             except OSError:
                 raise ClientDisconnectedError(reset=True) from None
-        outcome, report = verdict_of(self._farewell) if self._farewell else ("reset", None)
-        return outcome, report, reset and outcome == "reset"
+        if not self._farewell:
+            return "reset", None, reset
+        final = parse_final_reply(self._farewell)
+        return final.outcome.value, final.report, False
 
     def _note_load(self, text: bytes) -> None:
         assert self.attempt
@@ -427,10 +432,10 @@
             while lines := await self.lines.read_lines():
                 if not self.up:
                     raise ProtocolError
-                if self.attempt and self.attempt.lines:
-                    self.attempt.upstream.asked(self.id, self.decisions.now())
+                if self.attempt and self.attempt.stream:
+                    self.attempt.upstream.on_client_line(self.id, self.decisions.now())
                     with suppress(OSError):  # the server's end is for the pump to see
-                        await self.attempt.lines.send(lines)
+                        await self.attempt.stream.send(lines)
         except LineTooLongError:
             raise ProtocolError from None
         except OSError:
--- a/wheatstile/net/client_listener.py
+++ b/wheatstile/net/client_listener.py
@@ -66,7 +66,12 @@
 
     def _left(self) -> int:
         """Descriptors that RPCs leave for others, at a channel and a server for each."""
-        return self.limits.descriptors - OWN - self.upstreams.most_probes() - 2 * len(self.decisions.sessions)
+        return (
+            self.limits.descriptors
+            - OWN
+            - self.upstreams.max_health_check_connections
+            - 2 * len(self.decisions.sessions)
+        )
 
     def full(self) -> bool:
         """Whether another RPC would take descriptors that the unserved need, to be answered at all."""
--- a/wheatstile/net/line_stream.py
+++ b/wheatstile/net/line_stream.py
@@ -4,15 +4,13 @@
 import socket
 import struct
 
+from wheatstile.net.errors import LineTooLongError
+
 LINE_LIMIT = 4096
 LINGER = 0.5  # seconds that a peer is given to take the last line and close
 LINGER_BYTES = 1 << 16  # that are read and dropped meanwhile: more than any line that was under way
 
 
-class LineTooLongError(Exception):
-    """The peer's line passes the limit."""
-
-
 class LineStream:
     """One TCP connection and the lines that have come on it. Whoever makes it closes it.
 
@@ -32,7 +30,7 @@
 
     async def _fill(self) -> bool:
         if self._filled == LINE_LIMIT:
-            raise LineTooLongError
+            raise LineTooLongError(LINE_LIMIT)
         count = await self._loop.sock_recv_into(self.sock, self._buffer[self._filled :])
         self._filled += count
         return count > 0
--- /dev/null
+++ b/wheatstile/net/upstream_reply.py
@@ -0,0 +1,54 @@
+"""What a server's lines mean for the decision module; no input or output."""
+
+from dataclasses import dataclass
+
+from wheatstile import interface as api
+from wheatstile.config import reports
+
+# A load metric's name on the wire -> the interface's.
+LOAD_METRICS: dict[str, str] = {
+    "inflight": api.LoadMetric.IN_FLIGHT.value,
+    "queue": api.LoadMetric.QUEUE_LENGTH.value,
+    "util": api.LoadMetric.BUSY_SHARE.value,
+    "latency_ms": api.LoadMetric.LATENCY_MS.value,
+    "qps": api.LoadMetric.SERVED_PER_S.value,
+    "eps": api.LoadMetric.ERRORS_PER_S.value,
+    "x0": api.LoadMetric.LOAD.value,
+    "x1": api.LoadMetric.BACKLOG_S.value,
+}
+FINAL_OUTCOMES = {
+    b"BYE": api.AttemptOutcome.OK,
+    b"MOVE": api.AttemptOutcome.CANCELLED,
+    b"ERR": api.AttemptOutcome.ERROR,
+    b"BUSY": api.AttemptOutcome.OVERLOADED,
+}
+HEALTH_CHECK_REPLY = b"PONG"
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """What a server's line says: an outcome, and the load report that closes the line, if there is one."""
+
+    outcome: api.AttemptOutcome
+    report: api.LoadReport | None = None
+
+
+def parse_load_report(text: bytes) -> api.LoadReport | None:
+    """Parse a load report as it closes a line; None if it holds no usable figure."""
+    return reports.report_in(text.decode("latin-1"), "=", LOAD_METRICS) or None
+
+
+def parse_final_reply(line: bytes) -> Reply:
+    """Parse a line that ends an attempt or a session. An unknown keyword counts as an error."""
+    keyword, _, rest = line.strip().partition(b" ")
+    return Reply(FINAL_OUTCOMES.get(keyword, api.AttemptOutcome.ERROR), parse_load_report(rest))
+
+
+def parse_health_check_reply(line: bytes) -> Reply:
+    """Parse the answer to a health check; an empty line is the end of the connection."""
+    if not line:
+        return Reply(api.AttemptOutcome.RESET)
+    keyword, _, rest = line.strip().partition(b" ")
+    if keyword == HEALTH_CHECK_REPLY:
+        return Reply(api.AttemptOutcome.OK, parse_load_report(rest))
+    return parse_final_reply(line)
--- a/wheatstile/node.py
+++ b/wheatstile/node.py
@@ -21,6 +21,7 @@
 from wheatstile.net.client_listener import ClientListener
 from wheatstile.net.decision_loop import DecisionLoop
 from wheatstile.net.discovery_watcher import DiscoveryOnlyObserver, DiscoveryWatcher
+from wheatstile.net.latency_monitor import LatencyMonitor
 from wheatstile.net.line_stream import LINGER
 from wheatstile.net.upstream_pool import UpstreamPool
 
@@ -182,7 +183,7 @@
             accepting = asyncio.create_task(supervised("accept", lambda: self.channels.serve(listener)))
             parts = [
                 asyncio.create_task(supervised("silence", self.channels.sweep)),
-                asyncio.create_task(supervised("delays", self.upstreams.sweep)),
+                asyncio.create_task(supervised("delays", LatencyMonitor(self.upstreams, self.decisions).run)),
             ]
             log.info("serving", name=self.config.name, servers=len(self.upstreams.by_name))
             await self.terminated.wait()
