Split the client's side: connection, first line, session setup, relay, listener, shutdown

Cause: `ClientConnection` was one class of 370 lines, with the reasons of a migration and the results of an attempt as strings; the listener also drained and looked for silent servers.

Change: `client_connection` (life from accept to close), `client_stream` (whether the client still waits, asked of the socket in the turn itself), `first_line_reader`, `session` (what setup and relay share, `MigrationReason`), `session_setup` (attempts), `session_relay` (both ways, `RelayEnd`), `client_listener` (accept, descriptors, eviction), `graceful_shutdown`, `unresponsive_upstream_detector`, `client_replies`; `OpenRequest` has a typed field for each part of the line; errors have one base and carry their data. These parts import each other, so they change in one commit.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -63,7 +63,7 @@
         """The next connection that a server gets is this new client's, and nothing has failed inside."""
         self.up(number)
         counters = self.counters()
-        self.assertNotIn("channel failures", counters)
+        self.assertNotIn("client_connection_failed", counters)
         self.assertNotIn("module failures", counters)
         return counters
 
@@ -176,7 +176,7 @@
             client = self.open(number, wait=200)
             self.assertRegex(client.line(), "^BUSY")
             client.close(reset)
-        self.assertEqual(self.until("unavailable", 2).get("channel failures"), None)
+        self.assertEqual(self.until("session_rejected", 2).get("client_connection_failed"), None)
 
 
 class HeldByTheModule(CrossingTest):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -394,7 +394,7 @@
         assert self.node
         self.node.send_signal(signal.SIGUSR1)
         counters = self.logged("counters")
-        self.assertEqual((counters["RPCs"], counters["attempt_established"]), (1, 1))
+        self.assertEqual((counters["session_requested"], counters["attempt_established"]), (1, 1))
 
     def test_sigterm_still_accepts_and_then_moves_everyone(self) -> None:
         self.start()
--- a/wheatstile/net/client_listener.py
+++ b/wheatstile/net/client_listener.py
@@ -1,4 +1,4 @@
-"""The front on the platform's protocol: accepts channels, bounds them, and sends them away at the end."""
+"""Accepts clients, and bounds them by the descriptors that the process may use."""
 
 import asyncio
 import errno
@@ -9,177 +9,156 @@
 
 import structlog
 
-from wheatstile import interface as api
 from wheatstile.config.platform import ChannelLimits
-from wheatstile.net.client_connection import DRAIN, SILENT, STAY_AWAY, ClientConnection
+from wheatstile.net.client_connection import RETRY_AFTER_MS, ClientConnection
+from wheatstile.net.client_replies import rejection_line
 from wheatstile.net.decision_loop import DecisionLoop
 from wheatstile.net.open_request import OpenRequest
+from wheatstile.net.session import Session
+from wheatstile.net.upstream_attempt import OUT_OF_DESCRIPTORS
 from wheatstile.net.upstream_pool import UpstreamPool
 
 log = structlog.get_logger()
 
-SILENT_AFTER = 4_000_000  # microseconds without an answer to a client's line. Lines come every 2 s and a
-# connection that returns nothing must be ended within 7 s: the next line, this, and a sweep come to 6.5.
-SWEEP = 0.5  # seconds between two looks for silent servers
-IDS_KEPT = 1 << 12  # ids that a repeat is known by, beside those of all RPCs that stand
-OWN = 20  # descriptors beside channels', RPCs' and probes': output, loop, listener, discovery, the spare one
-UNSERVED = 1 / 8  # of the descriptors are for channels that have no RPC, be they silent, refused or ending
+MAX_RECENT_IDS = 1 << 12  # ids that a repeat is known by, beside those of all sessions that stand
+RESERVED_DESCRIPTORS = 20  # for output, loop, listener, discovery, the spare one
+PENDING_SHARE = 1 / 8  # of the descriptors are for connections without a session: silent, rejected, ending
+DESCRIPTORS_PER_SESSION = 2  # the client's and the server's
+ACCEPT_RETRY_S = 0.01
 
 
 class ClientListener:
-    """The front: owns the channels, each for its whole life."""
+    """Owns the clients' connections, each for its whole life.
+
+    A connection is pending while it has no session. Descriptors are kept for the pending ones, so that each
+    client can be answered at all; when these are out, the oldest pending connection is evicted.
+    """
 
     def __init__(self, decisions: DecisionLoop, upstreams: UpstreamPool, limits: ChannelLimits) -> None:
-        self.decisions, self.upstreams, self.limits = decisions, upstreams, limits
-        self.channels: dict[asyncio.Task[None], ClientConnection] = {}
-        self._unserved: dict[
-            ClientConnection, asyncio.Task[None]
-        ] = {}  # those without an RPC, the oldest first
-        self._ids: OrderedDict[str, None] = OrderedDict()
-        self._spare = os.open(os.devnull, os.O_RDONLY)
-
-    def seen(self, id: str) -> bool:
-        """Whether this id has come before: a repeat would put a second copy of an RPC out.
-
-        An RPC may be older than all ids that are kept; its owner must not lose it to whoever repeats its id.
+        self.decisions = decisions
+        self.upstreams = upstreams
+        self.limits = limits  # a reload replaces it
+        self.connections: dict[asyncio.Task[None], ClientConnection] = {}
+        self._pending: dict[ClientConnection, asyncio.Task[None]] = {}  # the oldest first
+        self._recent_ids: OrderedDict[str, None] = OrderedDict()
+        self._spare_descriptor = os.open(os.devnull, os.O_RDONLY)
+
+    def register_id(self, session_id: str) -> bool:
+        """Take note of a session's id; whether it is new. A repeat would put out a second copy of a session.
+
+        A session may be older than all ids that are kept; it must not be lost to whoever repeats its id.
         """
-        if id in self._ids or id in self.decisions.sessions:
-            return True
-        self._ids[id] = None
-        if len(self._ids) > IDS_KEPT:
-            self._ids.popitem(last=False)
-        return False
-
-    def longest(self, first: OpenRequest) -> int:
-        """The milliseconds that this client waits at most."""
-        return min(first.wait, self.limits.deadlines[first.fields["c"]])
-
-    def admit(self, channel: ClientConnection) -> None:
-        """A channel has asked for an RPC: from here on it is served, and safe from the crowd."""
-        self._unserved.pop(channel, None)
-        self.decisions.sessions[channel.id] = channel
-
-    def release(self, channel: ClientConnection) -> None:
-        """Its RPC is over; what is left is to take the last line."""
-        if self.decisions.sessions.pop(channel.id, None):
-            self._unserved[channel] = channel.task
-
-    def _left(self) -> int:
-        """Descriptors that RPCs leave for others, at a channel and a server for each."""
-        return (
-            self.limits.descriptors
-            - OWN
-            - self.upstreams.max_health_check_connections
-            - 2 * len(self.decisions.sessions)
-        )
-
-    def full(self) -> bool:
-        """Whether another RPC would take descriptors that the unserved need, to be answered at all."""
-        return self._left() - 2 < int(self.limits.descriptors * UNSERVED)
-
-    def _make_room(self) -> None:
-        """End the oldest channel without an RPC when there are too many, however they fell silent.
-
-        A usual client writes its first line at once and is soon served; the crowd may not take its place.
+        if session_id in self._recent_ids or session_id in self.decisions.sessions:
+            return False
+        self._recent_ids[session_id] = None
+        if len(self._recent_ids) > MAX_RECENT_IDS:
+            self._recent_ids.popitem(last=False)
+        return True
+
+    def max_wait_ms(self, request: OpenRequest) -> int:
+        """Return the milliseconds that this request's client waits at most. Raises KeyError for its class."""
+        return min(request.wait_ms, self.limits.deadlines[request.service_class])
+
+    def admit(self, connection: ClientConnection, session: Session) -> None:
+        """Take note that a connection has asked for this session: from here on it is not evicted."""
+        self._pending.pop(connection, None)
+        self.decisions.sessions[session.id] = session
+
+    def release(self, connection: ClientConnection, session: Session) -> None:
+        """Take note that the session is over; what is left is to take the last line."""
+        if self.decisions.sessions.pop(session.id, None):
+            self._pending[connection] = connection.task
+
+    def _free_descriptors(self) -> int:
+        """Return the descriptors that sessions leave to others."""
+        used = DESCRIPTORS_PER_SESSION * len(self.decisions.sessions)
+        others = RESERVED_DESCRIPTORS + self.upstreams.max_health_check_connections
+        return self.limits.descriptors - others - used
+
+    def _min_pending(self) -> int:
+        return int(self.limits.descriptors * PENDING_SHARE)
+
+    def has_capacity(self) -> bool:
+        """Whether another session leaves the descriptors that pending connections need."""
+        return self._free_descriptors() - DESCRIPTORS_PER_SESSION >= self._min_pending()
+
+    def _evict_oldest_pending(self) -> None:
+        """End the oldest pending connection when there are too many, however they fell silent.
+
+        A usual client writes its first line at once and is soon served; the many may not take its place.
         """
-        most = max(self._left(), int(self.limits.descriptors * UNSERVED))
-        if self._unserved and len(self._unserved) >= most:
-            channel = next(iter(self._unserved))
-            self._unserved.pop(channel).cancel()
-            self.decisions.counters["crowded out"] += 1
+        max_pending = max(self._free_descriptors(), self._min_pending())
+        if self._pending and len(self._pending) >= max_pending:
+            oldest = next(iter(self._pending))
+            self._pending.pop(oldest).cancel()
+            self.decisions.counters["client_connection_evicted"] += 1
 
-    def unavailable(self, milliseconds: int) -> bytes:
-        """The unavailable status, with the time after which to come again, if the settings allow it."""
-        milliseconds = min(milliseconds, self.limits.most_advice)
-        return b"BUSY %d\r\n" % milliseconds if milliseconds > 0 else b"BUSY\r\n"
+    def rejection_line(self, retry_after_ms: int) -> bytes:
+        """Return the line that rejects a client, with the time to retry after if the settings allow it."""
+        return rejection_line(min(retry_after_ms, self.limits.most_advice))
 
     async def serve(self, listener: socket.socket) -> None:
-        """Accept for ever, also while descriptors are out: whoever cannot be kept is refused politely."""
+        """Accept for ever, also while descriptors are out: whoever cannot be kept is rejected."""
         loop = asyncio.get_running_loop()
         while True:
             failed: asyncio.Future[None] = loop.create_future()
-            loop.add_reader(listener, self._accept, listener, failed)
+            loop.add_reader(listener, self.accept, listener, failed)
             try:
                 await failed
             finally:
                 loop.remove_reader(listener)
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(ACCEPT_RETRY_S)
 
-    def _accept(self, listener: socket.socket, failed: "asyncio.Future[None] | None" = None) -> bool:
-        """Accept one, which has its owner in the same turn: no wait is there to lose it. False: none came."""
+    def accept(self, listener: socket.socket, failed: asyncio.Future[None] | None = None) -> bool:
+        """Accept one client, which has its owner in the same turn: no wait is there to lose it.
+
+        False: nobody stands in the backlog, or it failed, which `failed` is told of.
+        """
         try:
             sock, _ = listener.accept()
         except BlockingIOError:
             return False
         except OSError as error:
-            self.decisions.counters[f"accept failed: {errno.errorcode.get(error.errno or 0, '?')}"] += 1
-            if error.errno in (errno.EMFILE, errno.ENFILE):
-                self._refuse_one(listener)
+            self._on_accept_error(listener, error)
             if failed and not failed.done():
                 failed.set_result(None)
             return False
-        self._make_room()
-        channel = ClientConnection(self, sock)
-        channel.task = asyncio.create_task(channel.run())
-        self.channels[channel.task], self._unserved[channel] = channel, channel.task
-        channel.task.add_done_callback(self._over)
+        self._evict_oldest_pending()
+        connection = ClientConnection(self, sock)
+        connection.task = asyncio.create_task(connection.run())
+        self.connections[connection.task] = connection
+        self._pending[connection] = connection.task
+        connection.task.add_done_callback(self._on_connection_done)
         return True
 
-    def _refuse(self, sock: socket.socket) -> None:
-        self.decisions.counters["unavailable, no descriptors"] += 1
-        with sock, suppress(OSError):
-            sock.setblocking(False)
-            sock.send(self.unavailable(STAY_AWAY))
+    def _on_accept_error(self, listener: socket.socket, error: OSError) -> None:
+        self.decisions.counters[f"accept_failed_{errno.errorcode.get(error.errno or 0, '?')}"] += 1
+        if error.errno in OUT_OF_DESCRIPTORS:
+            self._reject_on_spare_descriptor(listener)
 
-    def _refuse_one(self, listener: socket.socket) -> None:
-        """With no descriptor left, a spare one is given up for as long as it takes to refuse one client.
+    def _reject_on_spare_descriptor(self, listener: socket.socket) -> None:
+        """With no descriptor left, give up a spare one for as long as it takes to reject one client.
 
         Without it a client in the backlog would neither be served nor told, and accept would spin.
         """
-        os.close(self._spare)
+        os.close(self._spare_descriptor)
         try:
             with suppress(OSError):
-                self._refuse(listener.accept()[0])
+                sock, _ = listener.accept()
+                self._reject(sock)
         finally:
-            self._spare = os.open(os.devnull, os.O_RDONLY)
+            self._spare_descriptor = os.open(os.devnull, os.O_RDONLY)
 
-    def _over(self, task: asyncio.Task[None]) -> None:
-        channel = self.channels.pop(task)
-        self._unserved.pop(channel, None)
-        if not task.cancelled() and (error := task.exception()):
-            self.decisions.counters["channel failures"] += 1
-            log.error("a channel failed", rpc=channel.id, exc_info=error)
+    def _reject(self, sock: socket.socket) -> None:
+        self.decisions.counters["client_rejected_out_of_descriptors"] += 1
+        with sock, suppress(OSError):
+            sock.setblocking(False)
+            sock.send(self.rejection_line(RETRY_AFTER_MS))
 
-    async def sweep(self) -> None:
-        """Move clients whose server has been silent for too long: TCP tells nothing of a cut-off one."""
-        while True:
-            await asyncio.sleep(SWEEP)
-            now = self.decisions.now()
-            for channel in list(self.channels.values()):
-                if channel.unanswered(now) > SILENT_AFTER:
-                    channel.end(SILENT)
-
-    async def drain(self, seconds: float) -> None:
-        """Move every client, spread over this time; whoever comes meanwhile is still served."""
-        end = asyncio.get_running_loop().time() + seconds
-        while self.decisions.sessions and (left := end - asyncio.get_running_loop().time()) > 0:
-            standing = [channel for channel in self.channels.values() if channel.standing]
-            if standing:
-                standing[0].end(DRAIN)
-            await asyncio.sleep(min(0.1, left / (len(standing) + 1)))
-
-    async def close(self, listener: socket.socket) -> None:
-        """Answer whoever is not up, and whoever still stands in the backlog; nobody accepts beside this.
-
-        The listener is closed in the turn in which the backlog was found empty: whoever comes later is
-        refused by the kernel, and knows that nobody has taken its request.
-        """
-        self.decisions.dispatch(api.ShutdownStarted())
-        while self._accept(listener):
-            pass
-        listener.close()
-        while self.channels:  # each has LINGER to take its last line
-            for channel in self.channels.values():
-                channel.end(DRAIN)  # a few may have come up in this instant
-                channel.turn_away()
-            await asyncio.wait(self.channels, timeout=0.02)
+    def _on_connection_done(self, task: asyncio.Task[None]) -> None:
+        connection = self.connections.pop(task)
+        self._pending.pop(connection, None)
+        if not task.cancelled() and (error := task.exception()):
+            self.decisions.counters["client_connection_failed"] += 1
+            session_id = connection.session.id if connection.session else ""
+            log.error("client_connection_failed", session_id=session_id, exc_info=error)
--- /dev/null
+++ b/wheatstile/net/client_replies.py
@@ -0,0 +1,9 @@
+"""The lines that the balancer itself sends to clients."""
+
+ERROR_LINE = b"ERR\r\n"
+MIGRATE_LINE = b"MOVE\r\n"
+
+
+def rejection_line(retry_after_ms: int) -> bytes:
+    """Return the rejection, with the milliseconds to retry after; 0 or less: without any."""
+    return b"BUSY %d\r\n" % retry_after_ms if retry_after_ms > 0 else b"BUSY\r\n"
--- a/wheatstile/net/line_stream.py
+++ b/wheatstile/net/line_stream.py
@@ -7,8 +7,8 @@
 from wheatstile.net.errors import LineTooLongError
 
 LINE_LIMIT = 4096
-LINGER = 0.5  # seconds that a peer is given to take the last line and close
-LINGER_BYTES = 1 << 16  # that are read and dropped meanwhile: more than any line that was under way
+LINGER_S = 0.5  # for which a peer is given time to take the last line and close
+MAX_DISCARDED_BYTES = 1 << 16  # read and dropped meanwhile: more than any line that was under way
 
 
 class LineStream:
@@ -29,6 +29,7 @@
         self._filled = 0
 
     async def _fill(self) -> bool:
+        """Read what has come, up to a full buffer; False at the peer's end. Raises LineTooLongError."""
         if self._filled == LINE_LIMIT:
             raise LineTooLongError(LINE_LIMIT)
         count = await self._loop.sock_recv_into(self.sock, self._buffer[self._filled :])
@@ -36,7 +37,9 @@
         return count > 0
 
     def _take(self, end: int) -> bytes:
-        taken, rest = bytes(self._buffer[:end]), bytes(self._buffer[end : self._filled])
+        """Remove the first `end` bytes from the buffer and return them."""
+        taken = bytes(self._buffer[:end])
+        rest = bytes(self._buffer[end : self._filled])
         self._buffer[: len(rest)] = rest
         self._filled = len(rest)
         return taken
@@ -47,16 +50,20 @@
         return self._filled > 0
 
     async def read_line(self) -> bytes:
-        """One line with its end; empty when the peer has ended the connection."""
+        """Return one line with its end; empty when the peer has ended the connection.
+
+        Raises OSError, and LineTooLongError for a line that passes LINE_LIMIT.
+        """
         while (end := bytes(self._buffer[: self._filled]).find(b"\r\n")) < 0:
             if not await self._fill():
                 return b""
         return self._take(end + 2)
 
     async def read_lines(self) -> bytes:
-        """All whole lines that have come, at least one; empty when the peer has ended the connection.
+        """Return all whole lines that have come, at least one; empty when the peer has ended the connection.
 
-        What the peer leaves of a line at its end is dropped: no part of a line is ever passed on.
+        What the peer leaves of a line at its end is dropped: no part of a line is ever passed on. Raises
+        OSError, and LineTooLongError for a line that passes LINE_LIMIT.
         """
         while (end := bytes(self._buffer[: self._filled]).rfind(b"\r\n")) < 0:
             if not await self._fill():
@@ -64,17 +71,21 @@
         return self._take(end + 2)
 
     async def send(self, data: bytes) -> None:
+        """Send all of the data, waiting for the peer as long as it takes. Raises OSError."""
         await self._loop.sock_sendall(self.sock, data)
 
     def send_now(self, data: bytes) -> bytes:
-        """Send what the kernel takes in this very turn, and return the rest: nothing can come in between."""
+        """Send what the kernel takes in this very turn, and return the rest: nothing can come in between.
+
+        Raises OSError.
+        """
         try:
             return data[self.sock.send(data) :]
         except BlockingIOError:
             return data
 
     async def readable(self) -> None:
-        """Until something has come, or the peer's end. Whoever gives up waiting loses nothing that came."""
+        """Wait until something has come, or the peer's end. Whoever gives up waiting loses nothing."""
         ready = asyncio.Event()
         self._loop.add_reader(self.sock, ready.set)
         try:
@@ -83,7 +94,10 @@
             self._loop.remove_reader(self.sock)
 
     def peek(self) -> bytes | None:
-        """The next byte that has come but was not read; empty at the peer's end, None: nothing has come."""
+        """Return the next byte that has come and was not read; empty at the peer's end, None: none came.
+
+        Raises OSError if the peer has reset the connection.
+        """
         try:
             return self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
@@ -101,17 +115,17 @@
 
         Closing while bytes of the peer's are unread would reset the connection, and the reset may overtake
         the line: so this side is shut, and what still comes is read and dropped until the peer closes. A peer
-        that goes on and on is held back by TCP instead, which costs nothing, until its time to read is up.
+        that goes on and on is held back by TCP instead, which costs nothing, until LINGER_S is up.
         """
         try:
-            async with asyncio.timeout(LINGER):
+            async with asyncio.timeout(LINGER_S):
                 await self.send(last)
                 self.sock.shutdown(socket.SHUT_WR)
-                left = LINGER_BYTES
+                remaining_bytes = MAX_DISCARDED_BYTES
                 while count := await self._loop.sock_recv_into(self.sock, self._buffer):
-                    left -= count
-                    if left <= 0:
-                        await asyncio.sleep(LINGER)
+                    remaining_bytes -= count
+                    if remaining_bytes <= 0:
+                        await asyncio.sleep(LINGER_S)
         except (OSError, TimeoutError):
             pass
 
--- a/wheatstile/net/upstream_pool.py
+++ b/wheatstile/net/upstream_pool.py
@@ -27,6 +27,7 @@
 
     @limits.setter
     def limits(self, limits: ServerLimits) -> None:
+        """Follow a reload: what is opened next keeps to the new limits."""
         self._health_check_connections.limits = limits
 
     @property
--- a/wheatstile/node.py
+++ b/wheatstile/node.py
@@ -21,8 +21,10 @@
 from wheatstile.net.client_listener import ClientListener
 from wheatstile.net.decision_loop import DecisionLoop
 from wheatstile.net.discovery_watcher import DiscoveryOnlyObserver, DiscoveryWatcher
+from wheatstile.net.graceful_shutdown import GracefulShutdown
 from wheatstile.net.latency_monitor import LatencyMonitor
-from wheatstile.net.line_stream import LINGER
+from wheatstile.net.line_stream import LINGER_S
+from wheatstile.net.unresponsive_upstream_detector import UnresponsiveUpstreamDetector
 from wheatstile.net.upstream_pool import UpstreamPool
 
 if TYPE_CHECKING:  # what is switched off is not imported
@@ -182,7 +184,7 @@
         with listener:
             accepting = asyncio.create_task(supervised("accept", lambda: self.channels.serve(listener)))
             parts = [
-                asyncio.create_task(supervised("silence", self.channels.sweep)),
+                asyncio.create_task(supervised("silence", UnresponsiveUpstreamDetector(self.channels).run)),
                 asyncio.create_task(supervised("delays", LatencyMonitor(self.upstreams, self.decisions).run)),
             ]
             log.info("serving", name=self.config.name, servers=len(self.upstreams.by_name))
@@ -191,12 +193,13 @@
             time = min(self.config.longest_deadline, COUNTED_DEADLINE) + KILLED_AFTER
             begin = max(STILL_COMING, time - SPARE - SPREAD)
             await asyncio.sleep(begin)
-            await self.channels.drain(time - SPARE - begin)
+            shutdown = GracefulShutdown(self.channels)
+            await shutdown.migrate_sessions(time - SPARE - begin)
             accepting.cancel()
             await asyncio.wait([accepting])
             with suppress(TimeoutError):  # a time of its own: however late it is, all get an answer
-                async with asyncio.timeout(LINGER):
-                    await self.channels.close(listener)
+                async with asyncio.timeout(LINGER_S):
+                    await shutdown.close(listener)
             self.discovery_watcher.close()
             for section in (self.servers_section, self.descriptions_section):
                 if section:
