Split the tests of the running balancer by concern, as pytest functions

Cause: tests/test_node.py and tests/test_crossings.py held 73 tests of all parts in 1,084 lines of unittest classes.

Change: they stand in tests/net/ and tests/process/, a file for each module or concern, with fixtures, parametrize and plain assert; the process and its peers are in tests/support/balancer.py and peer.py (`tests/peers.py` adapts them to the unittest classes of other files). A loop that started a balancer for each case is a parameter; a loop within one balancer stays one and names its case.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -6,7 +6,7 @@
 import sys
 import threading
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 
 class Fleet:
@@ -26,7 +26,7 @@
             server = await asyncio.start_server(self._answerer(name), "127.0.0.1", 0)
             self.addresses[name] = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
 
-    def _answerer(self, name: str):  # type: ignore[no-untyped-def]
+    def _answerer(self, name: str) -> Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]:
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             task = asyncio.current_task()
             assert task
@@ -48,6 +48,8 @@
         return serve
 
     def close(self) -> None:
+        """Close all connections, and end the thread."""
+
         async def end() -> None:
             for task in self._tasks:
                 task.cancel()
@@ -61,7 +63,8 @@
 class Program:
     """One process of the program (`python -m wheatstile ARGS`), its lines on standard output in a queue.
 
-    `expect` waits on a line, not on time; signals go to this process alone, by its id."""
+    `expect` waits on a line, not on time; signals go to this process alone, by its id.
+    """
 
     def __init__(self, *args: str) -> None:
         self.lines: queue.Queue[str] = queue.Queue()
@@ -85,7 +88,7 @@
         self.lines.put("<end>")
 
     def expect(self, prefix: str, within: float = 60.0) -> str:
-        """The next line that starts with `prefix`; the bound is only against a hang, never a verdict."""
+        """Return the next line that starts with `prefix`; the bound is against a hang, no verdict."""
         while True:
             line = self.lines.get(timeout=within)
             if line.startswith(prefix) or line == "<end>":
@@ -93,22 +96,23 @@
                 return line
 
     def tell(self, line: str) -> str:
-        """Sends one command line; its answer."""
+        """Send one command line; returns its answer."""
         assert self.process.stdin
         self.process.stdin.write(line + "\n")
         self.process.stdin.flush()
         return self.expect("")
 
     def rest(self) -> list[str]:
-        """All lines of a process that has ended."""
+        """Return all lines of a process that has ended."""
         self._reader.join()
         return self.history
 
     def signal(self, number: int) -> None:
+        """Send the process a signal."""
         self.process.send_signal(number)
 
     def close(self) -> int:
-        """Ends the process by closing its input, then by SIGKILL if it does not; its exit status."""
+        """End the process by closing its input, then by SIGKILL if it does not; returns its exit status."""
         if self.process.stdin:
             self.process.stdin.close()
         try:
--- /dev/null
+++ b/tests/net/test_client_connection.py
@@ -0,0 +1,102 @@
+"""A client's connection: what comes before its session, and how it ends."""
+
+import re
+import select
+import time
+from typing import Any
+
+import pytest
+from support.balancer import SETTINGS, SLOW_CONNECT, WITHOUT_HEALTH_CHECKS, Balancer
+from support.peer import TIMEOUT_S
+
+SHORT_DEADLINE = WITHOUT_HEALTH_CHECKS | {"classes": [SETTINGS["classes"][0] | {"deadlineUs": 1500000}]}
+
+
+@pytest.fixture
+def settings() -> dict[str, Any]:
+    return SLOW_CONNECT
+
+
+@pytest.mark.parametrize("settings", [SHORT_DEADLINE])
+def test_client_without_a_complete_first_line_is_closed_in_time(balancer: Balancer) -> None:
+    balancer.start()
+    begun = time.monotonic()
+    silent, half = balancer.client(), balancer.client()
+    half.sock.sendall(b"OPEN 00000000000")
+    for client in (silent, half):
+        assert client.line() in ("ERR", "")
+    assert time.monotonic() - begun < 4.0  # 3 s are owed
+
+
+@pytest.mark.parametrize("settings", [SHORT_DEADLINE])
+def test_endless_line_is_answered_while_it_comes_and_is_not_read_on(balancer: Balancer) -> None:
+    balancer.start()
+    client = balancer.client()
+    client.sock.setblocking(False)
+    sent, answer = 0, b""
+    while True:
+        ready, free, _ = select.select([client.sock], [client.sock], [], TIMEOUT_S)
+        try:
+            if ready and not answer:
+                answer = client.sock.recv(100)
+            if free:
+                sent += client.sock.send(b"x" * 65536)
+        except (ConnectionResetError, BrokenPipeError):
+            break
+        except BlockingIOError:
+            pass
+    assert answer == b"ERR\r\n"
+    assert sent < 32 << 20  # what the kernel's buffers hold; to read on would cost CPU
+
+
+@pytest.mark.parametrize("settings", [SHORT_DEADLINE])
+def test_huge_wait_is_bounded_by_the_deadline_of_the_class(balancer: Balancer) -> None:
+    balancer.start()
+    client = balancer.open(1, 999999999)
+    server = balancer.server.accept_session()[0]  # and no answer
+    assert server.line() == ""
+    assert client.line().split()[0] in ("BUSY", "ERR")
+    client = balancer.client()
+    client.send(f"OPEN {2:016x} k c=web,d=900,g=a,h={'9' * 400}")
+    assert client.line() == "ERR"
+
+
+@pytest.mark.parametrize("reset", [False, True])
+def test_client_that_disconnects_in_the_backlog_is_not_forwarded(balancer: Balancer, reset: bool) -> None:
+    balancer.start()
+    with balancer.paused():
+        balancer.open(1).close(reset)
+    balancer.check_serving(11)
+
+
+def test_client_that_sends_more_and_disconnects_is_not_forwarded(balancer: Balancer) -> None:
+    balancer.start()
+    with balancer.paused():
+        client = balancer.open(1)
+        client.send("and more")
+        client.close()
+    balancer.check_serving(2)
+
+
+@pytest.mark.parametrize("reset", [False, True])
+def test_client_that_disconnects_as_its_last_line_goes_out(balancer: Balancer, reset: bool) -> None:
+    balancer.start([])
+    client = balancer.open(1, wait=200)
+    assert re.search("^BUSY", client.line())
+    client.close(reset)
+    assert "client_connection_failed" not in balancer.wait_for_counter("session_rejected", 1)
+
+
+def test_request_after_pong_is_served_as_the_timeout_expires(balancer: Balancer) -> None:
+    """Before, a balancer that ended it closed over the unread request: a reset, and no answer."""
+    balancer.start()
+    resting, silent = balancer.pinged_client(), balancer.pinged_client()
+    with balancer.paused():
+        time.sleep(2.1)  # more than FIRST_LINE_TIMEOUT_S, which is up before it goes on
+        balancer.open(1, client=resting)
+    server, line = balancer.server.accept_session()
+    assert "0000000000000001" in line
+    server.send("UP r")
+    assert resting.line() == "UP r"
+    assert silent.line() == ""
+    balancer.check_serving(2)
--- /dev/null
+++ b/tests/net/test_client_listener.py
@@ -0,0 +1,80 @@
+"""Accepting clients within the bound on descriptors."""
+
+import re
+import resource
+import select
+from itertools import count
+
+import pytest
+from support.balancer import SETTINGS, WITHOUT_HEALTH_CHECKS, Balancer
+from support.peer import TIMEOUT_S, Peer
+
+SHORT_DEADLINE = WITHOUT_HEALTH_CHECKS | {"classes": [SETTINGS["classes"][0] | {"deadlineUs": 1500000}]}
+
+
+def try_to_establish(balancer: Balancer, number: int) -> tuple[Peer, Peer] | None:
+    """Establish a session: returns the client's end and the server's; None if the client was rejected."""
+    client = balancer.open(number)
+    while True:
+        ready = [balancer.server.sock, client.sock, *(probe.sock for probe in balancer.server.probes)]
+        if client.sock in select.select(ready, [], [], TIMEOUT_S)[0]:
+            assert re.search("^BUSY [1-9]", client.line())
+            return None
+        server = balancer.server.accept_session()[0]
+        server.send("UP r")
+        assert client.line() == "UP r"
+        return client, server
+
+
+def test_oldest_pending_connections_are_evicted(balancer: Balancer) -> None:
+    balancer.start(files=64)
+    crowd = [balancer.client() for _ in range(100)]  # they say nothing, and so hold a descriptor each
+    balancer.establish(1)
+    assert crowd[0].line() == ""
+    assert select.select([crowd[-1].sock], [], [], 0)[0] == []
+
+
+def test_out_of_descriptors_clients_are_rejected_and_later_served(balancer: Balancer) -> None:
+    balancer.start(files=64)
+    numbers = count(2)
+    established: list[tuple[Peer, Peer]] = []
+    while peers := try_to_establish(balancer, next(numbers)):
+        established.append(peers)
+        assert len(established) < 32
+    established.pop(0)[0].close()
+    while not try_to_establish(balancer, next(numbers)):
+        pass
+
+
+def test_want_of_descriptors_is_no_failure_of_a_server(balancer: Balancer) -> None:
+    balancer.start()
+    client = balancer.pinged_client()
+    resource.prlimit(balancer.process.pid, resource.RLIMIT_NOFILE, (3, 1024))
+    client.send(f"OPEN {1:016x} key c=web,d=9000,g=a")
+    counters: dict[str, int] = {}
+    while not counters.get("health_check_not_sent"):
+        counters = balancer.counters()
+    resource.prlimit(balancer.process.pid, resource.RLIMIT_NOFILE, (1024, 1024))
+    balancer.server.accept_session()[0].send("UP r")
+    assert client.line() == "UP r"
+    assert "health_check_connect_failed" not in counters
+
+
+def test_health_checks_of_many_servers_spare_descriptors_for_clients(balancer: Balancer) -> None:
+    balancer.start([balancer.member(f"s{number}") for number in range(60)], files=100)
+    established = [balancer.establish(number, f"g{number}") for number in range(1, 25)]
+    assert len(established) == 24
+    assert len(balancer.server.probes) <= 12  # a tenth, and what is closing
+
+
+@pytest.mark.parametrize("settings", [SHORT_DEADLINE])
+def test_old_session_is_not_lost_to_whoever_repeats_its_id(balancer: Balancer) -> None:
+    balancer.start([balancer.member("s1"), balancer.member("s2", phase="draining")])
+    client, server = balancer.establish(0)
+    for number in range(1, 4200):  # more than are kept of ids that are over
+        balancer.open(number, 0).line()
+    thief = balancer.open(0)
+    assert (thief.line(), thief.line()) == ("ERR", "")
+    balancer.terminate()
+    assert (client.line(), client.line()) == ("MOVE", "")
+    server.close()
--- /dev/null
+++ b/tests/net/test_discovery_watcher.py
@@ -0,0 +1,132 @@
+"""Discovery: its watch, its failures, and what its lists change."""
+
+import json
+import re
+import select
+import time
+from contextlib import suppress
+from typing import Any
+
+import pytest
+from support.balancer import SLOW_CONNECT, Balancer
+from support.peer import Peer
+
+PUSHED = SLOW_CONNECT | {"discovery": "pushed"}
+
+
+@pytest.fixture
+def settings() -> dict[str, Any]:
+    return SLOW_CONNECT
+
+
+@pytest.mark.parametrize("settings", [{}])
+def test_changes_are_followed_and_a_failed_watch_is_requested_anew(balancer: Balancer) -> None:
+    balancer.start([balancer.member("s1", host_port="127.0.0.1:1")])
+    watch, request = balancer.discovery.watch()
+    assert request == "GET /discovery/hosts?watch=1&after=1 HTTP/1.1"
+    watch.send("HTTP/1.1 503 Busy", "Content-Length: 0", "")
+    watch, _ = balancer.discovery.watch()
+    watch.begin_watch()
+    watch.chunk(2, balancer.member("s1"))  # another address
+    watch.chunk(3, balancer.member("s2", host_port="127.0.0.1:1", phase="draining"))
+    watch.send("1", "\n")
+    watch.chunk(4, balancer.member("s3", phase="odd"))
+    for number in range(1, 5):
+        balancer.establish(number)
+    watch.send("2", "{\n")
+    _watch, request = balancer.discovery.watch()
+    assert "after=4 " in request
+    balancer.establish(9)
+
+
+@pytest.mark.parametrize("settings", [{}])
+def test_failing_discovery_is_logged_once_until_it_has_answered(balancer: Balancer) -> None:
+    balancer.start()
+    for _ in range(2):
+        watch, _request = balancer.discovery.watch()
+        watch.send("HTTP/1.1 503 Busy", "Content-Length: 0", "")
+    watch, _request = balancer.discovery.watch()
+    watch.begin_watch()
+    watch.chunk(2, balancer.member("s2"))
+    watch.close()
+    balancer.discovery.watch()  # so the third failure is over
+    assert balancer.stop().count("the watch ended") == 2
+
+
+def send_indented(watch: Peer, revision: int, *members: dict[str, Any]) -> None:
+    """Send one list over many lines, each in a chunk of its own, with an empty line in it."""
+    document = {"revision": revision, "complete": False, "members": members, "note": 'a "}" in { text'}
+    for line in [*json.dumps(document, indent=2).splitlines(), ""]:
+        watch.send(f"{len(line) + 1:x}", line + "\n")
+
+
+def test_list_may_be_indented_over_several_lines(balancer: Balancer) -> None:
+    balancer.start([balancer.member(host_port="127.0.0.1:1")])
+    watch, _ = balancer.discovery.watch()
+    watch.begin_watch()
+    send_indented(watch, 2, balancer.member(host_port="127.0.0.1:2"))
+    watch.send("1", "\n")
+    send_indented(watch, 3, balancer.member())
+    balancer.wait_for_counter("event EndpointUpdate", 3)
+    balancer.establish()
+
+
+def test_change_of_an_older_revision_is_ignored(balancer: Balancer) -> None:
+    balancer.start()
+    watch, _ = balancer.discovery.watch()
+    watch.begin_watch()
+    watch.chunk(5, balancer.member(phase="draining"))
+    watch.chunk(4, balancer.member(phase="ready"))
+    watch.chunk(6, balancer.member("s2", phase="draining"))
+    balancer.wait_for_counter("event EndpointUpdate", 3)
+    client = balancer.open(wait=300)
+    assert re.search("^BUSY", client.line())
+    assert select.select([balancer.server.sock], [], [], 0)[0] == []
+
+
+def test_list_that_never_ends_is_silence(balancer: Balancer) -> None:
+    balancer.start()
+    watch, _ = balancer.discovery.watch()
+    watch.begin_watch()
+    for _ in range(20):  # a byte each half second keeps no watch alive
+        with suppress(OSError):  # it has been closed, and the next call is on its way
+            watch.send("1", "{")
+        if select.select([balancer.discovery.sock], [], [], 0.5)[0]:
+            return
+    pytest.fail("the watch was not opened anew")
+
+
+def test_silent_watch_is_opened_anew_in_time(balancer: Balancer) -> None:
+    balancer.start()
+    watch, _ = balancer.discovery.watch()
+    watch.begin_watch()
+    watch.chunk(2, balancer.member("s2"))
+    fell_silent = time.monotonic()
+    balancer.discovery.watch()
+    assert time.monotonic() - fell_silent < 5.2  # it counts after 6; 4.5 at the latest is built
+
+
+def test_watch_without_a_change_resets_the_backoff(balancer: Balancer) -> None:
+    balancer.start()
+    for _ in range(3):
+        balancer.discovery.watch()[0].close()
+    watch, _ = balancer.discovery.watch()
+    watch.begin_watch()
+    watch.send("1", "\n")
+    balancer.wait_for_counter("event EndpointUpdate", 5)
+    watch.close()
+    broke = time.monotonic()
+    balancer.discovery.watch()
+    assert time.monotonic() - broke < 3.0  # 1.5 s at most; the fourth failure's is 4 to 12
+
+
+@pytest.mark.parametrize("settings", [PUSHED])
+def test_watch_is_opened_at_once_where_lists_are_pushed(balancer: Balancer) -> None:
+    balancer.start()
+    watch, request = balancer.discovery.watch()
+    assert "watch=1" in request
+    watch.begin_watch()
+    watch.chunk(2, balancer.member(phase="draining"))
+    watch.close()
+    _, request = balancer.discovery.watch()
+    assert "after=2 " in request
--- /dev/null
+++ b/tests/net/test_health_checker.py
@@ -0,0 +1,66 @@
+"""Health checks: idle connections, repeated checks, answers that nobody asked for."""
+
+from typing import Any
+
+import pytest
+from support.balancer import SLOW_HEALTH_CHECKS, Balancer
+from support.peer import Peer
+
+from wheatstile.config.platform import ServerLimits
+
+
+@pytest.fixture
+def settings() -> dict[str, Any]:
+    return SLOW_HEALTH_CHECKS
+
+
+def start_with_pending_check(balancer: Balancer) -> tuple[Peer, Peer]:
+    """Return the idle connection on which a health check has come again, and the client that waits for it."""
+    balancer.start()
+    balancer.establish(1)
+    client = balancer.open(2)
+    health_check = balancer.server.probes.pop()
+    assert health_check.line() == "STATS"
+    return health_check, client
+
+
+def serve_waiting_client(balancer: Balancer, client: Peer) -> dict[str, int]:
+    """Answer the health check anew, and establish the waiting client's session; returns the counters."""
+    server, line = balancer.server.accept_session()
+    assert "0000000000000002" in line
+    server.send("UP r")
+    assert client.line() == "UP r"
+    return balancer.counters()
+
+
+@pytest.mark.parametrize("reset", [False, True])
+def test_idle_connection_that_ends_as_a_check_goes_out_is_no_failure(balancer: Balancer, reset: bool) -> None:
+    health_check, client = start_with_pending_check(balancer)
+    health_check.close(reset)  # as if it had been closed before the check came
+    counters = serve_waiting_client(balancer, client)
+    assert counters.get("health_check_repeated") == 1
+    assert "health_check_reset" not in counters
+
+
+@pytest.mark.parametrize(("objective_ms", "timeout_s"), [(50.0, 0.1), (100.0, 0.2), (0.0, 0.25)])
+def test_timeout_is_twice_the_shortest_objective(objective_ms: float, timeout_s: float) -> None:
+    assert ServerLimits(0.25, 15.0, True, objective_ms, 100).probe_timeout == timeout_s
+
+
+def test_new_connection_that_ends_as_a_check_goes_out_is_a_failure(balancer: Balancer) -> None:
+    health_check, _client = start_with_pending_check(balancer)
+    health_check.close()
+    new_connection = balancer.server.accept()
+    assert new_connection.line() == "STATS"
+    new_connection.close()
+    balancer.wait_for_counter("health_check_reset", 1)
+
+
+def test_second_answer_is_not_taken_for_the_next(balancer: Balancer) -> None:
+    health_check, client = start_with_pending_check(balancer)
+    health_check.send("PONG x0=0.3", "PONG x0=0.99")
+    serve_waiting_client(balancer, client)
+    _client = balancer.open(3)
+    assert health_check.line() == ""
+    new_connection = balancer.server.accept()
+    assert new_connection.line() == "STATS"
--- /dev/null
+++ b/tests/net/test_open_request.py
@@ -0,0 +1,75 @@
+"""The first line of a client, as the running balancer takes it and passes it on."""
+
+import pytest
+from support.balancer import Balancer
+
+from wheatstile.net.errors import ProtocolError
+from wheatstile.net.open_request import OpenRequest
+
+
+def test_open_line_is_forwarded_unchanged_but_for_the_wait(balancer: Balancer) -> None:
+    balancer.start()
+    _client = balancer.open(7, 8765, ",r=1,x=1.50,again=1")
+    line = balancer.server.accept_session()[1]
+    before, _, rest = line.partition("d=")
+    wait, _, after = rest.partition(",")
+    assert before == "OPEN 0000000000000007 key7 c=web,"
+    assert after == "g=abc,r=1,x=1.50,again=1"
+    assert 0 < int(wait) <= 8765 // 2, line
+
+
+def test_malformed_open_line_gets_one_error_and_reaches_no_server(balancer: Balancer) -> None:
+    balancer.start()
+    good = "OPEN 0000000000000001 k c=web,d=900,g=a"
+    bad = [
+        "HELLO", good + " ", good + ",d=1", good + ",again=2", good + ",h=x",
+        good.replace("d=900", "d=-1"), good.replace(",g=a", ""), good.replace("web", "none"),
+        good.replace("0001", "001"), good.replace(" k ", "  "), "open" + good[4:], good + "\0",
+        good + ",x=" + "y" * 5000, good + "\r\nOPEN 0000000000000002 k c=web,d=900,g=a",
+    ]  # fmt: skip
+    for line in bad:
+        client = balancer.client()
+        client.send(line)
+        assert (client.line(), client.line()) == ("ERR", ""), line[:80]
+    _client = balancer.open(9)
+    assert "0000000000000009" in balancer.server.accept_session()[1]
+
+
+def test_repeated_session_id_is_not_forwarded(balancer: Balancer) -> None:
+    balancer.start()
+    client, server = balancer.establish(5)
+    repeat = balancer.open(5)
+    assert (repeat.line(), repeat.line()) == ("ERR", "")
+    client.send("still")
+    assert server.line() == "still"
+
+
+@pytest.mark.parametrize(
+    ("fields", "forwarded"),
+    [
+        (b"d=900,c=web,g=a", b"d=1,c=web,g=a"),
+        (b"c=web,d=900,g=a,x=d", b"c=web,d=1,g=a,x=d"),
+        (b"c=web,g=a,add=7,d=900", b"c=web,g=a,add=7,d=1"),
+    ],
+)
+def test_wait_is_replaced_wherever_it_stands(fields: bytes, forwarded: bytes) -> None:
+    request = OpenRequest.parse(b"OPEN 0000000000000001 k " + fields + b"\r\n")
+    assert request.wait_ms == 900
+    assert request.line_with_wait(1) == b"OPEN 0000000000000001 k " + forwarded + b"\r\n"
+
+
+@pytest.mark.parametrize(
+    ("fields", "reason"),
+    [
+        (b"c=web,d=900", "a field is missing"),
+        (b"c=web,d=9x,g=a", "d is no time to wait"),
+        (b"c=web,d=900,g=a,h=x", "h is no load"),
+        (b"c=web,d=900,g=a,g=b", "g twice"),
+        (b"c=web,d=900,g=a,r=0", "a flag that is not 1"),
+        (b"c=web,d=900,g=", "no field"),
+    ],
+)
+def test_error_names_the_reason(fields: bytes, reason: str) -> None:
+    with pytest.raises(ProtocolError) as error:
+        OpenRequest.parse(b"OPEN 0000000000000001 k " + fields + b"\r\n")
+    assert error.value.reason == reason
--- /dev/null
+++ b/tests/net/test_session_reopen.py
@@ -0,0 +1,39 @@
+"""Sessions that were established before this process started."""
+
+import select
+import socket
+
+import pytest
+from support.balancer import WITHOUT_HEALTH_CHECKS, Balancer
+
+SHORT_CONNECT = WITHOUT_HEALTH_CHECKS | {"limits": WITHOUT_HEALTH_CHECKS["limits"] | {"dialTimeoutUs": 75000}}
+
+
+def test_session_is_reopened_at_its_server(balancer: Balancer) -> None:
+    balancer.start()
+    client = balancer.open(3, 4294967, ",at=s1")
+    server, line = balancer.server.accept_session()
+    assert line.endswith("c=web,d=4294967,g=abc,at=s1"), line
+    server.send("UP r3")
+    assert client.line() == "UP r3"
+
+
+@pytest.mark.parametrize("settings", [SHORT_CONNECT])
+def test_session_is_reopened_though_its_server_is_slow_to_accept(balancer: Balancer) -> None:
+    balancer.start()
+    balancer.server.sock.listen(0)
+    ahead = []
+    while True:  # until the server's queue is full, and what comes next is dropped without a word
+        ahead.append(socket.socket())
+        ahead[-1].settimeout(0.3)
+        try:
+            ahead[-1].connect(balancer.server.sock.getsockname())
+        except TimeoutError:
+            break
+    client = balancer.open(3, 4294967, ",at=s1")
+    assert select.select([client.sock], [], [], 0.5)[0] == []  # not given up
+    for sock in ahead:
+        sock.close()
+    while not (line := balancer.server.accept().line()):
+        pass
+    assert "at=s1" in line
--- /dev/null
+++ b/tests/net/test_session_setup.py
@@ -0,0 +1,173 @@
+"""The setup of a session: attempts, their ends, and who leaves or drains meanwhile."""
+
+from typing import Any
+
+import pytest
+from support.balancer import SETTINGS, SLOW_CONNECT, SLOW_HEALTH_CHECKS, WITHOUT_HEALTH_CHECKS, Balancer
+from support.peer import Listener
+
+
+@pytest.fixture
+def settings() -> dict[str, Any]:
+    return SLOW_CONNECT
+
+
+@pytest.mark.parametrize("settings", [{}])
+def test_first_attempt_is_closed_before_the_next_is_opened(balancer: Balancer) -> None:
+    balancer.start([balancer.member("s1"), balancer.member("s2")])
+    client = balancer.open()
+    first = balancer.server.accept_session()[0]
+    first.send("ERR")
+    second = balancer.server.accept_session()[0]
+    assert first.line() == ""
+    second.send("UP r2")
+    assert client.line() == "UP r2"
+
+
+@pytest.mark.parametrize("settings", [{}])
+def test_client_that_disconnects_ends_its_attempt(balancer: Balancer) -> None:
+    balancer.start()
+    client = balancer.open()
+    server = balancer.server.accept_session()[0]
+    client.close()
+    assert server.line() == ""
+
+
+@pytest.mark.parametrize("settings", [{}])
+def test_rejected_request_is_given_a_time_to_retry_after(balancer: Balancer) -> None:
+    balancer.start([])
+    keyword, _, retry_after_ms = balancer.open(wait=300).line().partition(" ")
+    assert keyword == "BUSY"
+    assert 0 < int(retry_after_ms) <= 2000
+
+
+@pytest.mark.parametrize("settings", [WITHOUT_HEALTH_CHECKS])
+def test_attempt_without_answer_ends_in_time(balancer: Balancer) -> None:
+    balancer.start()
+    client = balancer.open(wait=1200)
+    first = balancer.server.accept_session()[0]
+    assert first.line() == ""  # given up on, and closed, before its client's time is out
+    assert client.line().split()[0] in ("BUSY", "ERR")
+
+
+@pytest.mark.parametrize("reset", [False, True])
+def test_client_that_disconnects_while_connecting_is_not_forwarded(balancer: Balancer, reset: bool) -> None:
+    balancer.start()
+    ahead = balancer.server.fill_backlog()
+    client = balancer.open(1)
+    balancer.server.wait_for_connect()
+    with balancer.paused():
+        server = balancer.server.accept_waiting(ahead)  # first it comes up, then the client leaves
+        client.close(reset)
+    assert server.line() == ""
+    balancer.server.sock.listen(100)
+    balancer.check_serving(11)
+
+
+@pytest.mark.parametrize("reset", [False, True])
+def test_client_that_disconnects_between_two_attempts_is_not_forwarded(
+    balancer: Balancer, reset: bool
+) -> None:
+    balancer.start()
+    client = balancer.open(1)
+    server, _ = balancer.server.accept_session()
+    with balancer.paused():
+        server.send("ERR")
+        client.close(reset)
+    assert server.line() == ""
+    balancer.check_serving(11)
+
+
+@pytest.mark.parametrize("reset", [False, True])
+def test_established_beside_the_clients_end_closes_the_upstream_side(balancer: Balancer, reset: bool) -> None:
+    balancer.start()
+    client = balancer.open(1)
+    server, _ = balancer.server.accept_session()
+    with balancer.paused():
+        server.send("UP r")
+        client.close(reset)
+    try:
+        assert server.line() == ""
+    except ConnectionResetError:
+        assert reset
+    balancer.check_serving(11)
+
+
+@pytest.mark.parametrize("settings", [SLOW_HEALTH_CHECKS])
+def test_client_that_disconnects_during_a_health_check_is_not_forwarded(balancer: Balancer) -> None:
+    balancer.start()
+    balancer.establish(1)  # and so a health_check's connection is there
+    client = balancer.open(2)
+    health_check = balancer.server.probes[0]
+    assert health_check.line() == "STATS"
+    with balancer.paused():
+        health_check.send("PONG x0=0.3")  # first the answer that sends it on, then its end
+        client.close()
+    assert balancer.check_serving(3)["attempt_established"] == 2
+
+
+@pytest.mark.parametrize("settings", [SLOW_HEALTH_CHECKS])
+def test_deferred_request_is_served_though_a_reload_removes_its_class(balancer: Balancer) -> None:
+    balancer.start()
+    balancer.establish(1)
+    client = balancer.open(2)
+    health_check = balancer.server.probes[0]
+    assert health_check.line() == "STATS"
+    balancer.reload(settings=SETTINGS | {"classes": [SETTINGS["classes"][0] | {"name": "other"}]})
+    health_check.send("PONG x0=0.3")
+    server, line = balancer.server.accept_session()
+    assert "c=web" in line
+    server.send("UP r")
+    assert client.line() == "UP r"
+
+
+@pytest.mark.parametrize("settings", [SLOW_HEALTH_CHECKS])
+def test_server_removed_during_its_health_check_defers_nobody(balancer: Balancer) -> None:
+    balancer.start()
+    watch, _ = balancer.discovery.watch()
+    watch.begin_watch()
+    balancer.establish(1)
+    client = balancer.open(2)
+    assert balancer.server.probes[0].line() == "STATS"  # and no answer
+    other = Listener()
+    watch.chunk(2, balancer.member("s2", host_port=other.address), complete=True)
+    server, line = other.accept_session()
+    assert "0000000000000002" in line
+    server.send("UP r")
+    assert client.line() == "UP r"
+
+
+@pytest.mark.parametrize("drain_grace_us", [250_000, 2_500_000])
+def test_drain_while_connecting_sends_no_open_line(balancer: Balancer, drain_grace_us: int) -> None:
+    """Whatever grace the settings give: what is not begun when the drain comes is not begun at all."""
+    rules = SETTINGS["rules"] | {"drainGraceUs": drain_grace_us}
+    balancer.settings = SLOW_CONNECT | {"rules": rules}
+    other = Listener()
+    ahead = balancer.server.fill_backlog()
+    balancer.start()
+    watch, _ = balancer.discovery.watch()
+    watch.begin_watch()
+    client = balancer.open()
+    balancer.server.wait_for_connect()
+    watch.chunk(2, balancer.member(phase="draining"), balancer.member("s2", host_port=other.address))
+    balancer.wait_for_counter("event EndpointUpdate", 2)
+    server = balancer.server.accept_waiting(ahead)
+    assert server.line() == ""
+    second, line = other.accept_session()
+    assert "0000000000000001" in line
+    second.send("UP r")
+    assert client.line() == "UP r"
+
+
+def test_server_removed_while_connecting_gets_no_open_line(balancer: Balancer) -> None:
+    other = Listener()
+    ahead = balancer.server.fill_backlog()
+    balancer.start()
+    watch, _ = balancer.discovery.watch()
+    watch.begin_watch()
+    _client = balancer.open()
+    balancer.server.wait_for_connect()
+    watch.chunk(2, balancer.member("s2", host_port=other.address), complete=True)
+    balancer.wait_for_counter("event EndpointUpdate", 2)
+    assert balancer.server.accept_waiting(ahead).line() == ""
+    assert "0000000000000001" in other.accept_session()[1]
--- /dev/null
+++ b/tests/net/test_unresponsive_upstream_detector.py
@@ -0,0 +1,18 @@
+"""Servers that leave a client's lines without answer."""
+
+from typing import Any
+
+import pytest
+from support.balancer import WITHOUT_HEALTH_CHECKS, Balancer
+
+
+@pytest.fixture
+def settings() -> dict[str, Any]:
+    return WITHOUT_HEALTH_CHECKS
+
+
+def test_unresponsive_upstream_migrates_its_client(balancer: Balancer) -> None:
+    balancer.start()
+    client, _server = balancer.establish()
+    client.send("anyone there?")
+    assert (client.line(), client.line()) == ("MOVE", "")
--- /dev/null
+++ b/tests/process/test_start.py
@@ -0,0 +1,119 @@
+"""The start of the process: its address, its configuration, and signals that come early."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import pytest
+from support.balancer import ROOT, SLOW_CONNECT, WITHOUT_HEALTH_CHECKS, Balancer
+from support.peer import Listener
+
+NO_SETTINGS = "a configuration without settings"
+
+
+@pytest.fixture
+def settings() -> dict[str, Any]:
+    return SLOW_CONNECT
+
+
+@pytest.mark.parametrize("settings", [{}])
+@pytest.mark.parametrize(
+    ("text", "message"), [("{", "config.json"), (NO_SETTINGS, "missing"), ("[]", "config.json")]
+)
+def test_unusable_configuration_is_one_plain_line(balancer: Balancer, text: str, message: str) -> None:
+    if text == NO_SETTINGS:
+        text = json.dumps(balancer.config() | {"settings": {}})
+    balancer.start(text=text)
+    assert balancer.wait() == 2
+    errors = balancer.stop()
+    assert errors.count("\n") == 1, errors
+    assert message in errors
+
+
+@pytest.mark.parametrize("settings", [{}])
+def test_address_in_use_is_waited_for(balancer: Balancer) -> None:
+    balancer.write_config()
+    with socket.create_server(balancer.listen):
+        balancer.launch()
+        balancer.logged("the address is held")
+    balancer.logged("serving")
+
+
+def test_sigterm_while_the_address_is_in_use_ends_it(balancer: Balancer) -> None:
+    balancer.write_config()
+    with socket.create_server(balancer.listen):
+        balancer.launch()
+        balancer.logged("the address is held")
+        balancer.terminate()
+        assert balancer.wait() == 0
+    assert '"serving"' not in balancer.stop()
+
+
+def test_sighup_while_the_address_is_in_use_changes_discovery(balancer: Balancer) -> None:
+    balancer.write_config()
+    new = Listener()
+    with socket.create_server(balancer.listen):
+        balancer.launch()
+        balancer.logged("the address is held")
+        balancer.reload(discovery=new.address)
+        assert new.watch()[1] == "GET /discovery/hosts HTTP/1.1"
+    balancer.logged("serving")
+
+
+@pytest.mark.parametrize("settings", [WITHOUT_HEALTH_CHECKS])
+def test_sighup_before_the_listener_is_open_is_not_lost(balancer: Balancer) -> None:
+    text = json.dumps(balancer.config())
+    os.mkfifo(balancer.path)
+    balancer.launch()
+    with open(balancer.path, "w") as file:  # opens once the program has opened it to read
+        balancer.process.send_signal(signal.SIGHUP)
+        file.write(text)
+    balancer.logged("serving")
+    balancer.path.write_text(text)  # read by the reload
+    balancer.logged("reloaded")
+    balancer.ready()
+
+
+def test_sighup_while_the_program_is_loaded_ends_nothing(balancer: Balancer) -> None:
+    """By the command of the deploy file: the interpreter is held in its start until the signal came."""
+    command = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+    folder = Path(balancer.folder.name)
+    os.mkfifo(folder / "hold")
+    (folder / "sitecustomize.py").write_text(f"open({str(folder / 'hold')!r}).read()\n")
+    balancer.write_config()
+    environ = {key: value for key, value in os.environ.items() if not key.startswith("RELAY_")}
+    balancer.node = subprocess.Popen(
+        ["/bin/sh", "-c", command.replace(".run/bin/python", sys.executable)],
+        cwd=ROOT,
+        env=environ | {"RELAY_CONFIG": str(balancer.path), "PYTHONPATH": str(folder)},
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    with open(folder / "hold", "w"):  # opens once the interpreter reads it
+        balancer.process.send_signal(signal.SIGHUP)
+    balancer.logged("serving")
+    balancer.ready()
+
+
+@pytest.mark.parametrize("settings", [{}])
+def test_counters_are_logged_on_request(balancer: Balancer) -> None:
+    balancer.start()
+    _client, _server = balancer.establish()
+    counters = balancer.counters()
+    assert (counters["session_requested"], counters["attempt_established"]) == (1, 1)
+
+
+@pytest.mark.parametrize("settings", [{}])
+def test_log_that_cannot_be_written_ends_nothing(balancer: Balancer) -> None:
+    with open("/dev/full", "wb") as full:
+        balancer.start(stderr=full)
+        client, _server = balancer.establish()
+        balancer.terminate()  # which logs again
+        assert client.line() == "MOVE"
+        assert balancer.wait() == 0
