--- a/tests/support/balancer.py
+++ b/tests/support/balancer.py
@@ -49,6 +49,14 @@
 }
 
 
+def with_class(repeat: str, scope: str = "all", window_us: int = 0) -> dict[str, Any]:
+    """Return the settings of one class, to be repeated in this way; 0: without a deduplication window."""
+    service_class = SETTINGS["classes"][0] | {"repeat": repeat}
+    if window_us:
+        service_class |= {"dedupScope": scope, "dedupWindowUs": window_us}
+    return {"classes": [service_class]}
+
+
 class BalancerProcess:
     """The program, its signals, its log and its counters. `path`: its configuration's file."""
 
--- a/tests/support/decision_replay.py
+++ b/tests/support/decision_replay.py
@@ -327,10 +327,10 @@
 
 
 def replay() -> list[str]:
-    """The whole text: every variant of the settings, from two seeds each, one of which is shut down."""
+    """The whole text: every variant of the settings, from three seeds each, one of which is shut down."""
     lines: list[str] = []
     for number, settings in enumerate(VARIANTS):
-        for seed in (2 * number, 2 * number + 1):
+        for seed in (2 * number, 2 * number + 1, 2 * number + 100):
             shutdown_at_step = STEPS_PER_INSTANCE - 300 if seed % 2 else -1
             neighbourhood = Neighbourhood(settings, seed, shutdown_at_step)
             lines += [f"instance {number} seed {seed}", *neighbourhood.play()]
--- a/tests/support/peer.py
+++ b/tests/support/peer.py
@@ -36,6 +36,21 @@
         line, _, self.buffer = self.buffer.partition(b"\r\n")
         return line.decode()
 
+    def lines_to_the_end(self) -> list[str]:
+        """Return all lines until the other side ends the connection; no part of a line may follow them."""
+        lines = []
+        while line := self.line():
+            lines.append(line)
+        assert self.buffer == b""
+        return lines
+
+    def ends(self) -> bool:
+        """Whether the other side ends the connection, in either way, without another line."""
+        try:
+            return self.line() == ""
+        except ConnectionResetError:
+            return True
+
     def begin_watch(self) -> None:
         """Answer a call to discovery with the head of a watch."""
         self.send("HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "")
@@ -112,14 +127,20 @@
                 ahead.pop().close()
                 return ahead
 
+    def has_waiting(self) -> bool:
+        """Whether a connection waits to be accepted."""
+        return bool(select.select([self.sock], [], [], 0)[0])
+
+    def is_connecting(self) -> bool:
+        """Whether a connection to this port is on its way."""
+        port = f":{self.sock.getsockname()[1]:04X}"
+        rows = [row.split() for row in Path("/proc/net/tcp").read_text().splitlines()[1:]]
+        return any(remote.endswith(port) and state == SYN_SENT for _, _, remote, state, *_ in rows)
+
     def wait_for_connect(self) -> None:
         """Wait until a connection to this port is on its way."""
-        port = f":{self.sock.getsockname()[1]:04X}"
         end_s = time.monotonic() + TIMEOUT_S
-        while not any(
-            line.split()[2].endswith(port) and line.split()[3] == SYN_SENT
-            for line in Path("/proc/net/tcp").read_text().splitlines()[1:]
-        ):
+        while not self.is_connecting():
             assert time.monotonic() < end_s, "no connection was begun"
             time.sleep(POLL_INTERVAL_S)
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -27,8 +27,14 @@
         "zlib",
         "wheatstile",
         "wheatstile.state",
+        "wheatstile.weighted_table",
     }
-    for path in (RULES, RULES.with_name("interface.py"), RULES.with_name("state.py")):
+    for path in (
+        RULES,
+        RULES.with_name("interface.py"),
+        RULES.with_name("state.py"),
+        RULES.with_name("weighted_table.py"),
+    ):
         for node in ast.walk(ast.parse(path.read_text())):
             if isinstance(node, ast.Import):
                 assert {name.name for name in node.names} <= allowed, path
--- a/wheatstile/net/client_listener.py
+++ b/wheatstile/net/client_listener.py
@@ -13,6 +13,7 @@
 from wheatstile.net.client_connection import RETRY_AFTER_MS, ClientConnection
 from wheatstile.net.client_replies import rejection_line
 from wheatstile.net.decision_loop import DecisionLoop
+from wheatstile.net.line_stream import LINE_LIMIT
 from wheatstile.net.open_request import OpenRequest
 from wheatstile.net.session import Session
 from wheatstile.net.upstream_attempt import OUT_OF_DESCRIPTORS
@@ -85,12 +86,14 @@
     def _evict_oldest_pending(self) -> None:
         """End the oldest pending connection when there are too many, however they fell silent.
 
-        A usual client writes its first line at once and is soon served; the many may not take its place.
+        A usual client writes its first line at once and is soon served; the many may not take its place. Nor
+        may one that has written in this very turn be closed over what it wrote, unless all have.
         """
         max_pending = max(self._free_descriptors(), self._min_pending())
         if self._pending and len(self._pending) >= max_pending:
             oldest = next(iter(self._pending))
-            self._pending.pop(oldest).cancel()
+            evicted = next((pending for pending in self._pending if not pending.has_unread()), oldest)
+            self._pending.pop(evicted).cancel()
             self.decisions.counters["client_connection_evicted"] += 1
 
     def rejection_line(self, retry_after_ms: int) -> bytes:
@@ -154,6 +157,7 @@
         with sock, suppress(OSError):
             sock.setblocking(False)
             sock.send(self.rejection_line(RETRY_AFTER_MS))
+            sock.recv(LINE_LIMIT)  # a close over an unread request would reset the connection
 
     def _on_connection_done(self, task: asyncio.Task[None]) -> None:
         connection = self.connections.pop(task)
--- a/wheatstile/net/first_line_reader.py
+++ b/wheatstile/net/first_line_reader.py
@@ -57,7 +57,7 @@
         while not self._stopped:
             try:
                 async with asyncio.timeout(FIRST_LINE_TIMEOUT_S) as self._timeout:
-                    line = await self._stream.read_line()
+                    line = await self._stream.read_line(cancel_safe=True)
             finally:
                 self._timeout = None
             if line != PING_LINE or self._stream.pending:
--- a/wheatstile/net/session_setup.py
+++ b/wheatstile/net/session_setup.py
@@ -12,6 +12,11 @@
 from wheatstile.net.upstream_pool import UpstreamPool
 
 REOPEN_TIMEOUT_S = 40.0  # in which a session from before this process has to be established again
+NEVER_RAN = (  # what proves that an attempt has not run
+    api.AttemptOutcome.OVERLOADED,
+    api.AttemptOutcome.CONNECT_FAILED,
+    api.AttemptOutcome.NOT_SENT,
+)
 ANSWER_GRACE_S = 0.02  # past its client's time, after which a request that nobody answered is failed here
 
 
@@ -36,6 +41,8 @@
         self._context = context
         # Taken once: a reload may take the class away meanwhile.
         self._max_wait_ms = context.max_wait_ms(session.request)
+        self._repeat_window_us = session.decisions.repeat_window(session.request.service_class)
+        self._repeat_until_us: int | None = None  # nothing is sent then or later
 
     async def run(self) -> bytes | None:
         """Return the client's final answer; None once the session is established.
@@ -79,6 +86,7 @@
             if result.established:
                 self._on_established(action.server, result, elapsed_us)
                 return None
+            self._start_repeat_window(start_us, result.outcome)
             self._on_attempt_ended(action.server, result, elapsed_us)
             if result.outcome is api.AttemptOutcome.OK:
                 return result.line
@@ -93,6 +101,13 @@
             event = api.Established(session.id, session.attempt_number, server, elapsed_us)
             self._decisions.dispatch(event)
 
+    def _start_repeat_window(self, start_us: int, outcome: api.AttemptOutcome) -> None:
+        """Bound the time of further attempts, once one may have run that servers forget after a while."""
+        if self._repeat_window_us is None or self._repeat_until_us is not None:
+            return
+        if outcome not in NEVER_RAN:
+            self._repeat_until_us = start_us + self._repeat_window_us
+
     def _on_attempt_ended(self, server: str, result: AttemptResult, elapsed_us: int) -> None:
         session = self._session
         closed = result.outcome is api.AttemptOutcome.OK
@@ -129,7 +144,10 @@
     async def _run_attempt(
         self, server: str, open_line: OpenLineProvider, timeout_s: float, reopening: bool = False
     ) -> AttemptResult:
-        """Run one attempt. The one before it was closed when it ended, so that there are never two."""
+        """Run one attempt. The one before it was closed when it ended, so that there are never two.
+
+        Nothing is sent past the repeat window, however long the connection took to come up.
+        """
         session = self._session
         session.client.check_waiting()
         session.attempt = self._context.upstreams.new_attempt(server)
@@ -138,7 +156,9 @@
 
         def line_if_still_wanted(wait_ms: int) -> bytes | None:
             session.client.check_waiting()
-            return None if session.answer_decided.is_set() else open_line(wait_ms)
+            if session.answer_decided.is_set() or self._repeat_window_is_over():
+                return None
+            return open_line(wait_ms)
 
         attempt = asyncio.create_task(
             session.attempt.connect_and_open(line_if_still_wanted, timeout_s, reopening)
@@ -147,6 +167,9 @@
         self._decisions.counters[f"attempt_{result.label}"] += 1
         return result
 
+    def _repeat_window_is_over(self) -> bool:
+        return self._repeat_until_us is not None and self._decisions.now() >= self._repeat_until_us
+
     async def _unless_answered(self, attempt: asyncio.Task[AttemptResult]) -> AttemptResult:
         """Return the attempt's result, unless the module decides the final answer meanwhile: then stop it."""
         answer_decided = asyncio.create_task(self._session.answer_decided.wait())
--- a/wheatstile/rules.py
+++ b/wheatstile/rules.py
@@ -7,12 +7,13 @@
 
 from collections.abc import Callable
 from dataclasses import replace
-from math import ceil, inf, log
+from math import inf, log
 from random import Random
 from zlib import crc32
 
 from wheatstile import interface as api
 from wheatstile.state import Connection, Move, Server
+from wheatstile.weighted_table import WeightedLookupTable
 
 MS, SECOND = 1000, 1_000_000
 SLOT = 4 * SECOND  # long enough for a move to show in reports that are seconds late
@@ -22,9 +23,6 @@
 MARGIN = 8 * MS  # a final answer leaves so long before the client's time is out
 SUSPECT, SUSPECT_MAX = SECOND, 8 * SECOND  # a server that failed is not drawn for so long, doubling
 DRAWS = 100  # tries at a uniform draw before the whole list is looked through
-# Congruences: factor, step, modulus, low bits left out. The even one favours some servers by a few percent.
-EVEN_DRAWS = 1103515245, 12345, 2**31, 8
-WEIGHED_DRAWS = 6364136223846793005, 1442695040888963407, 2**64, 40
 WATCH_SPREAD, WATCH_MAX = 4 * SECOND, 8 * SECOND  # list calls: spread at the start, longest back-off
 REACT = SECOND  # relief waits so long to see in late reports what the last one did
 SETTLE = 2 * SECOND  # where reports alone tell, a connection that stands for less is not moved for relief
@@ -73,8 +71,7 @@
         self.actions: list[api.Action] = []
         self.servers: dict[str, Server] = {}
         self.ready: list[Server] = []
-        self.table: list[Server | None] = []  # the ready ones, each at places hashed from its name
-        self.even = True  # all of one weight
+        self.table = WeightedLookupTable([])
         self.connections: dict[str, Connection] = {}
         self.open: dict[Connection, None] = {}
         self.returns: dict[str, Move] = {}  # by client key: moved from here and not seen since
@@ -133,8 +130,12 @@
             if server is None:
                 server = self.servers[entry.name] = Server(entry, crc32(entry.name.encode()))
             if server.tokens_at == 0 or server.endpoint.started_at_us != entry.started_at_us:
-                # What it was sent before says nothing of a new process: neither credit nor debt is kept.
-                server.tokens, server.tokens_at, server.x = self.random.random(), self.now, None
+                # What it was sent before says nothing of a new process, and what it was sent since is owed.
+                owed = server.sent_at >= entry.started_at_us
+                server.tokens, server.tokens_at, server.x = self.random.random() - owed, self.now, None
+                server.chance_until = (
+                    server.sent_at + self.settings.slow_start_overload_window_us if owed else 0
+                )
             server.endpoint = entry
         if event.kind != "delta":
             for name in self.servers.keys() - {entry.name for entry in event.endpoints}:
@@ -146,52 +147,40 @@
             for _, server in sorted(self.servers.items())
             if server.endpoint.state == api.EndpointState.READY
         ]
-        self.fill_table()
-
-    def fill_table(self) -> None:
-        """Give each ready server places by its weight, and the share of the draws there that it takes.
+        self.table = WeightedLookupTable(self.ready)
 
-        Places are whole: one for equal weights, else the weight over the mean rounded up, and draws that meet
-        more than its weight pass on. All places together are fewer than two for each server.
-        """
-        weights = [server.endpoint.weight for server in self.ready]
-        self.even, mean = len(set(weights)) < 2, sum(weights) / max(len(weights), 1)
-        counts = [1 if self.even else ceil(weight / mean) for weight in weights]
-        self.table = [None] * (4 << sum(counts).bit_length())
-        last, table = len(self.table) - 1, self.table  # as many places as a power of two
-        for server, weight, count in zip(self.ready, weights, counts, strict=True):
-            server.share = 1.0 if self.even else weight / (count * mean)
-            for place in range(count):
-                slot = (crc32(b"%d" % place, server.spot) if place else server.spot) & last
-                while table[slot]:
-                    slot = (slot + 1) & last
-                table[slot] = server
-
-    def cold_room(self, server: Server, repeat: bool, met: bool = False) -> bool:
+    def cold_room(self, server: Server, repeat: bool) -> bool:
         """Rule 4: whether a cold server may be sent one more, within this balancer's part of its budget.
 
-        Clients here, spread over the others, make the mean load: all parts, in waves too, are what one server
-        holds. A repeat needs twice its part. Less than one is a chance: saved up, all would go in one wave.
+        Clients here, the one that asks among them, spread over the servers, make the mean load: all parts, in
+        waves too, are what fills one server to X_FULL. A repeat needs twice its part. A part of less than one
+        request is the chance to send one. It is drawn once in a window, however often the server is met.
         """
         age = self.now - server.endpoint.started_at_us
         if server.endpoint.started_at_us <= 0 or age >= self.settings.slow_start_duration_us:
             return True
         warmth = max(self.settings.slow_start_initial_capacity, age / self.settings.slow_start_duration_us)
-        holds = (len(self.connections) + 1) / len(self.ready) / max(self.mean_x, 0.2) * warmth
+        holds = X_FULL * len(self.connections) / len(self.ready) / max(self.mean_x, 0.2) * warmth
         rate = (
             holds
             * self.settings.slow_start_overload_factor
             / max(SECOND, self.settings.slow_start_overload_window_us)
         )
-        gain, most = (self.now - server.tokens_at) * rate, self.settings.slow_start_overload_window_us * rate
-        server.tokens, server.tokens_at = min(most, server.tokens + gain), self.now
-        need = 1.0 if most >= 1 else 0.0 if met else self.random.random()
-        return server.tokens >= need * (1 + repeat)
+        gain, part = (self.now - server.tokens_at) * rate, self.settings.slow_start_overload_window_us * rate
+        server.tokens, server.tokens_at = min(part, server.tokens + gain), self.now
+        if part >= 1:
+            return server.tokens >= 1 + repeat
+        if self.now >= server.chance_until:
+            server.chance, server.chance_until = (
+                self.random.random(),
+                self.now + self.settings.slow_start_overload_window_us,
+            )
+        return server.chance * (1 + repeat) < part
 
-    def fit(self, server: Server, conn: Connection | None, met: bool = False) -> bool:
+    def fit(self, server: Server, conn: Connection | None) -> bool:
         """Whether a connection may go here; rule 2: once it may have run, where repeats are discarded."""
         if server.endpoint.state != api.EndpointState.READY or not self.cold_room(
-            server, bool(conn and conn.attempts), met
+            server, bool(conn and conn.attempts)
         ):
             return False
         if not conn or not conn.ran or conn.kind.idempotency == api.Idempotency.IDEMPOTENT:
@@ -215,21 +204,12 @@
         and packets that land mid-flow find their server. A client that comes again wants another pair.
         """
         spot = conn.spot if conn and conn.spot else self.random.getrandbits(31)  # then a plain congruence
-        factor, step, size, low = EVEN_DRAWS if self.even else WEIGHED_DRAWS
-        for _ in range(DRAWS if self.table else 0):
-            spot = (spot * factor + step) % size
-            server = self.table[(spot >> low) % len(self.table)]
-            if server is None or server is other or server.suspect_until > self.now:
-                continue
-            if server.share < 1:
-                spot = (spot * factor + step) % size
-                if spot >= server.share * size:
-                    continue
+        for server in self.table.walk(spot, DRAWS, lambda it: it is other or it.suspect_until > self.now):
             if (not near or server.endpoint.zone == self.settings.zone) and self.fit(server, conn):
                 return server
         fit = [s for s in self.ready if s is not other and self.fit(s, conn)]
         fit = [s for s in fit if s.suspect_until <= self.now] or fit
-        if self.even or not fit:
+        if self.table.has_equal_weights or not fit:
             return self.random.choice(fit) if fit else None
         return self.random.choices(fit, [server.endpoint.weight for server in fit])[0]
 
@@ -317,7 +297,7 @@
         held = conn.id in self.connections and not conn.out and conn not in self.open
         if not held or (not expired and any(s.probing for s in conn.pair)):
             return
-        fit = [s for s in conn.pair if not s.probing and self.load(s) < UNREAD and self.fit(s, conn, True)]
+        fit = [s for s in conn.pair if not s.probing and self.load(s) < UNREAD and self.fit(s, conn)]
         fit = [s for s in fit if s.suspect_until <= self.now] or fit  # suspects if no other is left
         price, home = CROSS_WEIGHT * self.settings.cross_zone_cost, self.settings.zone  # for all of its life
         best = min(fit, key=lambda s: self.load(s) + price * (s.endpoint.zone != home), default=None)
@@ -337,6 +317,7 @@
             return self.answer(conn)
         conn.server, conn.out, conn.pair, conn.attempts = server, True, [], conn.attempts + 1
         server.tokens -= 1.0
+        server.chance, server.sent_at = 1.0, self.now
         limit = left // 2 if conn.attempts < self.settings.max_attempts else left
         self.actions.append(
             api.StartAttempt(
--- a/wheatstile/state.py
+++ b/wheatstile/state.py
@@ -1,4 +1,4 @@
-"""The records of the decision module: servers, connections and explorations. They decide nothing."""
+"""What a balancer keeps of servers, connections and moves between its decisions. Nothing here decides."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -11,10 +11,13 @@
     """What this balancer knows of one server."""
 
     endpoint: api.Endpoint
-    spot: int  # hashed from its name
-    share: float = 1.0  # of the draws that meet one of its places, those that it takes
+    hash: int  # of its name
+    acceptance_ratio: float = 1.0  # of the draws that meet an entry of its own, those that it takes
     tokens: float = 0.0  # this balancer's part of a cold server's budget
     tokens_at: int = 0  # when it last grew
+    chance: float = 1.0  # drawn from 0 to 1: a part of a request above it lets one pass; 1: it has been used
+    chance_until: int = 0  # it stands until then
+    sent_at: int = -1  # when it was last sent an attempt
     x: float | None = None  # the last probed load over capacity; None: unknown, not idle
     x_at: int = 0  # when it was read
     probing: bool = False
