--- a/wheatstile/process/balancer_process.py
+++ b/wheatstile/process/balancer_process.py
@@ -10,6 +10,8 @@
 from wheatstile.net.client_listener import ClientListener
 from wheatstile.net.decision_loop import DecisionLoop
 from wheatstile.net.discovery_watcher import DiscoveryOnlyObserver, DiscoveryWatcher
+from wheatstile.net.latency_monitor import LatencyMonitor
+from wheatstile.net.unresponsive_upstream_detector import UnresponsiveUpstreamDetector
 from wheatstile.net.upstream_pool import UpstreamPool
 from wheatstile.process import signals
 from wheatstile.process.background_tasks import running_in_background
@@ -100,8 +102,8 @@
             log.info("shutdown_requested_before_serving")
             return
         monitors = {
-            "idle_upstream_detector": self.client_listener.sweep,
-            "latency_monitor": self.upstreams.sweep,
+            "unresponsive_upstream_detector": UnresponsiveUpstreamDetector(self.client_listener).run,
+            "latency_monitor": LatencyMonitor(self.upstreams, self.decisions).run,
         }
         with listener:
             async with running_in_background(monitors):
