Split the command line by concern, with shared options, tables and rejections

`cli/store.py` held all the store's commands with the same options and the same wrapper at each; the groups `servers` and `descriptions` each had tables, rows and an error handler of their own; `check` and `descriptions` worked out the classes' facts and the attempts alike.

Exit statuses are an enumeration; options, output, configuration and the groups are modules of their own; files of servers, their changes and what would hold of them stand beside the commands, with typed rows. `description_sets` compiles for both commands. The example's two programs likewise.

--- a/example/client.py
+++ b/example/client.py
@@ -1,18 +1,31 @@
-"""One client of the example's balancer: opens a connection, says a line, prints what comes back."""
+"""One client of the example's balancer: opens a connection, sends a line, prints what comes back."""
 
 import secrets
 import socket
 
-ADDRESS = ("127.0.0.1", 8080)
+BALANCER_ADDRESS = ("127.0.0.1", 8080)
+TIMEOUT_S = 10.0
+LINE_END = "\r\n"
+
+
+def open_line() -> str:
+    """The first line of a connection: a request's id, the client's name, its class, deadline and group."""
+    request_id = secrets.token_hex(8)
+    group = secrets.token_hex(4)
+    return f"OPEN {request_id} me c=chat,d=2000,g={group}"
 
 
 def main() -> None:
-    with socket.create_connection(ADDRESS, timeout=10) as sock, sock.makefile("rw", newline="\r\n") as lines:
-        for line in (f"OPEN {secrets.token_hex(8)} me c=chat,d=2000,g={secrets.token_hex(4)}", "hello"):
+    """Talk to the balancer of `make run` or `make demo`."""
+    with (
+        socket.create_connection(BALANCER_ADDRESS, timeout=TIMEOUT_S) as sock,
+        sock.makefile("rw", newline=LINE_END) as stream,
+    ):
+        for line in (open_line(), "hello"):
             print(">", line)
-            lines.write(line + "\n")
-            lines.flush()
-            print("<", lines.readline().strip())
+            stream.write(line + "\n")
+            stream.flush()
+            print("<", stream.readline().strip())
 
 
 if __name__ == "__main__":
--- a/example/toy_server.py
+++ b/example/toy_server.py
@@ -9,74 +9,112 @@
 import asyncio
 import json
 
-SERVERS = {"toy-1": 9001, "toy-2": 9002}
-DISCOVERY = 8500
-
-
-def members() -> bytes:
-    rows = [
-        {
-            "id": name, "host_port": f"127.0.0.1:{port}", "locality": "home", "flavor": "toy", "cell": 0,
-            "phase": "ready", "size": 1.0, "up_since_ms": 0,
-        }
-        for name, port in SERVERS.items()
-    ]  # fmt: skip
-    return json.dumps({"revision": 1, "complete": True, "members": rows}).encode()
+LOOPBACK = "127.0.0.1"
+SERVER_PORTS = {"toy-1": 9001, "toy-2": 9002}
+DISCOVERY_PORT = 8500
+CAPACITY = 20
+"""Open connections at which a server reports a load of 1."""
+KEEPALIVE_S = 2.0
+"""Between the empty lines on a watch."""
 
 
 class ToyServer:
+    """One server: any number of connections, each with a request and its echoes, or with health checks."""
+
     def __init__(self, name: str) -> None:
-        self.name, self.open = name, 0
+        self._name = name
+        self._open_connections = 0
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        up = False
+        """Serve one connection until it ends."""
         try:
             while line := (await reader.readline()).decode().strip():
-                if up:
-                    answer = line
-                elif line == "PING":
-                    answer = "PONG"
-                elif line == "STATS":
-                    answer = f"PONG x0={self.open / 20}"
-                elif line.startswith("OPEN "):
-                    answer, up = f"UP {self.name}", True
-                    self.open += 1
-                else:
-                    answer = "SYNTAX"
-                writer.write(f"{answer}\r\n".encode())
-                await writer.drain()
+                if line.startswith("OPEN "):
+                    await self._serve_session(reader, writer)
+                    return
+                await send_line(writer, self._control_answer(line))
         except ConnectionError:
             pass
         finally:
-            self.open -= up
             writer.close()
 
+    def _control_answer(self, line: str) -> str:
+        """The answer to a line outside a session."""
+        match line:
+            case "PING":
+                return "PONG"
+            case "STATS":
+                return f"PONG x0={self._open_connections / CAPACITY}"
+            case _:
+                return "SYNTAX"
+
+    async def _serve_session(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Accept the request, then echo every line."""
+        self._open_connections += 1
+        try:
+            await send_line(writer, f"UP {self._name}")
+            while line := (await reader.readline()).decode().strip():
+                await send_line(writer, line)
+        finally:
+            self._open_connections -= 1
+
+
+async def send_line(writer: asyncio.StreamWriter, line: str) -> None:
+    """Send one line of the protocol. Raises ConnectionError."""
+    writer.write(f"{line}\r\n".encode())
+    await writer.drain()
+
 
-async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    """The whole list, and on a watch an empty line every 2 s after it: nothing ever changes here."""
-    ask = await reader.readuntil(b"\r\n\r\n")
+def endpoint_snapshot() -> bytes:
+    """The complete list of servers, in discovery's JSON."""
+    members = [
+        {
+            "id": name,
+            "host_port": f"{LOOPBACK}:{port}",
+            "locality": "home",
+            "flavor": "toy",
+            "cell": 0,
+            "phase": "ready",
+            "size": 1.0,
+            "up_since_ms": 0,
+        }
+        for name, port in SERVER_PORTS.items()
+    ]
+    return json.dumps({"revision": 1, "complete": True, "members": members}).encode()
+
+
+async def serve_discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Answer one call to discovery: the complete list, and on a watch empty lines after it."""
+    request = await reader.readuntil(b"\r\n\r\n")
     try:
-        if b"watch=1" not in ask:
-            body = members()
+        if b"watch=1" in request:
+            await send_watch(writer)
+        else:
+            body = endpoint_snapshot()
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
-            return await writer.drain()
-        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        line = members() + b"\n"
-        while True:
-            writer.write(b"%x\r\n%b\r\n" % (len(line), line))
             await writer.drain()
-            await asyncio.sleep(2)
-            line = b"\n"
     except ConnectionError:
         pass
     finally:
         writer.close()
 
 
+async def send_watch(writer: asyncio.StreamWriter) -> None:
+    """Send the list, then empty lines at intervals: nothing ever changes here. Raises ConnectionError."""
+    writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    line = endpoint_snapshot() + b"\n"
+    while True:
+        writer.write(b"%x\r\n%b\r\n" % (len(line), line))
+        await writer.drain()
+        await asyncio.sleep(KEEPALIVE_S)
+        line = b"\n"
+
+
 async def main() -> None:
-    for name, port in SERVERS.items():
-        await asyncio.start_server(ToyServer(name).serve, "127.0.0.1", port)
-    async with await asyncio.start_server(discovery, "127.0.0.1", DISCOVERY) as server:
+    """Serve until interrupted."""
+    for name, port in SERVER_PORTS.items():
+        await asyncio.start_server(ToyServer(name).serve, LOOPBACK, port)
+    async with await asyncio.start_server(serve_discovery, LOOPBACK, DISCOVERY_PORT) as server:
         await server.serve_forever()
 
 
--- a/wheatstile/cli/__init__.py
+++ b/wheatstile/cli/__init__.py
@@ -1,30 +1,24 @@
 """The command line. Each group of commands is a module of its own, imported only when it is called."""
 
 import sys
-from importlib import import_module
 
 import click
 
 from wheatstile import __version__
+from wheatstile.cli.groups import LazyGroup
 
-# Command -> its module here.
-COMMANDS = {name: name for name in ("serve", "check", "schema", "servers", "descriptions", "link", "store")}
+COMMAND_MODULES = {
+    "check": "wheatstile.cli.check:command",
+    "descriptions": "wheatstile.cli.descriptions:command",
+    "link": "wheatstile.cli.link:command",
+    "schema": "wheatstile.cli.schema:command",
+    "serve": "wheatstile.cli.serve:command",
+    "servers": "wheatstile.cli.servers:command",
+    "store": "wheatstile.cli.store:command",
+}
 
 
-class LazyGroup(click.Group):
-    """Imports a command's module when the command is named, so that `serve` pays for no other."""
-
-    def list_commands(self, ctx: click.Context) -> list[str]:
-        return sorted(COMMANDS)
-
-    def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
-        if name not in COMMANDS:
-            return None
-        command: click.Command = import_module(f"wheatstile.cli.{COMMANDS[name]}").command
-        return command
-
-
-@click.group(cls=LazyGroup, invoke_without_command=True)
+@click.group(cls=LazyGroup, modules=COMMAND_MODULES, invoke_without_command=True)
 @click.version_option(__version__, prog_name="wheatstile")
 @click.pass_context
 def group(context: click.Context) -> None:
--- a/wheatstile/cli/check.py
+++ b/wheatstile/cli/check.py
@@ -1,104 +1,131 @@
-"""`check`: the operator's file and all that it names, before the balancer reads any of it."""
+"""`wheatstile check`: the operator's file and all that it names, before the balancer reads any of it."""
 
 import os
+from dataclasses import dataclass, field
 from pathlib import Path
 
 import click
 
 from wheatstile import interface as api
-from wheatstile.cli.common import refuse
+from wheatstile.cli.configuration import read_platform_config
+from wheatstile.cli.endpoint_files import read_document, rejection_reasons
+from wheatstile.cli.exit_status import ExitStatus, reject
+from wheatstile.cli.options import platform_config_option
 from wheatstile.config import operator
-from wheatstile.config.operator import OperatorFile
+from wheatstile.config.operator import OperatorFile, Servers
 from wheatstile.config.platform import Config, ConfigError
 from wheatstile.config.violations import ConfigurationError, Violation, load, locate
-from wheatstile.resolvers import document, intake
-from wheatstile.resolvers.document import Rules
-from wheatstile.resolvers.files import read_all
+from wheatstile.resolvers.document import Document, Rules
 from wheatstile.resolvers.intake import InForce
 
+OVERRIDE_MODE = "override"
+"""The mode in which the file's list holds from the start, whatever discovery says."""
+
+
+@dataclass
+class Report:
+    """What is wrong, and what could not be checked."""
+
+    reasons: list[str] = field(default_factory=list)
+    unchecked: list[str] = field(default_factory=list)
+
 
 @click.command("check")
 @click.argument("file")
-@click.option("--config", metavar="FILE", help="The platform's configuration (else RELAY_CONFIG names it).")
-def command(file: str, config: str | None) -> int:
+@platform_config_option
+def command(file: str, config: str | None) -> ExitStatus:
     """Check the operator's FILE and all that it names, against the platform's settings where they are given.
 
     Exit status 0: it holds; 1: refused, every reason on standard error.
     """
     try:
-        found = operator.read(file)
-    except ConfigurationError as refused:
-        return refuse(refused.lines())
-    reasons, notes, platform = [], [], None
-    config = config or os.environ.get("RELAY_CONFIG")
-    if config:
-        try:
-            platform = Config.read({**os.environ, "RELAY_CONFIG": config})
-        except ConfigError as error:
-            reasons.append(str(error))
-    else:
-        notes.append("against the platform's settings: neither --config nor RELAY_CONFIG names them")
-    reasons += _servers(found, platform, notes)
-    reasons += _descriptions(found, platform, notes)
-    if reasons:
-        return refuse(reasons)
+        operator_file = operator.read(file)
+    except ConfigurationError as error:
+        return reject(error.lines())
+    report = Report()
+    platform = _read_platform(config, report)
+    _check_servers(operator_file, platform, report)
+    _check_descriptions(operator_file, platform, report)
+    if report.reasons:
+        return reject(report.reasons)
     click.echo(f"{file}: holds")
-    for note in notes:
-        click.echo(f"not checked: {note}")
-    return 0
-
-
-def _servers(found: OperatorFile, platform: Config | None, notes: list[str]) -> list[str]:
-    servers = found.settings.servers
-    if not servers.file:
-        return []
-    reasons = []
-    if servers.state_dir:
-        folder = found.near(servers.state_dir)
+    for subject in report.unchecked:
+        click.echo(f"not checked: {subject}")
+    return ExitStatus.OK
+
+
+def _read_platform(config: str | None, report: Report) -> Config | None:
+    try:
+        platform = read_platform_config(config)
+    except ConfigError as error:
+        report.reasons.append(str(error))
+        return None
+    if platform is None:
+        report.unchecked.append(
+            "against the platform's settings: neither --config nor RELAY_CONFIG names them"
+        )
+    return platform
+
+
+def _check_servers(operator_file: OperatorFile, platform: Config | None, report: Report) -> None:
+    section = operator_file.settings.servers
+    if not section.file:
+        return
+    if section.state_dir:
+        folder = operator_file.near(section.state_dir)
         if not (folder.is_dir() and os.access(folder, os.W_OK)):
-            reasons.append(_at(found, "/servers/state_dir", f"{folder} is no folder that can be written"))
-    path, rules = found.near(servers.file), Rules.of(servers)
+            reason = f"{folder} is no folder that can be written"
+            report.reasons.append(_located(operator_file, "/servers/state_dir", reason))
+    path = operator_file.near(section.file)
     if not path.exists():
-        return [*reasons, _at(found, "/servers/file", f"there is no {path}")]
+        report.reasons.append(_located(operator_file, "/servers/file", f"there is no {path}"))
+        return
     try:
-        whole = document.read(str(path), read_all(path, rules.most_bytes), rules)
-    except ConfigurationError as refused:
-        return reasons + refused.lines()
-    if platform is None:
-        return reasons
-    known = [entry for entry in platform.known.endpoints if entry.state == api.EndpointState.READY]
-    sites = tuple(sorted({entry.zone for entry in known} - {""}))
-    ready = frozenset(entry.name for entry in known) if servers.mode == "override" else frozenset()
-    admission = intake.admit(whole, InForce(None, sites, ready), None, frozenset(), rules)
-    if admission.outcome in ("refused", "held"):
-        reasons += [f"{path}:1: /: {reason}" for reason in admission.reasons]
-    own = platform.settings.zone
-    if not any(named.endpoint.zone == own for named in whole.servers.values()):
-        notes.append(
-            f'whether anybody else serves this balancer\'s own site "{own}": the file names no server there'
+        found = read_document(str(path), Rules.of(section))
+    except ConfigurationError as error:
+        report.reasons += error.lines()
+        return
+    if platform:
+        _check_against_platform(path, found, section, platform, report)
+
+
+def _check_against_platform(
+    path: Path, found: Document, section: Servers, platform: Config, report: Report
+) -> None:
+    """Hold the file of servers against the servers that the platform knows at the start."""
+    ready = [endpoint for endpoint in platform.known.endpoints if endpoint.state == api.EndpointState.READY]
+    sites = tuple(sorted({endpoint.zone for endpoint in ready} - {""}))
+    replaced = {endpoint.name for endpoint in ready} if section.mode == OVERRIDE_MODE else set()
+    current = InForce(None, sites, frozenset(replaced))
+    for reason in rejection_reasons(found, current, Rules.of(section)):
+        report.reasons.append(f"{path}:1: /: {reason}")
+    own_zone = platform.settings.zone
+    if not any(resolved.endpoint.zone == own_zone for resolved in found.servers.values()):
+        report.unchecked.append(
+            f'whether anybody else serves this balancer\'s own site "{own_zone}": '
+            "the file names no server there"
         )
-    return reasons
 
 
-def _descriptions(found: OperatorFile, platform: Config | None, notes: list[str]) -> list[str]:
-    section = found.settings.descriptions
+def _check_descriptions(operator_file: OperatorFile, platform: Config | None, report: Report) -> None:
+    section = operator_file.settings.descriptions
     if not (section.paths or section.rules or section.classes):
-        return []
-    from wheatstile.descriptions import reader
+        return
+    from wheatstile.cli.description_sets import compile_descriptions
     from wheatstile.descriptions.model import DescriptionError
 
-    facts = reader.facts_of(platform) if platform else None
-    attempts = platform.settings.max_attempts if platform else 5
+    paths = [operator_file.near(path) for path in section.paths]
     try:
-        compiled, _ = reader.compile_paths(map(found.near, section.paths), found, facts, attempts)
+        compiled, _ = compile_descriptions(paths, operator_file, platform)
     except DescriptionError as error:
-        return error.lines()
-    notes += [f"to the end: {warning}" for warning in compiled.warnings]
-    return []
+        report.reasons += error.lines()
+        return
+    report.unchecked += [f"to the end: {warning}" for warning in compiled.warnings]
 
 
-def _at(found: OperatorFile, pointer: str, reason: str) -> str:
-    """A fault of the operator's file that only its surroundings show, with its line."""
-    data = Path(found.path).read_bytes()
-    text, _ = load(str(found.path), data, len(data))
-    return ConfigurationError(str(found.path), locate(text, [Violation(pointer, reason)])).lines()[0]
+def _located(operator_file: OperatorFile, pointer: str, reason: str) -> str:
+    """A violation of the operator's file that only its surroundings show, with its line."""
+    data = Path(operator_file.path).read_bytes()
+    text, _ = load(str(operator_file.path), data, len(data))
+    violations = locate(text, [Violation(pointer, reason)])
+    return ConfigurationError(str(operator_file.path), violations).lines()[0]
--- /dev/null
+++ b/wheatstile/cli/description_sets.py
@@ -0,0 +1,28 @@
+"""Descriptions compiled as the balancer would, with the platform's classes where they are known."""
+
+from collections.abc import Iterable
+from pathlib import Path
+
+from wheatstile.config.operator import OperatorFile
+from wheatstile.config.platform import Config
+from wheatstile.descriptions import reader
+from wheatstile.descriptions.compile import Compiled
+
+DEFAULT_MAX_ATTEMPTS = 5
+"""Attempts a request that are reckoned with where no platform configuration says."""
+
+
+def compile_descriptions(
+    paths: Iterable[str | Path],
+    operator_file: OperatorFile | None,
+    platform: Config | None,
+    *,
+    strict: bool = False,
+) -> tuple[Compiled, reader.Reading]:
+    """The descriptions at these paths, compiled and as read.
+
+    `strict`: warnings are conflicts. Raises DescriptionError with every conflict, ConfigurationError.
+    """
+    classes = reader.facts_of(platform) if platform else None
+    max_attempts = platform.settings.max_attempts if platform else DEFAULT_MAX_ATTEMPTS
+    return reader.compile_paths(paths, operator_file, classes, max_attempts, strict)
--- a/wheatstile/cli/descriptions.py
+++ b/wheatstile/cli/descriptions.py
@@ -1,218 +1,225 @@
-"""`descriptions`: OpenAPI and AsyncAPI descriptions, checked, listed, matched, compared, drawn."""
+"""`wheatstile descriptions`: OpenAPI and AsyncAPI descriptions, checked, listed, matched, compared, drawn."""
 
-import json
-import os
-from collections.abc import Iterator
-from typing import Any
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 import click
-from tabulate import tabulate
+import msgspec
+
+from wheatstile.cli.configuration import read_operator_file, read_platform_config
+from wheatstile.cli.description_changes import description_changes, seconds_text
+from wheatstile.cli.description_sets import compile_descriptions
+from wheatstile.cli.exit_status import ExitStatus, reject
+from wheatstile.cli.groups import ConfigurationGroup
+from wheatstile.cli.options import json_option, platform_config_option
+from wheatstile.cli.output import print_json, print_table
+from wheatstile.descriptions.compile import ClassFacts, Compiled, Route
+from wheatstile.descriptions.model import DescriptionError
+from wheatstile.descriptions.reader import Reading
+from wheatstile.interface import Idempotency
+
+MESSAGE_ACTIONS = frozenset({"send", "receive"})
+"""AsyncAPI's actions; all others are methods of HTTP, in capitals."""
+MIN_MATCH_ARGUMENTS = 3
+ROUTE_COLUMNS = ("action", "route", "class", "repeat", "why", "place")
+MATCH_COLUMNS = ("", "action", "route", "class", "repeat", "place")
+
+_operator_file_option = click.option(
+    "--file", "operator_file", metavar="OPERATOR_FILE", help="The operator's file, for its rules."
+)
+_paths_argument = click.argument("paths", nargs=-1, required=True)
 
-from wheatstile.cli.common import refuse
-from wheatstile.config import operator
-from wheatstile.config.platform import Config, ConfigError
-from wheatstile.config.violations import ConfigurationError
-from wheatstile.descriptions import reader
-from wheatstile.descriptions.compile import Compiled, Route
-from wheatstile.descriptions.model import NARROWER, TIGHTER, DescriptionError
 
-LOOSENS = 3  # exit status of a comparison
+def _context_options(function: Callable[..., ExitStatus]) -> Callable[..., ExitStatus]:
+    """Add `--file` and `--config`: what descriptions are held against."""
+    return _operator_file_option(platform_config_option(function))
 
-_file = click.option(
-    "--file", "operator_file", metavar="OPERATOR_FILE", help="The operator's file, for its rules."
-)
-_config = click.option(
-    "--config", metavar="FILE", help="The platform's configuration (else RELAY_CONFIG names it)."
-)
-_paths = click.argument("paths", nargs=-1, required=True)
 
+class DescriptionGroup(ConfigurationGroup):
+    """Reports conflicts in descriptions as well: exit status 1, every conflict on standard error."""
 
-class _Commands(click.Group):
-    def invoke(self, context: click.Context) -> Any:
+    def invoke(self, ctx: click.Context) -> object:
+        """Run the command that was named; its exit status."""
         try:
-            return super().invoke(context)
+            return super().invoke(ctx)
         except DescriptionError as error:
-            return refuse(error.lines())
-        except ConfigurationError as refused:
-            return refuse(refused.lines())
-        except ConfigError as error:
-            return refuse([str(error)])
+            return reject(error.lines())
 
 
-@click.group("descriptions", cls=_Commands)
+@click.group("descriptions", cls=DescriptionGroup)
 def command() -> None:
     """OpenAPI and AsyncAPI descriptions: check, routes, match, diff, graph."""
 
 
-def _compiled(
-    paths: tuple[str, ...], operator_file: str | None = None, config: str | None = None, strict: bool = False
-) -> tuple[Compiled, reader.Reading, bool]:
-    """What the descriptions come to, and whether the platform's classes are known."""
-    config = config or os.environ.get("RELAY_CONFIG")
-    found = operator.read(operator_file) if operator_file else None
-    platform = Config.read({**os.environ, "RELAY_CONFIG": config}) if config else None
-    facts = reader.facts_of(platform) if platform else None
-    attempts = platform.settings.max_attempts if platform else 5
-    compiled, reading = reader.compile_paths(paths, found, facts, attempts, strict)
-    return compiled, reading, platform is not None
+@dataclass(frozen=True, slots=True)
+class DescriptionSet:
+    """Compiled descriptions, the descriptions as read, and whether the platform's classes were known."""
+
+    compiled: Compiled
+    reading: Reading
+    classes_known: bool
+
+
+def _compile(
+    paths: Iterable[str], operator_file: str | None, config: str | None, *, strict: bool = False
+) -> DescriptionSet:
+    rules = read_operator_file(operator_file)
+    platform = read_platform_config(config)
+    compiled, reading = compile_descriptions(paths, rules, platform, strict=strict)
+    return DescriptionSet(compiled, reading, platform is not None)
 
 
 @command.command()
-@_paths
-@_file
-@_config
+@_paths_argument
+@_context_options
 @click.option("--strict", is_flag=True, help="Warnings are conflicts.")
-def check(paths: tuple[str, ...], operator_file: str | None, config: str | None, strict: bool) -> int:
+def check(paths: tuple[str, ...], operator_file: str | None, config: str | None, strict: bool) -> ExitStatus:
     """Check descriptions against their formats, each other, the operator's rules and the classes."""
-    compiled, reading, known = _compiled(paths, operator_file, config, strict)
+    found = _compile(paths, operator_file, config, strict=strict)
+    compiled = found.compiled
     for warning in compiled.warnings:
         click.echo(str(warning), err=True)
-    count = len(reading.descriptions)
     click.echo(
-        f"holds: {count} descriptions, {len(compiled.routes)} routes, {len(compiled.warnings)} warnings"
+        f"holds: {len(found.reading.descriptions)} descriptions, {len(compiled.routes)} routes, "
+        f"{len(compiled.warnings)} warnings"
     )
     for name, facts in sorted(compiled.classes.items()):
-        more = f", known for {facts.window / 1e6:g} s, scope {facts.scope}" if facts.repeat == "keyed" else ""
-        click.echo(f"class {name}: {facts.repeat}{more}")
-    if not known:
+        click.echo(f"class {name}: {_class_text(facts)}")
+    if not found.classes_known:
         click.echo(
             "not checked: against the platform's classes: neither --config nor RELAY_CONFIG names them"
         )
-    return 0
-
-
-def _row(route: Route) -> dict[str, Any]:
-    operation = route.operation
-    return {
-        "action": operation.action,
-        "route": route.template,
-        "class": route.service_class,
-        "repeat": route.verdict.repeat,
-        "why": f"{route.verdict.why} ({route.verdict.place.short()})",
-        "place": operation.place.short(),
-        "operation": operation.id,
-        "description": operation.place.file,
-        "queue": operation.queue_group,
-        "reply": operation.reply,
-        "messages": [
-            {"name": one.name, "discriminator": one.discriminator, "most_bytes": one.most_bytes}
-            for one in operation.messages
-        ],
-    }
-
-
-def _table(rows: list[dict[str, Any]], keys: list[str]) -> None:
-    click.echo(
-        tabulate([[row[key] for key in keys] for row in rows], keys, tablefmt="plain", disable_numparse=True)
-    )
+    return ExitStatus.OK
+
+
+def _class_text(facts: ClassFacts) -> str:
+    if Idempotency(facts.repeat) is not Idempotency.IDEMPOTENCY_KEY:
+        return facts.repeat
+    return f"{facts.repeat}, known for {seconds_text(facts.window)}, scope {facts.scope}"
+
+
+class MessageRow(msgspec.Struct):
+    """One message of an operation, as JSON shows it."""
+
+    name: str
+    discriminator: str
+    max_bytes: int | None = msgspec.field(name="most_bytes")
+
+
+class RouteRow(msgspec.Struct, rename={"service_class": "class", "location": "place"}):
+    """One route, as tables and JSON show it."""
+
+    action: str
+    route: str
+    service_class: str
+    repeat: str
+    why: str
+    location: str
+    operation: str
+    description: str
+    queue: str
+    reply: str
+    messages: list[MessageRow]
+
+    @classmethod
+    def from_route(cls, route: Route) -> "RouteRow":
+        """The row of a compiled route."""
+        operation = route.operation
+        return cls(
+            action=operation.action,
+            route=route.template,
+            service_class=route.service_class,
+            repeat=route.verdict.repeat,
+            why=f"{route.verdict.why} ({route.verdict.place.short()})",
+            location=operation.place.short(),
+            operation=operation.id,
+            description=operation.place.file,
+            queue=operation.queue_group,
+            reply=operation.reply,
+            messages=[
+                MessageRow(message.name, message.discriminator, message.most_bytes)
+                for message in operation.messages
+            ],
+        )
+
+    def cells(self, columns: Iterable[str]) -> list[str]:
+        """The values of these columns."""
+        values = msgspec.to_builtins(self)
+        return [values[column] for column in columns]
 
 
 @command.command()
-@_paths
-@_file
-@_config
+@_paths_argument
+@_context_options
 @click.option("--json", "as_json", is_flag=True, help="For programs, with messages and queue groups.")
-def routes(paths: tuple[str, ...], operator_file: str | None, config: str | None, as_json: bool) -> int:
+def routes(
+    paths: tuple[str, ...], operator_file: str | None, config: str | None, as_json: bool
+) -> ExitStatus:
     """List every route with its class and whether it may be repeated, and why."""
-    compiled, _, _ = _compiled(paths, operator_file, config)
-    rows = [
-        _row(route) for route in sorted(compiled.routes, key=lambda one: (one.template, one.operation.action))
-    ]
+    compiled = _compile(paths, operator_file, config).compiled
+    ordered = sorted(compiled.routes, key=lambda route: (route.template, route.operation.action))
+    rows = [RouteRow.from_route(route) for route in ordered]
     if as_json:
-        click.echo(json.dumps(rows))
+        print_json(msgspec.to_builtins(rows))
     else:
-        _table(rows, ["action", "route", "class", "repeat", "why", "place"])
-    return 0
+        print_table([row.cells(ROUTE_COLUMNS) for row in rows], ROUTE_COLUMNS)
+    return ExitStatus.OK
 
 
 @command.command()
-@click.argument("words", nargs=-1, required=True, metavar="PATHS... ACTION TEXT")
-@_file
-@_config
-def match(words: tuple[str, ...], operator_file: str | None, config: str | None) -> int:
+@click.argument("arguments", nargs=-1, required=True, metavar="PATHS... ACTION TEXT")
+@_context_options
+def match(arguments: tuple[str, ...], operator_file: str | None, config: str | None) -> ExitStatus:
     """Tell which route ACTION TEXT takes (GET /orders/17, receive orders.17), and those it beat."""
-    if len(words) < 3:
+    if len(arguments) < MIN_MATCH_ARGUMENTS:
         raise click.UsageError("paths, an action and a path or subject are needed")
-    *paths, action, text = words
-    compiled, _, _ = _compiled(tuple(paths), operator_file, config)
-    action = action if action in ("send", "receive") else action.upper()
+    *paths, action, text = arguments
+    compiled = _compile(paths, operator_file, config).compiled
+    if action not in MESSAGE_ACTIONS:
+        action = action.upper()
     found = compiled.match(action, text)
     if not found:
-        return refuse([f"{action} {text}: no route matches"])
-    rows = [{"": "takes" if index == 0 else "beats"} | _row(route) for index, route in enumerate(found)]
-    _table(rows, ["", "action", "route", "class", "repeat", "place"])
-    return 0
-
-
-def _changes(old: Compiled, new: Compiled) -> Iterator[tuple[str, bool]]:
-    """Each change as a sentence, and whether it loosens what may be repeated."""
-    before = {(one.operation.action, one.template): one for one in old.routes}
-    after = {(one.operation.action, one.template): one for one in new.routes}
-    for key in sorted(before.keys() | after.keys()):
-        name, was, now = f"{key[0]} {key[1]}", before.get(key), after.get(key)
-        if was is None and now:
-            yield f"{name}: added, {now.verdict.repeat}, class {now.service_class or 'none'}", False
-        elif now is None and was:
-            yield f"{name}: removed", False
-        elif was and now:
-            yield from _route_changes(name, was, now)
-    for name in sorted(old.classes.keys() & new.classes.keys()):
-        one, other = old.classes[name], new.classes[name]
-        if one.repeat != other.repeat:
-            yield f"class {name}: {one.repeat} -> {other.repeat}", TIGHTER[other.repeat] < TIGHTER[one.repeat]
-
-
-def _route_changes(name: str, was: Route, now: Route) -> Iterator[tuple[str, bool]]:
-    if was.service_class != now.service_class:
-        yield f"{name}: class {was.service_class or 'none'} -> {now.service_class or 'none'}", False
-    one, other = was.verdict, now.verdict
-    if one.repeat != other.repeat:
-        looser = TIGHTER[other.repeat] < TIGHTER[one.repeat]
-        word = "becomes repeatable" if looser else "ceases to be repeatable"
-        yield f"{name}: {word}, {one.repeat} -> {other.repeat} ({other.why}, {other.place.short()})", looser
-    elif one.repeat == "keyed":
-        if one.scope != other.scope:
-            yield f"{name}: scope {one.scope} -> {other.scope}", NARROWER[other.scope] < NARROWER[one.scope]
-        if one.window != other.window:
-            yield (
-                f"{name}: known for {one.window / 1e6:g} s -> {other.window / 1e6:g} s",
-                other.window > one.window,
-            )
+        return reject([f"{action} {text}: no route matches"])
+    rows = []
+    for index, route in enumerate(found):
+        rank = "takes" if index == 0 else "beats"
+        rows.append([rank, *RouteRow.from_route(route).cells(MATCH_COLUMNS[1:])])
+    print_table(rows, MATCH_COLUMNS)
+    return ExitStatus.OK
 
 
 @command.command()
 @click.argument("old")
 @click.argument("new")
-@_file
-@_config
-@click.option("--json", "as_json", is_flag=True, help="For programs.")
-def diff(old: str, new: str, operator_file: str | None, config: str | None, as_json: bool) -> int:
+@_context_options
+@json_option
+def diff(old: str, new: str, operator_file: str | None, config: str | None, as_json: bool) -> ExitStatus:
     """Tell what NEW changes of OLD; exit status 3 if anything that could not be repeated may be now."""
-    first, _, _ = _compiled((old,), operator_file, config)
-    second, _, _ = _compiled((new,), operator_file, config)
-    found = list(_changes(first, second))
+    first = _compile([old], operator_file, config).compiled
+    second = _compile([new], operator_file, config).compiled
+    changes = list(description_changes(first, second))
     if as_json:
-        click.echo(json.dumps([{"change": change, "loosens": loosens} for change, loosens in found]))
+        print_json(msgspec.to_builtins(changes))
     else:
-        for change, loosens in found:
-            click.echo(f"{'loosens  ' if loosens else '         '}{change}")
-    return LOOSENS if any(loosens for _, loosens in found) else 0
+        for change in changes:
+            click.echo(f"{'loosens  ' if change.loosens else '         '}{change.change}")
+    loosened = any(change.loosens for change in changes)
+    return ExitStatus.LOOSENED if loosened else ExitStatus.OK
 
 
 @command.command()
-@_paths
-@_file
-@_config
+@_paths_argument
+@_context_options
 @click.option("--out", required=True, metavar="FILE.svg")
-def graph(paths: tuple[str, ...], operator_file: str | None, config: str | None, out: str) -> int:
+def graph(paths: tuple[str, ...], operator_file: str | None, config: str | None, out: str) -> ExitStatus:
     """Draw services, routes and classes as a picture."""
     from wheatstile.descriptions.graph import drawing
 
-    compiled, reading, _ = _compiled(paths, operator_file, config)
-    titles = {one.file: one.title or one.file for one in reading.descriptions}
+    found = _compile(paths, operator_file, config)
+    titles = {one.file: one.title or one.file for one in found.reading.descriptions}
     try:
-        drawing(compiled.routes, titles).save_svg(out)
+        drawing(found.compiled.routes, titles).save_svg(out)
     except OSError as error:
-        return refuse([f"{out}: {error.strerror or error}"])
-    click.echo(f"{out}: {len(compiled.routes)} routes")
-    return 0
+        return reject([f"{out}: {error.strerror or error}"])
+    click.echo(f"{out}: {len(found.compiled.routes)} routes")
+    return ExitStatus.OK
--- /dev/null
+++ b/wheatstile/cli/endpoint_changes.py
@@ -0,0 +1,84 @@
+"""The differences between two files of servers, as tables and JSON show them."""
+
+import enum
+from collections.abc import Iterator
+
+import msgspec
+
+from wheatstile.config.endpoints import ResolvedEndpoint
+from wheatstile.resolvers.document import Document
+
+EMPTY_VALUES = ("", 0)
+"""Values of a server that a table leaves out."""
+
+
+class ServerRow(msgspec.Struct):
+    """One server as it is shown; `started` is Unix time in milliseconds."""
+
+    address: str
+    site: str
+    weight: float
+    state: str
+    started: int
+
+    @classmethod
+    def from_endpoint(cls, resolved: ResolvedEndpoint) -> "ServerRow":
+        """The row of a server; its address is empty where it has none."""
+        endpoint, address = resolved
+        return cls(
+            address=f"{address[0]}:{address[1]}" if address else "",
+            site=endpoint.zone,
+            weight=endpoint.weight,
+            state=endpoint.state,
+            started=endpoint.started_at_us // 1000,
+        )
+
+
+class ChangeKind(enum.StrEnum):
+    """What became of a server from one file to the next."""
+
+    ADDED = "added"
+    REMOVED = "removed"
+    CHANGED = "changed"
+
+
+class ServerChange(msgspec.Struct, omit_defaults=True):
+    """One server that differs; of one that changed, only the values that did."""
+
+    id: str
+    change: ChangeKind
+    before: dict[str, object] | None = None
+    after: dict[str, object] | None = None
+
+
+def server_changes(old: Document, new: Document) -> Iterator[ServerChange]:
+    """Every difference, by the servers' names."""
+    for name in sorted(old.servers.keys() | new.servers.keys()):
+        before = old.servers.get(name)
+        after = new.servers.get(name)
+        if before is None and after:
+            yield ServerChange(name, ChangeKind.ADDED, after=_values(after))
+        elif after is None and before:
+            yield ServerChange(name, ChangeKind.REMOVED, before=_values(before))
+        elif before and after and before != after:
+            yield _changed(name, _values(before), _values(after))
+
+
+def _values(resolved: ResolvedEndpoint) -> dict[str, object]:
+    return msgspec.structs.asdict(ServerRow.from_endpoint(resolved))
+
+
+def _changed(name: str, before: dict[str, object], after: dict[str, object]) -> ServerChange:
+    keys = [key for key in before if before[key] != after[key]]
+    return ServerChange(
+        name,
+        ChangeKind.CHANGED,
+        before={key: before[key] for key in keys},
+        after={key: after[key] for key in keys},
+    )
+
+
+def values_text(values: dict[str, object] | None) -> str:
+    """The values as `key=value`, without those that are empty."""
+    shown = [f"{key}={value}" for key, value in (values or {}).items() if value not in EMPTY_VALUES]
+    return " ".join(shown)
--- a/wheatstile/cli/link.py
+++ b/wheatstile/cli/link.py
@@ -4,7 +4,7 @@
 
 import click
 
-from wheatstile.cli.common import refuse
+from wheatstile.cli.exit_status import reject
 
 
 @click.command("link")
@@ -39,7 +39,7 @@
         if not frames and any(scheduled.command.name in FRAME_COMMANDS for scheduled in script):
             raise CommandError("lose and repeat need --frames")
     except CommandError as error:
-        return refuse([f"{script_file}: {line}" for line in str(error).splitlines()])
+        return reject([f"{script_file}: {line}" for line in str(error).splitlines()])
     except ValueError as error:
-        return refuse([str(error)])
+        return reject([str(error)])
     return main(FaultProxyOptions(parsed_routes, frames, seed, control_port, script))
--- /dev/null
+++ b/wheatstile/cli/options.py
@@ -0,0 +1,9 @@
+"""Options that several commands share."""
+
+import click
+
+json_option = click.option("--json", "as_json", is_flag=True, help="For programs.")
+
+platform_config_option = click.option(
+    "--config", metavar="FILE", help="The platform's configuration (else RELAY_CONFIG names it)."
+)
--- /dev/null
+++ b/wheatstile/cli/store_client.py
@@ -0,0 +1,82 @@
+"""What the store's client commands share: the members' options, and a client for the time of the command."""
+
+import asyncio
+import functools
+import sys
+from collections.abc import Awaitable, Callable
+
+import click
+
+from wheatstile.cli.exit_status import ExitStatus, reject
+from wheatstile.store.client import Client, Lapsed, StoreError, Undecided
+
+MAX_PORT = 65535
+
+
+def parse_ports(context: click.Context, option: click.Parameter, texts: tuple[str, ...]) -> dict[str, int]:
+    """Parse the values of an option NAME=PORT, each name once. Raises click.BadParameter."""
+    ports: dict[str, int] = {}
+    for text in texts:
+        name, _, port = text.partition("=")
+        if not name or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+            raise click.BadParameter(f"{text!r}: NAME=PORT wanted", context, option)
+        if name in ports:
+            raise click.BadParameter(f"{name} stands twice", context, option)
+        ports[name] = int(port)
+    return ports
+
+
+members_option = click.option(
+    "--member",
+    "members",
+    multiple=True,
+    required=True,
+    metavar="NAME=PORT",
+    callback=parse_ports,
+    help="Each member and its port for clients.",
+)
+timeout_option = click.option(
+    "--within",
+    "timeout_s",
+    type=click.FloatRange(0.01, 60),
+    default=5.0,
+    show_default=True,
+    help="Seconds to try for.",
+)
+
+
+def client_command(work: Callable[..., Awaitable[ExitStatus]]) -> Callable[..., ExitStatus]:
+    """Make a command of a coroutine whose first parameter is a client: adds `--member` and `--within`.
+
+    What the store rejects goes to standard error with status 1; a request that no member answered, with
+    status 4. An interrupt ends the command with status 0.
+    """
+
+    @members_option
+    @timeout_option
+    @functools.wraps(work)
+    def run(members: dict[str, int], timeout_s: float, **arguments: object) -> ExitStatus:
+        try:
+            return asyncio.run(_run_with_client(work, members, timeout_s, arguments))
+        except KeyboardInterrupt:
+            return ExitStatus.OK
+
+    return run
+
+
+async def _run_with_client(
+    work: Callable[..., Awaitable[ExitStatus]],
+    members: dict[str, int],
+    timeout_s: float,
+    arguments: dict[str, object],
+) -> ExitStatus:
+    client = Client(members, timeout_s)
+    try:
+        return await work(client, **arguments)
+    except (StoreError, Lapsed) as error:
+        return reject([str(error)])
+    except Undecided as error:
+        print(f"undecided: {error}", file=sys.stderr)
+        return ExitStatus.OUTCOME_UNKNOWN
+    finally:
+        client.close()
--- /dev/null
+++ b/wheatstile/cli/store_members.py
@@ -0,0 +1,99 @@
+"""`wheatstile store status`, `add`, `remove`, `transfer`: the members of the store."""
+
+from collections.abc import Callable
+
+import click
+import msgspec
+
+from wheatstile.cli.exit_status import ExitStatus, reject
+from wheatstile.cli.options import json_option
+from wheatstile.cli.output import TableStyle, print_json, print_table
+from wheatstile.cli.store_client import client_command
+from wheatstile.store.client import Client
+from wheatstile.store.protocol import Status
+from wheatstile.store.server import BOOK
+
+STATUS_COLUMNS = (
+    "name", "role", "leader", "term", "commit", "applied", "age_ms", "keys", "voters", "learners",
+)  # fmt: skip
+NO_LEADER = "no leader is reached"
+
+
+@click.command()
+@json_option
+@client_command
+async def status(client: Client, as_json: bool) -> ExitStatus:
+    """What each member says of itself; exit status 1 if one cannot be reached."""
+    statuses = await client.statuses()
+    rows = [_status_row(name, found) for name, found in statuses.items()]
+    if as_json:
+        print_json(rows)
+    else:
+        table = [[row.get(column, "") for column in STATUS_COLUMNS] for row in rows]
+        print_table(table, STATUS_COLUMNS, TableStyle.SIMPLE)
+    all_reached = all(isinstance(found, Status) for found in statuses.values())
+    return ExitStatus.OK if all_reached else ExitStatus.REJECTED
+
+
+def _status_row(name: str, found: Status | str) -> dict[str, object]:
+    """A member's status by column, or why it was not reached."""
+    if isinstance(found, str):
+        return {"name": name, "role": f"not reached: {found}"}
+    return msgspec.structs.asdict(found)
+
+
+async def _change_members(client: Client, change: Callable[[set[str], set[str]], None]) -> ExitStatus:
+    """Apply `change` to the voters and learners that the leader has now, and print what they are then."""
+    leader = await client.leader()
+    if leader is None:
+        return reject([NO_LEADER])
+    voters = set(leader.voters)
+    learners = set(leader.learners)
+    change(voters, learners)
+    changed = await client.change(voters, learners - voters)
+    click.echo(f"voters {' '.join(changed.voters)}; learners {' '.join(changed.learners) or 'none'}")
+    return ExitStatus.OK
+
+
+@click.command()
+@click.argument("name")
+@click.option("--peer-port", type=int, required=True, help="Where the others reach it.")
+@click.option("--learner", is_flag=True, help="Is sent the log, and has no vote.")
+@client_command
+async def add(client: Client, name: str, peer_port: int, learner: bool) -> ExitStatus:
+    """Adds NAME (started with --join) as a learner, and as a voter unless --learner."""
+
+    def add_learner(_voters: set[str], learners: set[str]) -> None:
+        learners.add(name)
+
+    def add_voter(voters: set[str], _learners: set[str]) -> None:
+        voters.add(name)
+
+    await client.put(f"{BOOK}/{name}", str(peer_port).encode())
+    # As a learner first: a voter without a log would count against a majority until it has one.
+    exit_status = await _change_members(client, add_learner)
+    if learner or exit_status is not ExitStatus.OK:
+        return exit_status
+    return await _change_members(client, add_voter)
+
+
+@click.command()
+@click.argument("name")
+@client_command
+async def remove(client: Client, name: str) -> ExitStatus:
+    """Removes NAME, voter or learner."""
+
+    def remove_member(voters: set[str], learners: set[str]) -> None:
+        voters.discard(name)
+        learners.discard(name)
+
+    return await _change_members(client, remove_member)
+
+
+@click.command()
+@click.argument("name")
+@client_command
+async def transfer(client: Client, name: str) -> ExitStatus:
+    """Hands leadership to NAME."""
+    await client.transfer(name)
+    return ExitStatus.OK
--- /dev/null
+++ b/wheatstile/cli/store_server.py
@@ -0,0 +1,54 @@
+"""`wheatstile store serve`: one member of the store."""
+
+from pathlib import Path
+
+import click
+
+from wheatstile.cli.exit_status import reject
+from wheatstile.cli.store_client import parse_ports
+from wheatstile.store.member import Place
+from wheatstile.store.server import Ports, main
+
+
+@click.command()
+@click.option("--name", default="store", show_default=True, help="This member's name.")
+@click.option(
+    "--peer",
+    "peers",
+    multiple=True,
+    metavar="NAME=PORT",
+    callback=parse_ports,
+    help="Another member and its port for peers.",
+)
+@click.option("--join", is_flag=True, help="Begin as nobody's voter, to be added by `store add`.")
+@click.option("--listen", "peer_port", type=int, default=0, help="Port for peers (0: any).")
+@click.option("--client", "client_port", type=int, default=0, help="Port for clients (0: any).")
+@click.option("--dir", "directory", type=click.Path(file_okay=False, path_type=Path), required=True)
+@click.option("--cluster", default="wheatstile", show_default=True, help="Members of another are refused.")
+@click.option("--seed", type=int, default=0, help="Seeds the draw of election time-outs.")
+@click.option(
+    "--compact-every",
+    type=click.IntRange(10),
+    default=5000,
+    show_default=True,
+    help="Entries after which the log becomes a snapshot.",
+)
+@click.option("--trace", is_flag=True, help="Print each role and each applied entry.")
+def serve(
+    name: str,
+    peers: dict[str, int],
+    join: bool,
+    peer_port: int,
+    client_port: int,
+    directory: Path,
+    cluster: str,
+    seed: int,
+    compact_every: int,
+    trace: bool,
+) -> int:
+    """Serves one member until SIGTERM; prints `ready NAME PEER_PORT CLIENT_PORT` first."""
+    if name in peers:
+        return reject([f"--peer {name}: that is this member's own name"])
+    voters = frozenset() if join else frozenset({name, *peers})
+    config = Place(name, voters, directory, cluster, seed, trace, compact_every)
+    return main(config, Ports(peer_port, client_port, peers))
