--- a/wheatstile/cli/check.py
+++ b/wheatstile/cli/check.py
@@ -8,18 +8,16 @@
 
 from wheatstile import interface as api
 from wheatstile.cli.configuration import read_platform_config
-from wheatstile.cli.endpoint_files import read_document, rejection_reasons
+from wheatstile.cli.endpoint_files import read_endpoint_file, rejection_reasons
 from wheatstile.cli.exit_status import ExitStatus, reject
 from wheatstile.cli.options import platform_config_option
 from wheatstile.config import operator
 from wheatstile.config.operator import OperatorFile, Servers
 from wheatstile.config.platform import Config, ConfigError
 from wheatstile.config.violations import ConfigurationError, Violation, load, locate
-from wheatstile.resolvers.document import Document, Rules
-from wheatstile.resolvers.intake import InForce
-
-OVERRIDE_MODE = "override"
-"""The mode in which the file's list holds from the start, whatever discovery says."""
+from wheatstile.resolvers.endpoint_file import EndpointFile, EndpointFileRules
+from wheatstile.resolvers.source_selection import MergeMode
+from wheatstile.resolvers.update_guard import ActiveEndpoints
 
 
 @dataclass
@@ -81,7 +79,7 @@
         report.reasons.append(_located(operator_file, "/servers/file", f"there is no {path}"))
         return
     try:
-        found = read_document(str(path), Rules.of(section))
+        found = read_endpoint_file(str(path), EndpointFileRules.from_settings(section))
     except ConfigurationError as error:
         report.reasons += error.lines()
         return
@@ -90,14 +88,16 @@
 
 
 def _check_against_platform(
-    path: Path, found: Document, section: Servers, platform: Config, report: Report
+    path: Path, found: EndpointFile, section: Servers, platform: Config, report: Report
 ) -> None:
     """Hold the file of servers against the servers that the platform knows at the start."""
     ready = [endpoint for endpoint in platform.known.endpoints if endpoint.state == api.EndpointState.READY]
     sites = tuple(sorted({endpoint.zone for endpoint in ready} - {""}))
-    replaced = {endpoint.name for endpoint in ready} if section.mode == OVERRIDE_MODE else set()
-    current = InForce(None, sites, frozenset(replaced))
-    for reason in rejection_reasons(found, current, Rules.of(section)):
+    replaced = (
+        {endpoint.name for endpoint in ready} if MergeMode(section.mode) is MergeMode.OVERRIDE else set()
+    )
+    active = ActiveEndpoints(None, sites, frozenset(replaced))
+    for reason in rejection_reasons(found, active, EndpointFileRules.from_settings(section)):
         report.reasons.append(f"{path}:1: /: {reason}")
     own_zone = platform.settings.zone
     if not any(resolved.endpoint.zone == own_zone for resolved in found.servers.values()):
--- a/wheatstile/cli/endpoint_changes.py
+++ b/wheatstile/cli/endpoint_changes.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from wheatstile.config.endpoints import ResolvedEndpoint
-from wheatstile.resolvers.document import Document
+from wheatstile.resolvers.endpoint_file import EndpointFile
 
 EMPTY_VALUES = ("", 0)
 """Values of a server that a table leaves out."""
@@ -51,7 +51,7 @@
     after: dict[str, object] | None = None
 
 
-def server_changes(old: Document, new: Document) -> Iterator[ServerChange]:
+def server_changes(old: EndpointFile, new: EndpointFile) -> Iterator[ServerChange]:
     """Every difference, by the servers' names."""
     for name in sorted(old.servers.keys() | new.servers.keys()):
         before = old.servers.get(name)
--- a/wheatstile/cli/endpoint_explanation.py
+++ b/wheatstile/cli/endpoint_explanation.py
@@ -10,11 +10,11 @@
 from wheatstile.config.endpoints import EndpointSnapshot, ResolvedEndpoint
 from wheatstile.config.operator import Servers
 from wheatstile.config.violations import ConfigurationError, Violation, load
-from wheatstile.resolvers import merge
-from wheatstile.resolvers.document import Document
-from wheatstile.resolvers.files import read_all
-from wheatstile.resolvers.merge import SECOND, Choice, Discovery
-from wheatstile.resolvers.source import policy_of
+from wheatstile.resolvers.discovery_state import DiscoveryState
+from wheatstile.resolvers.endpoint_file import EndpointFile
+from wheatstile.resolvers.merge import merge_endpoints
+from wheatstile.resolvers.regular_file import read_all
+from wheatstile.resolvers.source_selection import MICROSECONDS_PER_SECOND, MergePolicy, select_source
 
 EXPLANATION_COLUMNS = ("server", "address", "site", "weight", "state", "reason")
 SHOWN_VALUES = len(EXPLANATION_COLUMNS) - 2
@@ -24,24 +24,27 @@
 class Explanation:
     """What holds for one file of servers and one answer of discovery, `silent_s` seconds after it."""
 
-    def __init__(self, file: Document, discovery: Discovery, section: Servers, silent_s: float) -> None:
+    def __init__(
+        self, file: EndpointFile, discovery: DiscoveryState, section: Servers, silent_s: float
+    ) -> None:
         self._file = file
         self._discovery = discovery
-        now_us = int(silent_s * SECOND)
-        self.choice: Choice = merge.choose(now_us, policy_of(section), discovery, True, None)
-        self._lines = merge.merge(now_us, self.choice, discovery, file.servers, {})
+        now_us = int(silent_s * MICROSECONDS_PER_SECOND)
+        policy = MergePolicy.from_settings(section)
+        self.selection = select_source(now_us, policy, discovery, True, None)
+        self._merged = merge_endpoints(now_us, self.selection, discovery, file.servers, {})
 
     def rows(self) -> Iterator[list[str]]:
         """A row of EXPLANATION_COLUMNS for each server of the list, then those that discovery took away."""
-        for name, line in sorted(self._lines.items()):
-            values = msgspec.structs.astuple(ServerRow.from_endpoint(line.named))[:SHOWN_VALUES]
-            yield [name, *map(str, values), line.reason]
+        for name, merged in sorted(self._merged.items()):
+            values = msgspec.structs.astuple(ServerRow.from_endpoint(merged.resolved))[:SHOWN_VALUES]
+            yield [name, *map(str, values), merged.reason]
         for name in self._discovery.gone:
             if name in self._file.servers:
                 yield [name, "", "", "", api.EndpointState.GONE.value, "discovery tells it is gone"]
 
 
-def read_discovery_answer(path: str, max_bytes: int) -> Discovery:
+def read_discovery_answer(path: str, max_bytes: int) -> DiscoveryState:
     """What discovery knows once it has answered with the JSON in this file. Raises ConfigurationError."""
     data = read_all(Path(path), max_bytes)
     _, value = load(path, data, max_bytes)
@@ -54,6 +57,6 @@
         endpoint.name: ResolvedEndpoint(endpoint, snapshot.addresses[endpoint.name])
         for endpoint in snapshot.endpoints
     }
-    discovery = Discovery.at(0)
-    discovery.take(0, entries, api.EndpointUpdateKind.FULL)
+    discovery = DiscoveryState(0)
+    discovery.apply_update(0, entries, api.EndpointUpdateKind.FULL)
     return discovery
--- a/wheatstile/cli/endpoint_files.py
+++ b/wheatstile/cli/endpoint_files.py
@@ -5,41 +5,42 @@
 from typing import Any
 
 from wheatstile.config.violations import ConfigurationError, Violation, load
-from wheatstile.resolvers import document, intake
-from wheatstile.resolvers.document import Document, Rules, digest_of
-from wheatstile.resolvers.files import read_all, write_atomic
-from wheatstile.resolvers.intake import InForce
-from wheatstile.resolvers.source import accept_path
+from wheatstile.resolvers.approval import approval_path
+from wheatstile.resolvers.atomic_write import write_atomic
+from wheatstile.resolvers.canonical_json import SEAL_KEY, digest_of
+from wheatstile.resolvers.endpoint_file import EndpointFile, EndpointFileRules, parse_endpoint_file
+from wheatstile.resolvers.regular_file import read_all
+from wheatstile.resolvers.update_guard import ActiveEndpoints, evaluate
 
 JsonObject = dict[str, Any]
 """A JSON object as it was parsed."""
 
 SERVERS_KEY = "servers"
 GENERATION_KEY = "generation"
-SEAL_KEY = "seal"
-REJECTED_OUTCOMES = frozenset({"refused", "held"})
-"""The outcomes of a file that a balancer does not take as it is."""
 
 
-def read_document(path: str, rules: Rules) -> Document:
+def read_endpoint_file(path: str, rules: EndpointFileRules) -> EndpointFile:
     """The file of servers at `path`. Raises ConfigurationError."""
-    return document.read(path, read_all(Path(path), rules.most_bytes), rules)
+    return parse_endpoint_file(path, read_all(Path(path), rules.max_bytes), rules)
 
 
-def read_unsealed(path: str, rules: Rules) -> JsonObject:
+def read_unsealed(path: str, rules: EndpointFileRules) -> JsonObject:
     """The file's JSON without its seal, once it has been found valid. Raises ConfigurationError."""
-    data = read_all(Path(path), rules.most_bytes)
-    document.read(path, data, rules, check_seal=False)
-    _, value = load(path, data, rules.most_bytes)
+    data = read_all(Path(path), rules.max_bytes)
+    parse_endpoint_file(path, data, rules, check_seal=False)
+    _, value = load(path, data, rules.max_bytes)
     return {key: element for key, element in value.items() if key != SEAL_KEY}
 
 
 def rejection_reasons(
-    new: Document, current: InForce, rules: Rules, accepted_digests: frozenset[str] = frozenset()
+    new: EndpointFile,
+    active: ActiveEndpoints,
+    rules: EndpointFileRules,
+    accepted_digests: frozenset[str] = frozenset(),
 ) -> list[str]:
-    """Why a balancer that has `current` would not take `new`; empty where it would."""
-    admission = intake.admit(new, current, None, accepted_digests, rules)
-    return list(admission.reasons) if admission.outcome in REJECTED_OUTCOMES else []
+    """Why a balancer that has `active` would not take `new`; empty where it would."""
+    evaluation = evaluate(new, active, None, accepted_digests, rules)
+    return list(evaluation.reasons) if evaluation.is_blocked else []
 
 
 def sealed_text(value: JsonObject) -> bytes:
@@ -63,4 +64,4 @@
 
 def write_approval(path: Path, digest: str) -> None:
     """Name the content of the file at `path` as accepted. Raises ConfigurationError."""
-    write_file(accept_path(path), json.dumps({"digest": digest}).encode())
+    write_file(approval_path(path), json.dumps({"digest": digest}).encode())
--- a/wheatstile/cli/servers.py
+++ b/wheatstile/cli/servers.py
@@ -10,7 +10,7 @@
 from wheatstile.cli.endpoint_explanation import EXPLANATION_COLUMNS, Explanation, read_discovery_answer
 from wheatstile.cli.endpoint_files import (
     GENERATION_KEY,
-    read_document,
+    read_endpoint_file,
     read_unsealed,
     rejection_reasons,
     sealed_text,
@@ -21,9 +21,9 @@
 from wheatstile.cli.groups import ConfigurationGroup
 from wheatstile.cli.options import json_option
 from wheatstile.cli.output import print_json, print_table
-from wheatstile.resolvers import document
-from wheatstile.resolvers.document import Rules, digest_of
-from wheatstile.resolvers.intake import InForce
+from wheatstile.resolvers.canonical_json import digest_of
+from wheatstile.resolvers.endpoint_file import EndpointFileRules, parse_endpoint_file
+from wheatstile.resolvers.update_guard import ActiveEndpoints
 
 operator_file_option = click.option(
     "--file", "operator_file", metavar="OPERATOR_FILE", help="The operator's file, for its `servers` section."
@@ -35,8 +35,8 @@
     """Files of servers: check, compare, seal, publish, accept, explain."""
 
 
-def _rules(operator_file: str | None) -> Rules:
-    return Rules.of(read_servers_section(operator_file))
+def _rules(operator_file: str | None) -> EndpointFileRules:
+    return EndpointFileRules.from_settings(read_servers_section(operator_file))
 
 
 @command.command()
@@ -46,15 +46,14 @@
 def check(file: str, against: str | None, operator_file: str | None) -> ExitStatus:
     """Check FILE, a file of servers."""
     rules = _rules(operator_file)
-    found = read_document(file, rules)
+    found = read_endpoint_file(file, rules)
     if against:
-        current = InForce.of(read_document(against, rules))
-        if reasons := rejection_reasons(found, current, rules):
+        active = ActiveEndpoints.from_file(read_endpoint_file(against, rules))
+        if reasons := rejection_reasons(found, active, rules):
             return reject(f"{file}:1: /: {reason} (against {against})" for reason in reasons)
     sealed = "sealed" if found.sealed else "not sealed"
-    click.echo(
-        f"{file}: holds; {len(found.ready())} of {len(found.servers)} servers ready, {sealed}, {found.digest}"
-    )
+    ready = f"{len(found.ready_names())} of {len(found.servers)} servers ready"
+    click.echo(f"{file}: holds; {ready}, {sealed}, {found.digest}")
     if not against and found.sites is None:
         click.echo("not checked: sites, as the file names none and no --against does")
     return ExitStatus.OK
@@ -68,8 +67,8 @@
 def diff(old: str, new: str, as_json: bool, operator_file: str | None) -> ExitStatus:
     """Tell what NEW changes of OLD: a table for people, or JSON."""
     rules = _rules(operator_file)
-    first = read_document(old, rules)
-    second = read_document(new, rules)
+    first = read_endpoint_file(old, rules)
+    second = read_endpoint_file(new, rules)
     changes = list(server_changes(first, second))
     if as_json:
         print_json(
@@ -111,14 +110,14 @@
     rules = _rules(operator_file)
     value = read_unsealed(new, rules)
     destination = Path(dest)
-    current = read_document(dest, rules) if destination.exists() else None
+    current = read_endpoint_file(dest, rules) if destination.exists() else None
     if bump:
         value[GENERATION_KEY] = 1 + ((current.generation if current else None) or 0)
     data = sealed_text(value)
-    published = document.read(new, data, rules)
+    published = parse_endpoint_file(new, data, rules)
     if current:
         accepted_digests = frozenset([published.digest]) if accepted else frozenset()
-        reasons = rejection_reasons(published, InForce.of(current), rules, accepted_digests)
+        reasons = rejection_reasons(published, ActiveEndpoints.from_file(current), rules, accepted_digests)
         if reasons:
             return reject(f"{new}:1: /: {reason} (against {dest})" for reason in reasons)
     if accepted:
@@ -136,7 +135,7 @@
 
     A balancer that holds it back takes it then; nothing else is let in by this.
     """
-    found = read_document(file, _rules(operator_file))
+    found = read_endpoint_file(file, _rules(operator_file))
     write_approval(Path(file), found.digest)
     click.echo(f"{file}: generation {found.generation}, {found.digest} is accepted")
     return ExitStatus.OK
@@ -150,10 +149,10 @@
 def explain(file: str, discovery: str, silent_s: float, operator_file: str | None) -> ExitStatus:
     """Tell which list would hold, and for each server why it stands in it as it does."""
     section = read_servers_section(operator_file)
-    rules = Rules.of(section)
-    found = read_document(file, rules)
-    answered = read_discovery_answer(discovery, rules.most_bytes)
+    rules = EndpointFileRules.from_settings(section)
+    found = read_endpoint_file(file, rules)
+    answered = read_discovery_answer(discovery, rules.max_bytes)
     explanation = Explanation(found, answered, section, silent_s)
-    click.echo(f"{explanation.choice.source} holds: {explanation.choice.reason}")
+    click.echo(f"{explanation.selection.source} holds: {explanation.selection.reason}")
     print_table(explanation.rows(), EXPLANATION_COLUMNS)
     return ExitStatus.OK
--- a/wheatstile/cli/store_archive.py
+++ b/wheatstile/cli/store_archive.py
@@ -3,28 +3,30 @@
 from pathlib import Path
 
 import click
+import msgspec
 
 from wheatstile.cli.exit_status import ExitStatus, reject
 from wheatstile.cli.options import json_option
 from wheatstile.cli.output import print_json, print_table
 from wheatstile.cli.store_client import client_command
 from wheatstile.cli.store_members import NO_LEADER
-from wheatstile.store import archive
-from wheatstile.store.client import Client
-from wheatstile.store.disk import Damaged
+from wheatstile.store.backup import restore_backup, write_backup
+from wheatstile.store.client import StoreClient
+from wheatstile.store.errors import CorruptStorageError, RestoreRejectedError
+from wheatstile.store.inspection import inspect_directory
 
 
 @click.command()
 @click.argument("file", type=click.Path(dir_okay=False, path_type=Path))
 @client_command
-async def backup(client: Client, file: Path) -> ExitStatus:
+async def backup(client: StoreClient, file: Path) -> ExitStatus:
     """Writes the whole store, as it stands now, to FILE."""
-    leader = await client.leader()
+    leader = await client.find_leader()
     if leader is None:
         return reject([NO_LEADER])
-    revision, data = await client.backup()
-    archive.write(file, leader.cluster, revision, data)
-    click.echo(f"revision {revision}, {len(data)} bytes")
+    state = await client.download_state()
+    write_backup(file, leader.cluster, state.revision, state.data)
+    click.echo(f"revision {state.revision}, {len(state.data)} bytes")
     return ExitStatus.OK
 
 
@@ -36,8 +38,8 @@
 def restore(file: Path, directory: Path, cluster: str, name: str) -> ExitStatus:
     """Makes an empty directory that of the first member of a new cluster with what FILE holds."""
     try:
-        header = archive.restore(file, directory, cluster, name)
-    except (Damaged, ValueError, OSError) as error:
+        header = restore_backup(file, directory, cluster, name)
+    except (CorruptStorageError, RestoreRejectedError, ValueError, OSError) as error:
         return reject([str(error)])
     click.echo(f"revision {header.revision} of {header.cluster}")
     return ExitStatus.OK
@@ -49,8 +51,8 @@
 def inspect(directory: Path, as_json: bool) -> ExitStatus:
     """What a member's directory holds; it is not changed, and no member needs to run."""
     try:
-        found = archive.inspect(directory)
-    except (Damaged, OSError) as error:
+        found = msgspec.to_builtins(inspect_directory(directory))
+    except (CorruptStorageError, OSError) as error:
         return reject([str(error)])
     if as_json:
         print_json(found)
--- a/wheatstile/cli/store_client.py
+++ b/wheatstile/cli/store_client.py
@@ -8,7 +8,8 @@
 import click
 
 from wheatstile.cli.exit_status import ExitStatus, reject
-from wheatstile.store.client import Client, Lapsed, StoreError, Undecided
+from wheatstile.store.client import StoreClient
+from wheatstile.store.errors import OutcomeUnknownError, RequestRejectedError, WatchCompactedError
 
 MAX_PORT = 65535
 
@@ -70,12 +71,12 @@
     timeout_s: float,
     arguments: dict[str, object],
 ) -> ExitStatus:
-    client = Client(members, timeout_s)
+    client = StoreClient(members, timeout_s)
     try:
         return await work(client, **arguments)
-    except (StoreError, Lapsed) as error:
+    except (RequestRejectedError, WatchCompactedError) as error:
         return reject([str(error)])
-    except Undecided as error:
+    except OutcomeUnknownError as error:
         print(f"undecided: {error}", file=sys.stderr)
         return ExitStatus.OUTCOME_UNKNOWN
     finally:
--- a/wheatstile/cli/store_keys.py
+++ b/wheatstile/cli/store_keys.py
@@ -10,13 +10,11 @@
 from wheatstile.cli.options import json_option
 from wheatstile.cli.output import TableStyle, print_json, print_table
 from wheatstile.cli.store_client import client_command
-from wheatstile.store.client import Client
-from wheatstile.store.machine import Event
-from wheatstile.store.protocol import Found, Request
+from wheatstile.store.client import StoreClient
+from wheatstile.store.commands import ANY_REVISION
+from wheatstile.store.event_history import Event
+from wheatstile.store.protocol import LINEARIZABLE, KeyVersion, Request, RequestKind
 
-ANY_REVISION = -1
-LINEARIZABLE = -1
-"""The age in milliseconds by which a read says that its answer must be current."""
 WILDCARDS = frozenset("*>")
 STANDARD_INPUT = "-"
 
@@ -52,20 +50,24 @@
 @json_option
 @client_command
 async def get(
-    client: Client, key: str, staleness_s: float | None, history: bool, as_json: bool
+    client: StoreClient, key: str, staleness_s: float | None, history: bool, as_json: bool
 ) -> ExitStatus:
     """Reads KEY, or with `*` and `>` all keys that match; exit status 1 if there is none."""
     staleness_ms = LINEARIZABLE if staleness_s is None else int(staleness_s * 1000)
-    request = Request("list" if WILDCARDS & set(key) else "get", key=key, stale_ms=staleness_ms)
+    kind = _read_kind(key, history)
+    reply = await client.request(Request(kind, key=key, max_staleness_ms=staleness_ms))
+    _print_versions(reply.versions, as_json)
+    return ExitStatus.OK if reply.versions else ExitStatus.REJECTED
+
+
+def _read_kind(key: str, history: bool) -> RequestKind:
     if history:
-        request = msgspec.structs.replace(request, op="history")
-    reply = await client.ask(request)
-    _print_versions(reply.found, as_json)
-    return ExitStatus.OK if reply.found else ExitStatus.REJECTED
+        return RequestKind.HISTORY
+    return RequestKind.LIST if WILDCARDS & set(key) else RequestKind.GET
 
 
-def _print_versions(versions: Iterable[Found], as_json: bool) -> None:
-    rows = [VersionRow(found.key, found.revision, found.op, _text(found.value)) for found in versions]
+def _print_versions(versions: Iterable[KeyVersion], as_json: bool) -> None:
+    rows = [VersionRow(found.key, found.revision, found.change, _text(found.value)) for found in versions]
     if as_json:
         print_json(msgspec.to_builtins(rows))
     elif rows:
@@ -79,7 +81,7 @@
 @click.option("--revision", type=int, default=ANY_REVISION, help="The one KEY must be at; 0: none yet.")
 @click.option("--ttl", "ttl_s", type=click.FloatRange(0), default=0.0, help="Seconds to live; 0: for ever.")
 @client_command
-async def put(client: Client, key: str, value: str, revision: int, ttl_s: float) -> ExitStatus:
+async def put(client: StoreClient, key: str, value: str, revision: int, ttl_s: float) -> ExitStatus:
     """Writes VALUE (`-`: standard input) and prints the revision."""
     data = sys.stdin.buffer.read() if value == STANDARD_INPUT else value.encode()
     result = await client.put(key, data, revision, int(ttl_s * 1000))
@@ -93,7 +95,7 @@
 @click.argument("key")
 @click.option("--revision", type=int, default=ANY_REVISION, help="The one KEY must be at.")
 @client_command
-async def delete(client: Client, key: str, revision: int) -> ExitStatus:
+async def delete(client: StoreClient, key: str, revision: int) -> ExitStatus:
     """Deletes KEY."""
     result = await client.delete(key, revision)
     return ExitStatus.OK if result.ok else reject([result.reason])
@@ -104,17 +106,17 @@
 @click.option("--after", type=int, help="Events after this revision; without it, after what stands now.")
 @json_option
 @client_command
-async def watch(client: Client, pattern: str, after: int | None, as_json: bool) -> ExitStatus:
+async def watch(client: StoreClient, pattern: str, after: int | None, as_json: bool) -> ExitStatus:
     """Prints changes of matching keys, none left out, until it is ended."""
     if after is None:
-        after, _ = await client.matching(pattern)
+        after = (await client.list_matching(pattern)).revision
     async for event in client.watch(pattern, after):
         _print_event(event, as_json)
     return ExitStatus.OK
 
 
 def _print_event(event: Event, as_json: bool) -> None:
-    row = EventRow(event.revision, event.op, event.key, _text(event.value))
+    row = EventRow(event.revision, event.change, event.key, _text(event.value))
     if as_json:
         print_json(msgspec.to_builtins(row))
     else:
--- a/wheatstile/cli/store_server.py
+++ b/wheatstile/cli/store_server.py
@@ -6,8 +6,8 @@
 
 from wheatstile.cli.exit_status import reject
 from wheatstile.cli.store_client import parse_ports
-from wheatstile.store.member import Place
-from wheatstile.store.server import Ports, main
+from wheatstile.store.member_config import MemberConfig
+from wheatstile.store.server import Ports, run_server
 
 
 @click.command()
@@ -50,5 +50,5 @@
     if name in peers:
         return reject([f"--peer {name}: that is this member's own name"])
     voters = frozenset() if join else frozenset({name, *peers})
-    config = Place(name, voters, directory, cluster, seed, trace, compact_every)
-    return main(config, Ports(peer_port, client_port, peers))
+    config = MemberConfig(name, voters, directory, cluster, seed, trace, compact_every)
+    return run_server(config, Ports(peer_port, client_port, peers))
--- a/wheatstile/descriptions/reader.py
+++ b/wheatstile/descriptions/reader.py
@@ -17,7 +17,7 @@
 from wheatstile.descriptions.model import Description, DescriptionError, Finding, Place
 from wheatstile.descriptions.refs import Library, reference_findings
 from wheatstile.descriptions.text import Text
-from wheatstile.resolvers.files import open_regular, snapshot
+from wheatstile.resolvers.regular_file import open_regular, snapshot
 
 MOST_FILES = 1000  # of all descriptions and what they refer to
 ENDINGS = (".yaml", ".yml", ".json")
@@ -160,7 +160,7 @@
 
 def facts_of(config: Config) -> dict[str, ClassFacts]:
     """What the platform says of each class."""
-    patience = config.channels.deadlines
+    patience = config.client_limits.deadlines_ms
     return {
         name: ClassFacts(
             name,
