--- a/wheatstile/cli/check.py
+++ b/wheatstile/cli/check.py
@@ -112,12 +112,12 @@
     if not (section.paths or section.rules or section.classes):
         return
     from wheatstile.cli.description_sets import compile_descriptions
-    from wheatstile.descriptions.model import DescriptionError
+    from wheatstile.descriptions.findings import InvalidDescriptionError
 
     paths = [operator_file.near(path) for path in section.paths]
     try:
         compiled, _ = compile_descriptions(paths, operator_file, platform)
-    except DescriptionError as error:
+    except InvalidDescriptionError as error:
         report.reasons += error.lines()
         return
     report.unchecked += [f"to the end: {warning}" for warning in compiled.warnings]
--- a/wheatstile/cli/description_sets.py
+++ b/wheatstile/cli/description_sets.py
@@ -6,10 +6,9 @@
 from wheatstile.config.operator import OperatorFile
 from wheatstile.config.platform import Config
 from wheatstile.descriptions import reader
-from wheatstile.descriptions.compile import Compiled
-
-DEFAULT_MAX_ATTEMPTS = 5
-"""Attempts a request that are reckoned with where no platform configuration says."""
+from wheatstile.descriptions.compile_types import CompiledDescriptions
+from wheatstile.descriptions.reader import DEFAULT_MAX_ATTEMPTS, DescriptionSet
+from wheatstile.descriptions.worker_protocol import class_settings
 
 
 def compile_descriptions(
@@ -18,11 +17,11 @@
     platform: Config | None,
     *,
     strict: bool = False,
-) -> tuple[Compiled, reader.Reading]:
+) -> tuple[CompiledDescriptions, DescriptionSet]:
     """The descriptions at these paths, compiled and as read.
 
-    `strict`: warnings are conflicts. Raises DescriptionError with every conflict, ConfigurationError.
+    `strict`: warnings are conflicts. Raises InvalidDescriptionError with every conflict, ConfigurationError.
     """
-    classes = reader.facts_of(platform) if platform else None
+    classes = reader.class_policies(class_settings(platform)) if platform else None
     max_attempts = platform.settings.max_attempts if platform else DEFAULT_MAX_ATTEMPTS
     return reader.compile_paths(paths, operator_file, classes, max_attempts, strict)
--- a/wheatstile/cli/descriptions.py
+++ b/wheatstile/cli/descriptions.py
@@ -13,13 +13,12 @@
 from wheatstile.cli.groups import ConfigurationGroup
 from wheatstile.cli.options import json_option, platform_config_option
 from wheatstile.cli.output import print_json, print_table
-from wheatstile.descriptions.compile import ClassFacts, Compiled, Route
-from wheatstile.descriptions.model import DescriptionError
-from wheatstile.descriptions.reader import Reading
+from wheatstile.descriptions.compile_types import ClassPolicy, CompiledDescriptions, Route
+from wheatstile.descriptions.findings import InvalidDescriptionError
+from wheatstile.descriptions.model import MessageAction
+from wheatstile.descriptions.reader import DescriptionSet
 from wheatstile.interface import Idempotency
 
-MESSAGE_ACTIONS = frozenset({"send", "receive"})
-"""AsyncAPI's actions; all others are methods of HTTP, in capitals."""
 MIN_MATCH_ARGUMENTS = 3
 ROUTE_COLUMNS = ("action", "route", "class", "repeat", "why", "place")
 MATCH_COLUMNS = ("", "action", "route", "class", "repeat", "place")
@@ -42,7 +41,7 @@
         """Run the command that was named; its exit status."""
         try:
             return super().invoke(ctx)
-        except DescriptionError as error:
+        except InvalidDescriptionError as error:
             return reject(error.lines())
 
 
@@ -52,21 +51,21 @@
 
 
 @dataclass(frozen=True, slots=True)
-class DescriptionSet:
+class CompilationResult:
     """Compiled descriptions, the descriptions as read, and whether the platform's classes were known."""
 
-    compiled: Compiled
-    reading: Reading
+    compiled: CompiledDescriptions
+    source: DescriptionSet
     classes_known: bool
 
 
 def _compile(
     paths: Iterable[str], operator_file: str | None, config: str | None, *, strict: bool = False
-) -> DescriptionSet:
+) -> CompilationResult:
     rules = read_operator_file(operator_file)
     platform = read_platform_config(config)
-    compiled, reading = compile_descriptions(paths, rules, platform, strict=strict)
-    return DescriptionSet(compiled, reading, platform is not None)
+    compiled, source = compile_descriptions(paths, rules, platform, strict=strict)
+    return CompilationResult(compiled, source, platform is not None)
 
 
 @command.command()
@@ -80,11 +79,11 @@
     for warning in compiled.warnings:
         click.echo(str(warning), err=True)
     click.echo(
-        f"holds: {len(found.reading.descriptions)} descriptions, {len(compiled.routes)} routes, "
+        f"holds: {len(found.source.descriptions)} descriptions, {len(compiled.routes)} routes, "
         f"{len(compiled.warnings)} warnings"
     )
-    for name, facts in sorted(compiled.classes.items()):
-        click.echo(f"class {name}: {_class_text(facts)}")
+    for name, policy in sorted(compiled.classes.items()):
+        click.echo(f"class {name}: {_class_text(policy)}")
     if not found.classes_known:
         click.echo(
             "not checked: against the platform's classes: neither --config nor RELAY_CONFIG names them"
@@ -92,10 +91,11 @@
     return ExitStatus.OK
 
 
-def _class_text(facts: ClassFacts) -> str:
-    if Idempotency(facts.repeat) is not Idempotency.IDEMPOTENCY_KEY:
-        return facts.repeat
-    return f"{facts.repeat}, known for {seconds_text(facts.window)}, scope {facts.scope}"
+def _class_text(policy: ClassPolicy) -> str:
+    if policy.idempotency is not Idempotency.IDEMPOTENCY_KEY:
+        return policy.idempotency
+    window = seconds_text(policy.deduplication_window_us)
+    return f"{policy.idempotency}, known for {window}, scope {policy.deduplication_scope}"
 
 
 class MessageRow(msgspec.Struct):
@@ -125,19 +125,20 @@
     def from_route(cls, route: Route) -> "RouteRow":
         """The row of a compiled route."""
         operation = route.operation
+        safety = route.retry_safety
         return cls(
             action=operation.action,
             route=route.template,
             service_class=route.service_class,
-            repeat=route.verdict.repeat,
-            why=f"{route.verdict.why} ({route.verdict.place.short()})",
-            location=operation.place.short(),
+            repeat=safety.idempotency,
+            why=f"{safety.reason} ({safety.location.short()})",
+            location=operation.location.short(),
             operation=operation.id,
-            description=operation.place.file,
+            description=operation.location.file,
             queue=operation.queue_group,
             reply=operation.reply,
             messages=[
-                MessageRow(message.name, message.discriminator, message.most_bytes)
+                MessageRow(message.name, message.discriminator, message.max_bytes)
                 for message in operation.messages
             ],
         )
@@ -175,8 +176,8 @@
         raise click.UsageError("paths, an action and a path or subject are needed")
     *paths, action, text = arguments
     compiled = _compile(paths, operator_file, config).compiled
-    if action not in MESSAGE_ACTIONS:
-        action = action.upper()
+    if action not in set(MessageAction):
+        action = action.upper()  # a method of HTTP
     found = compiled.match(action, text)
     if not found:
         return reject([f"{action} {text}: no route matches"])
@@ -213,12 +214,12 @@
 @click.option("--out", required=True, metavar="FILE.svg")
 def graph(paths: tuple[str, ...], operator_file: str | None, config: str | None, out: str) -> ExitStatus:
     """Draw services, routes and classes as a picture."""
-    from wheatstile.descriptions.graph import drawing
+    from wheatstile.descriptions.graph import draw
 
     found = _compile(paths, operator_file, config)
-    titles = {one.file: one.title or one.file for one in found.reading.descriptions}
+    titles = {one.file: one.title or one.file for one in found.source.descriptions}
     try:
-        drawing(found.compiled.routes, titles).save_svg(out)
+        draw(found.compiled.routes, titles).save_svg(out)
     except OSError as error:
         return reject([f"{out}: {error.strerror or error}"])
     click.echo(f"{out}: {len(found.compiled.routes)} routes")
--- a/wheatstile/process/main.py
+++ b/wheatstile/process/main.py
@@ -11,10 +11,10 @@
 from wheatstile.config.platform import Config, ConfigError
 from wheatstile.process import signals
 from wheatstile.process.balancer_process import BalancerProcess
-from wheatstile.process.operator_sections import FirstCompilation
 
 if TYPE_CHECKING:  # what is switched off is not imported
     from wheatstile.config.operator import OperatorFile
+    from wheatstile.descriptions.section import StartupCompilation
 
 OPERATOR_FILE = "WHEATSTILE_FILE"  # the variable that names the operator's file, where no option does
 
@@ -47,19 +47,19 @@
     operator = _read_operator_file(file) if file else None
     _configure_log(operator, log_format, log_level)
     config = _read_platform_config()
-    first_compilation = _compile_descriptions(operator, config) if operator else None
+    startup_compilation = _compile_descriptions(operator, config) if operator else None
     _raise_descriptor_limit()
     try:
-        uvloop.run(_balance(config, operator, first_compilation))
+        uvloop.run(_balance(config, operator, startup_compilation))
     except OSError as error:
         host, port = config.listen
         raise StartError(EXIT_REJECTED, [f"wheatstile: {host}:{port}: {error}"]) from error
 
 
 async def _balance(
-    config: Config, operator: "OperatorFile | None", first_compilation: FirstCompilation | None
+    config: Config, operator: "OperatorFile | None", startup_compilation: "StartupCompilation | None"
 ) -> None:
-    await BalancerProcess(config, operator, first_compilation).run()
+    await BalancerProcess(config, operator, startup_compilation).run()
 
 
 def _read_operator_file(file: str) -> "OperatorFile":
@@ -86,15 +86,16 @@
         raise StartError(EXIT_BAD_CONFIG, [f"wheatstile: {error}"]) from error
 
 
-def _compile_descriptions(operator: "OperatorFile", config: Config) -> FirstCompilation | None:
+def _compile_descriptions(operator: "OperatorFile", config: Config) -> "StartupCompilation | None":
     if not operator.settings.descriptions.paths:
         return None
-    from wheatstile.descriptions.section import compile_first
+    from wheatstile.descriptions.section import compile_at_startup
+    from wheatstile.descriptions.worker_protocol import CompilationRejected
 
-    answer = compile_first(operator, config)
-    if "refused" in answer:
-        raise StartError(EXIT_REJECTED, answer["refused"])
-    return answer
+    result = compile_at_startup(operator, config)
+    if isinstance(result, CompilationRejected):
+        raise StartError(EXIT_REJECTED, result.reasons)
+    return result
 
 
 def _raise_descriptor_limit() -> None:
