Split the tests of the command line by command, as one case a test

They stand by command now; `tests/support/command_line.py` runs one call and gives its result by name, and the folder with its files is a fixture.

--- /dev/null
+++ b/tests/cli/test_check_command.py
@@ -0,0 +1,42 @@
+"""`wheatstile check` and `serve` as processes: all that the operator's file names is checked at the start."""
+
+from __future__ import annotations
+
+import pytest
+from support.command_line import EXAMPLE_CONFIG, run_command
+
+
+def test_check_rejects_an_operator_file_that_names_a_missing_file() -> None:
+    result = run_command("check", "op.json")
+    assert result.status == 1
+    assert "op.json:1: /servers/file: there is no" in result.errors
+
+
+@pytest.mark.usefixtures("live_file")
+def test_check_lists_what_it_could_not_check() -> None:
+    result = run_command("check", "op.json")
+    assert result.status == 0
+    assert "not checked: against the platform's settings" in result.output
+
+
+@pytest.mark.usefixtures("live_file")
+def test_check_compares_the_file_with_the_servers_that_the_platform_knows() -> None:
+    result = run_command("check", "op.json", RELAY_CONFIG=str(EXAMPLE_CONFIG))
+    assert result.status == 1
+    assert "takes 2 of 2 ready servers away" in result.errors
+
+
+@pytest.mark.usefixtures("live_file")
+def test_check_rejects_a_missing_platform_configuration() -> None:
+    assert run_command("check", "op.json", "--config", "none.json").status == 1
+
+
+def test_serve_rejects_a_bad_operator_file() -> None:
+    result = run_command("serve", WHEATSTILE_FILE="bad.json", RELAY_CONFIG=str(EXAMPLE_CONFIG))
+    assert result.status == 1
+    assert "bad.json:2: /sael: unknown key" in result.errors
+
+
+@pytest.mark.parametrize("arguments", [("serve",), ()])
+def test_serve_without_a_configuration_is_wrong_usage(arguments: tuple[str, ...]) -> None:
+    assert run_command(*arguments).status == 2
--- /dev/null
+++ b/tests/cli/test_descriptions_command.py
@@ -0,0 +1,89 @@
+"""`wheatstile descriptions` as a process: checked, listed, matched, compared and drawn."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+from support.command_line import EXAMPLE_CONFIG, run_command
+
+SHOP = """openapi: 3.1.0
+info: {title: Shop, version: '1'}
+paths:
+  /orders/{id}:
+    parameters: [{name: id, in: path, required: true, schema: {type: string}}]
+    get: {x-wheatstile-class: chat, tags: [t], responses: {default: {description: d}}}
+  /orders/mine:
+    get: {x-wheatstile-class: chat, responses: {default: {description: d}}}
+"""
+CONFIG = ("--config", str(EXAMPLE_CONFIG))
+
+
+@pytest.fixture(autouse=True)
+def descriptions(folder: Path) -> None:
+    """`new.yaml`; `old.yaml` with an unsafe operation and another path; `typo.yaml` with an unknown class."""
+    old = SHOP.replace("tags: [t]", "x-wheatstile-repeat: unsafe").replace("/mine:", "/x:")
+    (folder / "old.yaml").write_text(old)
+    (folder / "new.yaml").write_text(SHOP)
+    (folder / "typo.yaml").write_text(SHOP.replace("class: chat, tags", "class: caht, tags"))
+
+
+def test_check_reports_how_far_each_class_may_be_repeated() -> None:
+    result = run_command("descriptions", "check", "new.yaml", *CONFIG)
+    assert result.status == 0
+    assert "class chat: safe" in result.output
+
+
+def test_check_rejects_a_class_that_the_platform_lacks() -> None:
+    result = run_command("descriptions", "check", "typo.yaml", *CONFIG)
+    assert result.status == 1
+    assert 'typo.yaml:6: /paths/~1orders~1{id}/get/x-wheatstile-class: the class "caht"' in result.errors
+
+
+def test_match_reports_the_route_that_is_taken_and_those_it_beats() -> None:
+    result = run_command("descriptions", "match", "new.yaml", "GET", "/orders/mine")
+    assert [line.split()[:3] for line in result.output.splitlines()[1:]] == [
+        ["takes", "GET", "/orders/mine"],
+        ["beats", "GET", "/orders/{id}"],
+    ]
+
+
+def test_match_rejects_a_path_without_a_route() -> None:
+    assert run_command("descriptions", "match", "new.yaml", "GET", "/nowhere").status == 1
+
+
+def test_routes_are_listed_as_json() -> None:
+    result = run_command("descriptions", "routes", "new.yaml", "--json")
+    assert len(json.loads(result.output)) == 2
+
+
+@pytest.fixture
+def override(folder: Path) -> tuple[str, ...]:
+    """Options with an operator's file that makes the class unsafe."""
+    section = {"classes": {"chat": {"repeat": "unsafe"}}}
+    (folder / "op.json").write_text(json.dumps({"descriptions": section}))
+    return ("--file", "op.json", *CONFIG)
+
+
+def test_diff_that_loosens_has_a_status_of_its_own(override: tuple[str, ...]) -> None:
+    result = run_command("descriptions", "diff", "old.yaml", "new.yaml", *override)
+    assert result.status == 3
+    assert "loosens  GET /orders/{id}: becomes repeatable, unsafe -> safe" in result.output
+
+
+def test_diff_that_tightens_succeeds(override: tuple[str, ...]) -> None:
+    result = run_command("descriptions", "diff", "new.yaml", "old.yaml", *override)
+    assert result.status == 0
+    assert "GET /orders/{id}: ceases to be repeatable" in result.output
+    assert "/orders/mine: removed" in result.output
+
+
+def test_graph_draws_every_route(folder: Path) -> None:
+    assert run_command("descriptions", "graph", "new.yaml", "--out", "g.svg").status == 0
+    assert "/orders/{id}" in (folder / "g.svg").read_text()
+
+
+def test_check_of_the_operator_file_reads_its_descriptions(folder: Path) -> None:
+    (folder / "op.json").write_text(json.dumps({"descriptions": {"paths": ["typo.yaml"]}}))
+    assert run_command("check", "op.json", *CONFIG).status == 1
