--- a/tests/decisions/test_endpoint_list.py
+++ b/tests/decisions/test_endpoint_list.py
@@ -20,7 +20,7 @@
         assert all(timer.delay_us < 4 * poll_interval_us for timer in timers)
 
 
-@pytest.mark.parametrize("state", ["shutdown_started", "gone"])
+@pytest.mark.parametrize("state", ["draining", "gone"])
 def test_nothing_new_goes_to_a_server_that_drains_or_is_gone(state: str) -> None:
     harness = BalancerHarness("a", "b")
     harness.dispatch(
--- a/tests/net/test_discovery_watcher.py
+++ b/tests/net/test_discovery_watcher.py
@@ -28,7 +28,7 @@
     watch, _ = balancer.discovery.watch()
     watch.begin_watch()
     watch.chunk(2, balancer.member("s1"))  # another address
-    watch.chunk(3, balancer.member("s2", host_port="127.0.0.1:1", phase="shutdown_started"))
+    watch.chunk(3, balancer.member("s2", host_port="127.0.0.1:1", phase="draining"))
     watch.send("1", "\n")
     watch.chunk(4, balancer.member("s3", phase="odd"))
     for number in range(1, 5):
@@ -75,9 +75,9 @@
     balancer.start()
     watch, _ = balancer.discovery.watch()
     watch.begin_watch()
-    watch.chunk(5, balancer.member(phase="shutdown_started"))
+    watch.chunk(5, balancer.member(phase="draining"))
     watch.chunk(4, balancer.member(phase="ready"))
-    watch.chunk(6, balancer.member("s2", phase="shutdown_started"))
+    watch.chunk(6, balancer.member("s2", phase="draining"))
     balancer.wait_for_counter("events_endpoint_update", 3)
     client = balancer.open(wait=300)
     assert re.search("^BUSY", client.line())
@@ -126,7 +126,7 @@
     watch, request = balancer.discovery.watch()
     assert "watch=1" in request
     watch.begin_watch()
-    watch.chunk(2, balancer.member(phase="shutdown_started"))
+    watch.chunk(2, balancer.member(phase="draining"))
     watch.close()
     _, request = balancer.discovery.watch()
     assert "after=2 " in request
--- a/tests/net/test_session_setup.py
+++ b/tests/net/test_session_setup.py
@@ -149,7 +149,7 @@
     watch.begin_watch()
     client = balancer.open()
     balancer.server.wait_for_connect()
-    watch.chunk(2, balancer.member(phase="shutdown_started"), balancer.member("s2", host_port=other.address))
+    watch.chunk(2, balancer.member(phase="draining"), balancer.member("s2", host_port=other.address))
     balancer.wait_for_counter("events_endpoint_update", 2)
     server = balancer.server.accept_waiting(ahead)
     assert server.line() == ""
--- a/tests/resolvers/test_endpoint_merger.py
+++ b/tests/resolvers/test_endpoint_merger.py
@@ -48,7 +48,7 @@
             full = snapshot(revision, True, *(member(name) for name in names))
             observer.on_update(full, api.EndpointUpdateKind.FULL)
             await asyncio.sleep(0.0005 * (revision % 4))  # somewhere in the merge
-            drain = snapshot(revision, False, member(DRAINED, "shutdown_started"))
+            drain = snapshot(revision, False, member(DRAINED, "draining"))
             observer.on_update(drain, api.EndpointUpdateKind.DELTA)
             drained_at = len(dispatched)
             assert DRAINED not in harness.ready()
--- /dev/null
+++ b/wheatstile/cli/endpoint_explanation.py
@@ -0,0 +1,62 @@
+"""Which list of servers would hold, and why: the balancer's own decision, without a balancer."""
+
+from collections.abc import Iterator
+from pathlib import Path
+
+import msgspec
+
+from wheatstile import interface as api
+from wheatstile.cli.endpoint_changes import ServerRow
+from wheatstile.config.endpoints import EndpointSnapshot, ResolvedEndpoint
+from wheatstile.config.operator import Servers
+from wheatstile.config.violations import ConfigurationError, Violation, load
+from wheatstile.resolvers.discovery_state import DiscoveryState
+from wheatstile.resolvers.endpoint_file import EndpointFile
+from wheatstile.resolvers.merge import merge_endpoints
+from wheatstile.resolvers.regular_file import read_all
+from wheatstile.resolvers.source_selection import MICROSECONDS_PER_SECOND, MergePolicy, select_source
+
+EXPLANATION_COLUMNS = ("server", "address", "site", "weight", "state", "reason")
+SHOWN_VALUES = len(EXPLANATION_COLUMNS) - 2
+"""How many values of a server's row stand between its name and the reason."""
+
+
+class Explanation:
+    """What holds for one file of servers and one answer of discovery, `silent_s` seconds after it."""
+
+    def __init__(
+        self, file: EndpointFile, discovery: DiscoveryState, section: Servers, silent_s: float
+    ) -> None:
+        self._file = file
+        self._discovery = discovery
+        now_us = int(silent_s * MICROSECONDS_PER_SECOND)
+        policy = MergePolicy.from_settings(section)
+        self.selection = select_source(now_us, policy, discovery, True, None)
+        self._merged = merge_endpoints(now_us, self.selection, discovery, file.servers, {})
+
+    def rows(self) -> Iterator[list[str]]:
+        """A row of EXPLANATION_COLUMNS for each server of the list, then those that discovery took away."""
+        for name, merged in sorted(self._merged.items()):
+            values = msgspec.structs.astuple(ServerRow.from_endpoint(merged.resolved))[:SHOWN_VALUES]
+            yield [name, *map(str, values), merged.reason]
+        for name in self._discovery.gone:
+            if name in self._file.servers:
+                yield [name, "", "", "", api.EndpointState.GONE.value, "discovery tells it is gone"]
+
+
+def read_discovery_answer(path: str, max_bytes: int) -> DiscoveryState:
+    """What discovery knows once it has answered with the JSON in this file. Raises ConfigurationError."""
+    data = read_all(Path(path), max_bytes)
+    _, value = load(path, data, max_bytes)
+    try:
+        snapshot = EndpointSnapshot.read(value)
+    except (ValueError, KeyError, TypeError, OSError) as error:
+        violation = Violation("", f"is not in discovery's form: {error!r}")
+        raise ConfigurationError(path, [violation]) from None
+    entries = {
+        endpoint.name: ResolvedEndpoint(endpoint, snapshot.addresses[endpoint.name])
+        for endpoint in snapshot.endpoints
+    }
+    discovery = DiscoveryState(0)
+    discovery.apply_update(0, entries, api.EndpointUpdateKind.FULL)
+    return discovery
--- /dev/null
+++ b/wheatstile/cli/endpoint_files.py
@@ -0,0 +1,67 @@
+"""Files of servers, as the commands read, judge and write them."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+from wheatstile.config.violations import ConfigurationError, Violation, load
+from wheatstile.resolvers.approval import approval_path
+from wheatstile.resolvers.atomic_write import write_atomic
+from wheatstile.resolvers.canonical_json import SEAL_KEY, digest_of
+from wheatstile.resolvers.endpoint_file import EndpointFile, EndpointFileRules, parse_endpoint_file
+from wheatstile.resolvers.regular_file import read_all
+from wheatstile.resolvers.update_guard import ActiveEndpoints, evaluate
+
+JsonObject = dict[str, Any]
+"""A JSON object as it was parsed."""
+
+SERVERS_KEY = "servers"
+GENERATION_KEY = "generation"
+
+
+def read_endpoint_file(path: str, rules: EndpointFileRules) -> EndpointFile:
+    """The file of servers at `path`. Raises ConfigurationError."""
+    return parse_endpoint_file(path, read_all(Path(path), rules.max_bytes), rules)
+
+
+def read_unsealed(path: str, rules: EndpointFileRules) -> JsonObject:
+    """The file's JSON without its seal, once it has been found valid. Raises ConfigurationError."""
+    data = read_all(Path(path), rules.max_bytes)
+    parse_endpoint_file(path, data, rules, check_seal=False)
+    _, value = load(path, data, rules.max_bytes)
+    return {key: element for key, element in value.items() if key != SEAL_KEY}
+
+
+def rejection_reasons(
+    new: EndpointFile,
+    active: ActiveEndpoints,
+    rules: EndpointFileRules,
+    accepted_digests: frozenset[str] = frozenset(),
+) -> list[str]:
+    """Why a balancer that has `active` would not take `new`; empty where it would."""
+    evaluation = evaluate(new, active, None, accepted_digests, rules)
+    return list(evaluation.reasons) if evaluation.is_blocked else []
+
+
+def sealed_text(value: JsonObject) -> bytes:
+    """The document with its seal, a line for each server, so that a comparison of lines tells something."""
+    rows = ",\n  ".join(json.dumps(row, ensure_ascii=False) for row in value[SERVERS_KEY])
+    members = [f'"{SERVERS_KEY}": [\n  {rows}\n ]']
+    for key, element in value.items():
+        if key not in (SERVERS_KEY, SEAL_KEY):
+            members.append(f"{json.dumps(key)}: {json.dumps(element, ensure_ascii=False)}")
+    members.append(f'"{SEAL_KEY}": {json.dumps(digest_of(value))}')
+    return ("{" + ",\n ".join(members) + "}\n").encode()
+
+
+def write_file(path: Path, data: bytes) -> None:
+    """Put `data` in the file's place at once. Raises ConfigurationError where it cannot be written."""
+    try:
+        write_atomic(path, data)
+    except OSError as error:
+        raise ConfigurationError(str(path), [Violation("", error.strerror or str(error))]) from None
+
+
+def write_approval(path: Path, digest: str) -> None:
+    """Name the content of the file at `path` as accepted. Raises ConfigurationError."""
+    write_file(approval_path(path), json.dumps({"digest": digest}).encode())
