--- a/tests/store/raft_cluster.py
+++ b/tests/store/raft_cluster.py
@@ -1,7 +1,7 @@
-"""Raft nodes in one test, in virtual time under one seed, with an invariant checked after every step.
+"""Raft nodes in one test, in virtual time under one seed, with invariants checked after every step.
 
-Faults are loss, repeats, delays, reordering, one-way cuts, pauses, crashes that keep what was persisted,
-changes of members and leadership transfers.
+Messages are lost, repeated, delayed and reordered; a crash keeps what was persisted and loses the rest.
+`raft_histories` adds further faults.
 """
 
 from __future__ import annotations
@@ -10,12 +10,17 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 
-from wheatstile.store.errors import MembershipChangeRejectedError, NotLeaderError
+from wheatstile.store.errors import NotLeaderError
 from wheatstile.store.raft.messages import Entry, HardState, Message, Ready, Role, Snapshot
 from wheatstile.store.raft.node import RaftNode
 from wheatstile.store.raft.state import Timing
 
-VOTER_COUNTS = (3, 5, 3, 4)  # by seed
+CRASH_PROBABILITY = 0.002
+"""Of a crash before a `Ready` is persisted, and of one after; for each node and tick."""
+LOSS_PROBABILITY = 0.04
+REPEAT_PROBABILITY = 0.03
+MAX_REPEAT_DELAY_TICKS = 20
+DELAYS_TICKS = (0, 0, 1, 1, 2, 6)
 
 
 class InvariantError(AssertionError):
@@ -88,11 +93,11 @@
         node = self.nodes[name]
         ready = node.ready()
         roll = self.rng.random() if self.faults_enabled else 1.0
-        if roll < 0.002:  # before anything is persisted
+        if roll < CRASH_PROBABILITY:  # before anything is persisted
             self.crashed.add(name)
             return
         self.persist(self.disks[name], ready)
-        if roll < 0.004:  # persisted, and nothing sent
+        if roll < 2 * CRASH_PROBABILITY:  # persisted, and nothing sent
             self.crashed.add(name)
             return
         if ready.snapshot:
@@ -120,11 +125,11 @@
 
     def send(self, message: Message) -> None:
         """Put a message on the way, now and then late or twice."""
-        delay_ticks = self.rng.choice((0, 0, 1, 1, 2, 6))
+        delay_ticks = self.rng.choice(DELAYS_TICKS)
         order = self.rng.getrandbits(30)
         self.in_flight.append(InFlightMessage(self.now_tick + delay_ticks, order, message))
-        if self.rng.random() < 0.03:
-            repeat_tick = self.now_tick + self.rng.randrange(20)
+        if self.rng.random() < REPEAT_PROBABILITY:
+            repeat_tick = self.now_tick + self.rng.randrange(MAX_REPEAT_DELAY_TICKS)
             self.in_flight.append(InFlightMessage(repeat_tick, 0, message))
 
     def apply(self, name: str, entry: Entry) -> None:
@@ -145,8 +150,8 @@
             self.answered_reads += 1
             required = self.reads[node.name, read.request_id]
             if node.log.applied_index < required:
-                at = node.log.applied_index
-                raise InvariantError(f"{node.name} answered a read at {at}, {required} known")
+                applied = node.log.applied_index
+                raise InvariantError(f"{node.name} answered a read at {applied}, {required} known")
         self.rejected_reads += len(ready.rejected_reads)
 
     def compact_if_due(self, node: RaftNode) -> None:
@@ -177,54 +182,18 @@
     def deliver(self, message: Message) -> None:
         """Hand a message to its recipient, unless it is lost."""
         is_cut = (message.sender, message.recipient) in self.cut_links
-        if message.recipient in self.crashed or is_cut or self.rng.random() < 0.04:
+        if message.recipient in self.crashed or is_cut or self.rng.random() < LOSS_PROBABILITY:
             return
         if message.recipient in self.paused:
             self.in_flight.append(InFlightMessage(self.now_tick + 1, 0, message))
             return
         self.nodes[message.recipient].step(message)
 
-    def inject_fault(self) -> None:
-        """Draw what goes wrong, or gets well, in this step; mostly nothing does."""
-        rng = self.rng
-        victim = rng.choice(self.names)
-        match rng.randrange(300):
-            case 0 | 1 if len(self.crashed) < 2:
-                self.crashed.add(victim)
-            case 2 | 3 | 4 | 5 | 6 | 7 if self.crashed:
-                self.restart(rng.choice(sorted(self.crashed)))
-            case 8 if not self.paused:
-                self.paused.add(victim)
-            case 9 | 10 | 11:
-                self.paused.clear()
-            case 12 | 13:
-                self.cut_links.add((victim, rng.choice(self.names)))
-            case 14:
-                self.isolate(victim)
-            case 15 | 16 | 17 | 18:
-                self.cut_links.clear()
-            case 19:
-                for name in sorted(self.crashed)[:2]:
-                    self.restart(name)
-            case 20 | 21 | 22:
-                self.change_members()
-            case 23:
-                with suppress(NotLeaderError, MembershipChangeRejectedError):
-                    self.nodes[victim].transfer_leadership(rng.choice(self.names))
-
     def isolate(self, victim: str) -> None:
         """Cut a node off from all others, both ways."""
         self.cut_links |= {(victim, name) for name in self.names}
         self.cut_links |= {(name, victim) for name in self.names}
 
-    def change_members(self) -> None:
-        """Ask every running node for a change to the same voters."""
-        voters = self.rng.sample(self.names, self.rng.choice((1, 3, 3, 4, 5)))
-        for node in self.nodes.values():
-            with suppress(NotLeaderError, MembershipChangeRejectedError):
-                if node.name not in self.crashed:
-                    node.change_members(voters, self.rng.sample(self.names, 1))
-
     def restart(self, name: str) -> None:
         """Start a crashed node again."""
         self.crashed.discard(name)
@@ -265,21 +234,3 @@
                 last = max(same_term, default=0)
                 if any(first[index] != second[index] for index in shared if index <= last):
                     raise InvariantError(f"logs differ before {last}")
-
-
-def run_history(seed: int, steps: int = 500, voter_count: int = 0) -> SimulatedCluster:
-    """Return the cluster after `steps` ticks with faults and 400 without. Raises `InvariantError`."""
-    cluster = SimulatedCluster(seed, voter_count or VOTER_COUNTS[seed % len(VOTER_COUNTS)])
-    for number in range(steps):
-        cluster.inject_fault()
-        if number % 5 == 0:
-            cluster.request(number)
-        cluster.step()
-        if number % 50 == 0:
-            cluster.check_log_matching()
-    cluster.heal()
-    for number in range(steps, steps + 400):
-        if number % 20 == 0:
-            cluster.request(number)
-        cluster.step()
-    return cluster
--- a/tests/store/test_raft_election.py
+++ b/tests/store/test_raft_election.py
@@ -40,7 +40,7 @@
 
 
 @pytest.mark.parametrize(("is_transfer", "term"), [(False, 1), (True, 2)])
-def test_a_leader_that_is_heard_from_is_only_replaced_by_transfer(is_transfer: bool, term: int) -> None:
+def test_an_active_leader_is_only_replaced_by_transfer(is_transfer: bool, term: int) -> None:
     node = make_node()
     node.step(Message(MessageKind.APPEND, "b", "a", 1))
     node.step(Message(MessageKind.VOTE, "c", "a", 2, is_transfer=is_transfer))
--- a/tests/store/test_raft_log.py
+++ b/tests/store/test_raft_log.py
@@ -32,7 +32,7 @@
     assert (log.term_at(4), log.term_at(5), log.term_at(6), log.term_at(7)) == (None, 1, 1, None)
 
 
-def test_truncation_returns_to_the_configuration_before() -> None:
+def test_truncation_restores_the_previous_configuration() -> None:
     log = make_log(3)
     log.truncate_from(2)
     assert log.last_index == 1
--- a/tests/store/test_raft_mutations.py
+++ b/tests/store/test_raft_mutations.py
@@ -8,7 +8,8 @@
 
 import msgspec
 import pytest
-from raft_cluster import InvariantError, PersistedState, SimulatedCluster, run_history
+from raft_cluster import InvariantError, PersistedState, SimulatedCluster
+from raft_histories import run_history
 from raft_nodes import elect, make_node
 
 from wheatstile.store.raft import election, follower, read_index, replication
--- a/tests/store/test_raft_node.py
+++ b/tests/store/test_raft_node.py
@@ -8,7 +8,8 @@
 
 import os
 
-from raft_cluster import InvariantError, SimulatedCluster, run_history
+from raft_cluster import InvariantError, SimulatedCluster
+from raft_histories import run_history
 
 FIRST, _, LAST = os.environ.get("WHEATSTILE_SEEDS", "0-199").partition("-")
 SEEDS = range(int(FIRST), int(LAST or FIRST) + 1)
@@ -22,7 +23,7 @@
         assert behind < 100, f"seed {seed}: {name} is {behind} behind after healing"
 
 
-def test_invariants_hold_in_histories_with_faults() -> None:
+def test_no_invariant_is_violated_under_faults() -> None:
     answered_reads = 0
     installed_snapshots = 0
     for seed in SEEDS:
--- a/tests/store/test_raft_transfer.py
+++ b/tests/store/test_raft_transfer.py
@@ -36,7 +36,7 @@
     assert leader.propose(b"x") == leader.log.last_index
 
 
-def test_a_target_that_is_told_to_campaign_does_so_at_once() -> None:
+def test_a_timeout_now_message_starts_an_election_at_once() -> None:
     node = make_node()
     node.step(Message(MessageKind.APPEND, "b", "a", 1))
     node.step(Message(MessageKind.TIMEOUT_NOW, "b", "a", 1))
--- a/tests/store/test_store_server.py
+++ b/tests/store/test_store_server.py
@@ -7,18 +7,17 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import os
 import random
 import subprocess
 import sys
-import time
-from math import inf
 from pathlib import Path
 
 import pytest
-from linearizability import Kind, Operation, is_linearizable
+from linearizability import is_linearizable
 from process_cluster import ProcessCluster, check_applied, run_scenario
+from process_faults import inject_faults
+from register_user import Histories, RegisterUser
 
 from wheatstile.store.client import StoreClient
 from wheatstile.store.errors import OutcomeUnknownError
@@ -28,147 +27,9 @@
 FIRST, _, LAST = os.environ.get("WHEATSTILE_SEEDS", "1-2").partition("-")
 SEEDS = range(int(FIRST), int(LAST or FIRST) + 1)
 KEYS = ("k/a", "k/b")
-KINDS = (Kind.GET, Kind.PUT, Kind.SWAP)
 CLIENTS = 5
 FAULTS = 14
 
-Histories = dict[str, list[Operation]]
-"""Operations by key."""
-
-
-class RegisterUser:
-    """A client that reads, writes and swaps shared keys, each value once, and records what it saw."""
-
-    def __init__(self, client: StoreClient, number: int, seed: int, histories: Histories) -> None:
-        self.client = client
-        self.number = number
-        self.rng = random.Random(f"{seed}:{number}")
-        self.histories = histories
-
-    async def run(self, stopped: asyncio.Event) -> None:
-        for turn in itertools.count():
-            if stopped.is_set():
-                return
-            key = self.rng.choice(KEYS)
-            kind = self.rng.choice(KINDS)
-            value = f"{self.number}.{turn}"
-            match kind:
-                case Kind.GET:
-                    await self.get(key)
-                case Kind.PUT:
-                    await self.put(key, value)
-                case Kind.SWAP:
-                    await self.swap(key, value)
-            await asyncio.sleep(self.rng.random() * 0.2)
-
-    def record(
-        self,
-        key: str,
-        kind: Kind,
-        value: str | None,
-        called_at: float,
-        returned_at: float,
-        expected: str | None = None,
-        succeeded: bool = True,
-    ) -> None:
-        operation = Operation(kind, value, called_at, returned_at, expected, succeeded)
-        self.histories[key].append(operation)
-
-    async def get(self, key: str) -> None:
-        called_at = time.monotonic()
-        try:
-            found = await self.client.get(key)
-        except OutcomeUnknownError:
-            self.record(key, Kind.GET, None, called_at, inf)
-            return
-        value = found.value.decode() if found else None
-        self.record(key, Kind.GET, value, called_at, time.monotonic())
-
-    async def put(self, key: str, value: str) -> None:
-        called_at = time.monotonic()
-        returned_at = inf
-        try:
-            await self.client.put(key, value.encode())
-            returned_at = time.monotonic()
-        except OutcomeUnknownError:
-            pass
-        self.record(key, Kind.PUT, value, called_at, returned_at)
-
-    async def swap(self, key: str, value: str) -> None:
-        """Read the key and replace what was read; nothing is recorded where the read is not answered."""
-        called_at = time.monotonic()
-        try:
-            found = await self.client.get(key)
-        except OutcomeUnknownError:
-            return
-        expected = found.value.decode() if found else None
-        self.record(key, Kind.GET, expected, called_at, time.monotonic())
-        called_at = time.monotonic()
-        returned_at = inf
-        succeeded = True
-        try:
-            result = await self.client.put(key, value.encode(), found.revision if found else 0)
-            returned_at = time.monotonic()
-            succeeded = result.ok
-        except OutcomeUnknownError:
-            pass
-        self.record(key, Kind.SWAP, value, called_at, returned_at, expected, succeeded)
-
-
-async def inject_faults(cluster: ProcessCluster, rng: random.Random, count: int) -> list[str]:
-    """Draw faults and return what they were; at most two members are down or paused at a time.
-
-    Cuts may take the quorum away for a while.
-    """
-    injected: list[str] = []
-    for _ in range(count):
-        injected.append(await inject_fault(cluster, rng))
-        await asyncio.sleep(rng.uniform(0.2, 0.9))
-        if rng.random() < 0.5:
-            cluster.link.tell("heal")
-    return injected
-
-
-async def inject_fault(cluster: ProcessCluster, rng: random.Random) -> str:
-    running = [name for name in cluster.names if name in cluster.processes and name not in cluster.paused]
-    victim = rng.choice(running)
-    match rng.randrange(9):
-        case 0 if len(running) > 3:
-            cluster.kill(victim)
-            return f"kill {victim}"
-        case 1 if len(running) > 3:
-            cluster.pause(victim)
-            return f"pause {victim}"
-        case 2:
-            cluster.resume_all()
-            cluster.start_missing()
-            return "resume, restart"
-        case 3:
-            cluster.resume_all()
-            for name in rng.sample(sorted(cluster.processes), max(0, len(cluster.processes) - 3)):
-                cluster.kill(name)
-            cluster.start_missing()
-            return "restart several at once"
-        case 4:
-            leader = await asyncio.wait_for(cluster.leader(), 5) if rng.random() < 0.5 else victim
-            cluster.link.tell(f"cut * {leader}")
-            return f"cut all to {leader}"
-        case 5:
-            cluster.link.tell(f"cut {victim} *")
-            cluster.link.tell(f"reset {victim} *")
-            return f"cut {victim} to all, with resets"
-        case 6:
-            cluster.link.tell("lose * * 0.2")
-            cluster.link.tell("repeat * * 0.2")
-            return "lose and repeat frames"
-        case 7:
-            cluster.link.tell(f"delay * {victim} 0.1 0.2")
-            cluster.link.tell(f"rate {victim} * 20000")
-            return f"delay and slow {victim}"
-        case _:
-            cluster.link.tell("heal")
-            return "heal"
-
 
 async def wait_until_all_applied(client: StoreClient, cluster: ProcessCluster, revision: int) -> None:
     for name in cluster.names:
