--- /dev/null
+++ b/tests/store/test_pending_reads.py
@@ -0,0 +1,58 @@
+"""Reads that wait for their read index."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from raft_nodes import acknowledge_all, make_leader, make_node
+
+from wheatstile.store.errors import NotLeaderError
+from wheatstile.store.pending_reads import PendingReads
+from wheatstile.store.raft.messages import Message, MessageKind
+
+
+def test_a_read_ends_with_the_index_that_a_quorum_has_confirmed() -> None:
+    async def scenario() -> None:
+        leader = make_leader()
+        reads = PendingReads(leader, lambda: None)
+        read = asyncio.create_task(reads.read_index())
+        await asyncio.sleep(0)
+        reads.on_ready(leader.ready())
+        assert not read.done()
+        acknowledge_all(leader, "b")
+        reads.on_ready(leader.ready())
+        assert await read == leader.log.commit_index
+
+    asyncio.run(scenario())
+
+
+def test_a_read_fails_when_its_leader_is_replaced() -> None:
+    async def scenario() -> None:
+        node = make_node()
+        node.step(Message(MessageKind.APPEND, "b", "a", 1))
+        reads = PendingReads(node, lambda: None)
+        read = asyncio.create_task(reads.read_index())
+        await asyncio.sleep(0)
+        node.step(Message(MessageKind.APPEND, "c", "a", 2))
+        reads.on_ready(node.ready())
+        with pytest.raises(NotLeaderError) as caught:
+            await read
+        assert caught.value.leader == "c"
+
+    asyncio.run(scenario())
+
+
+def test_a_read_that_is_cancelled_is_not_waited_for() -> None:
+    async def scenario() -> None:
+        node = make_node()
+        node.step(Message(MessageKind.APPEND, "b", "a", 1))
+        reads = PendingReads(node, lambda: None)
+        read = asyncio.create_task(reads.read_index())
+        await asyncio.sleep(0)
+        read.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await read
+        assert node.state.forwarded_reads == set()
+
+    asyncio.run(scenario())
