--- /dev/null
+++ b/tests/store/test_store_client.py
@@ -0,0 +1,154 @@
+"""The client against scripted members: which errors are retried, and where."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import msgspec
+import pytest
+
+from wheatstile.store.client import StoreClient
+from wheatstile.store.commands import CommandResult
+from wheatstile.store.errors import OutcomeUnknownError, RequestRejectedError, WatchCompactedError
+from wheatstile.store.event_history import ChangeKind, Event
+from wheatstile.store.framing import LENGTH_PREFIX, encode_frame
+from wheatstile.store.protocol import ErrorCode, Reply, Request, RequestKind
+
+WRITTEN = Reply(result=CommandResult(True, 7), revision=7)
+
+
+class ScriptedMember:
+    """Answers each request with the next reply, and closes the connection after the last or for None."""
+
+    def __init__(self, *replies: Reply | None) -> None:
+        self.replies = list(replies)
+        self.requests: list[Request] = []
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while self.replies and (prefix := await reader.read(LENGTH_PREFIX.size)):
+                (length,) = LENGTH_PREFIX.unpack(prefix)
+                body = await reader.readexactly(length)
+                self.requests.append(msgspec.msgpack.decode(body, type=Request))
+                reply = self.replies.pop(0)
+                if reply is None:
+                    return
+                writer.write(encode_frame(reply))
+        finally:
+            writer.close()
+
+
+@asynccontextmanager
+async def serve_members(**members: ScriptedMember) -> AsyncIterator[StoreClient]:
+    """Yield a client of these members; it asks them in the order of their names."""
+    servers = {
+        name: await asyncio.start_server(member.serve, "127.0.0.1", 0) for name, member in members.items()
+    }
+    client = StoreClient({name: server.sockets[0].getsockname()[1] for name, server in servers.items()}, 5.0)
+    try:
+        yield client
+    finally:
+        client.close()
+        for server in servers.values():
+            server.close()
+
+
+def test_a_client_follows_the_leader_that_a_member_names() -> None:
+    async def scenario() -> None:
+        follower = ScriptedMember(Reply(ErrorCode.NOT_LEADER, leader="c"))
+        leader = ScriptedMember(WRITTEN, WRITTEN)
+        async with serve_members(a=follower, b=ScriptedMember(), c=leader) as client:
+            assert (await client.put("k", b"v")).revision == 7
+            assert (await client.put("k", b"v")).revision == 7
+        assert (len(follower.requests), len(leader.requests)) == (1, 2)
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("failure", [None, Reply(ErrorCode.OUTCOME_UNKNOWN), Reply(ErrorCode.STALE)])
+def test_a_retried_write_carries_the_same_session_and_sequence(failure: Reply | None) -> None:
+    async def scenario() -> None:
+        first = ScriptedMember(failure)
+        second = ScriptedMember(WRITTEN, WRITTEN)
+        async with serve_members(a=first, b=second) as client:
+            await client.put("k", b"v")
+            await client.put("k", b"v")
+        commands = [request.command for request in [*first.requests, *second.requests] if request.command]
+        assert [command.sequence for command in commands] == [1, 1, 2]
+        assert len({command.session_id for command in commands}) == 1
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("code", [ErrorCode.REJECTED, ErrorCode.INVALID])
+def test_a_final_error_is_raised_and_the_next_write_begins_a_session(code: ErrorCode) -> None:
+    async def scenario() -> None:
+        member = ScriptedMember(Reply(code, "why"), WRITTEN)
+        async with serve_members(a=member) as client:
+            with pytest.raises(RequestRejectedError) as caught:
+                await client.put("k", b"v")
+            assert (caught.value.code, caught.value.reason) == (code, "why")
+            await client.put("k", b"v")
+        commands = [request.command for request in member.requests if request.command]
+        assert [command.sequence for command in commands] == [1, 1]
+        assert len({command.session_id for command in commands}) == 2
+
+    asyncio.run(scenario())
+
+
+def test_the_outcome_is_unknown_when_nobody_answers_in_time() -> None:
+    async def scenario() -> None:
+        client = StoreClient({"a": 1}, timeout_s=0.1)  # nothing listens on port 1
+        with pytest.raises(OutcomeUnknownError, match="a: "):
+            await client.put("k", b"v")
+        client.close()
+
+    asyncio.run(scenario())
+
+
+def test_a_backup_is_put_together_from_its_chunks() -> None:
+    class ChunkedMember(ScriptedMember):
+        async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.read(1024)
+            for chunk, remaining_bytes in ((b"ab", 3), (b"cd", 1), (b"e", 0)):
+                writer.write(encode_frame(Reply(revision=9, chunk=chunk, remaining_bytes=remaining_bytes)))
+            await reader.read()
+            writer.close()
+
+    async def scenario() -> None:
+        async with serve_members(a=ChunkedMember()) as client:
+            state = await client.download_state()
+        assert (state.revision, state.data) == (9, b"abcde")
+
+    asyncio.run(scenario())
+
+
+def test_a_watch_goes_on_with_another_member_after_its_last_revision() -> None:
+    async def scenario() -> None:
+        events = [Event(revision, "k", ChangeKind.PUT, b"") for revision in (5, 6)]
+        members = [ScriptedMember(Reply(events=[event], revision=event.revision)) for event in events]
+        seen: list[int] = []
+        async with serve_members(b=members[0], a=members[1]) as client:  # a watch begins at the second
+            async for event in client.watch("k", 4):
+                seen.append(event.revision)
+                if len(seen) == len(events):
+                    break
+        assert seen == [5, 6]
+
+    asyncio.run(scenario())
+
+
+def test_a_watch_whose_events_were_discarded_is_an_error() -> None:
+    async def scenario() -> None:
+        member = ScriptedMember(Reply(ErrorCode.WATCH_COMPACTED, "the oldest is after 40", revision=40))
+        async with serve_members(a=member) as client:
+            with pytest.raises(WatchCompactedError) as caught:
+                async for _ in client.watch("k", 4):
+                    pass
+        assert caught.value.compacted_revision == 40
+        (request,) = member.requests
+        assert (request.kind, request.key, request.after_revision) == (RequestKind.WATCH, "k", 4)
+
+    asyncio.run(scenario())
