Keep the platform settings read last when descriptions change

Cause: DescriptionsSection.follow returned before it took the new configuration when the worker's request stayed the same. A later change of the descriptions then put the settings of the configuration before back in force (fleet size, for example).

Change: the configuration is taken first. The builder of the worker's request and its handler have names of their own; the bound of a schema is looked up by its type.

Measured: the new test in tests/descriptions/test_section.py fails before and passes now; tests/descriptions, tests/cli and tests/config pass; mypy, ruff and lint-imports clean.

--- a/tests/descriptions/test_route_matcher.py
+++ b/tests/descriptions/test_route_matcher.py
@@ -53,7 +53,7 @@
 
 @settings(max_examples=400)
 @given(ROUTES, ROUTE, TARGET)
-def test_overlapping_routes_are_all_found_and_relations_hold_for_targets(
+def test_overlapping_routes_are_all_found_and_relations_agree_with_matches(
     routes: list[tuple[Token, ...]], route: tuple[Token, ...], target: list[str]
 ) -> None:
     overlapping = {number for _, number in matcher_of(routes).overlapping(route)}
--- a/tests/descriptions/test_section.py
+++ b/tests/descriptions/test_section.py
@@ -1,18 +1,28 @@
 """Descriptions in a running balancer, over real sockets, with servers that reset every attempt."""
 
+import asyncio
 import itertools
 import json
 import select
 import signal
 import time
+from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 
 from peers import PATIENCE, Listener, NodeTest, Peer
 
+from wheatstile.config import operator as operator_file
+from wheatstile.config.platform import Config
+from wheatstile.descriptions.section import DescriptionsSection
+from wheatstile.interface import Idempotency
+from wheatstile.net.decision_loop import DecisionLoop
 from wheatstile.resolvers.files import write_atomic
 
 SERVERS_PER_ZONE = 12  # a server that resets is not tried again for a while
 CLIENT_DEADLINE_MS = 2000
+IMMEDIATE_S = 1.5  # well below the deadline
+HEALTHY = "PONG x0=0.3"  # the answer to a health check
 CLASS = {"aimUs": 300000, "deadlineUs": 2000000, "repeat": "retryable"}
 HEADER = "openapi: 3.1.0\ninfo: {title: t, version: '1'}\npaths:\n"
 RESPONSES = "responses: {default: {description: d}}"
@@ -76,15 +86,15 @@
         end = time.monotonic() + PATIENCE
         while time.monotonic() < end:
             listeners = {listener.sock: listener for listener in (self.server, self.other_zone)}
-            probes = {
-                probe.sock: (listener, probe) for listener in listeners.values() for probe in listener.probes
+            checks = {
+                check.sock: (listener, check) for listener in listeners.values() for check in listener.probes
             }
-            ready, _, _ = select.select([client.sock, *listeners, *probes], [], [], PATIENCE)
+            ready, _, _ = select.select([client.sock, *listeners, *checks], [], [], PATIENCE)
             for sock in ready:
                 if sock is client.sock:
                     return zones, client.line().partition(" ")[0]
-                if sock in probes:
-                    answer_probe(*probes[sock])
+                if sock in checks:
+                    answer_health_check(*checks[sock])
                 elif is_reset(listeners[sock]):
                     zones.append("here" if sock is self.server.sock else "there")
         raise AssertionError("no final answer came")
@@ -97,7 +107,7 @@
         begin = time.monotonic()
         zones, answer = self.attempts("writes")
         assert (len(zones), answer) == (1, "ERR")
-        assert time.monotonic() - begin < 1.5  # seconds; its client would wait for 2
+        assert time.monotonic() - begin < IMMEDIATE_S
         for _ in range(3):
             zones, answer = self.attempts("orders")
             assert (len(set(zones)), answer) == (1, "ERR"), zones
@@ -152,6 +162,31 @@
         assert self.logged("descriptions_applied")["classes"] == {"reads": "safe"}
         return part
 
+    def test_change_keeps_the_platform_settings_that_were_read_last(self) -> None:
+        self.describe(operation("s", "get", "reads"))
+        self.path.write_text(json.dumps(self.config()))
+        asyncio.run(self.follow_changes())
+
+    async def follow_changes(self) -> None:
+        """Change a platform setting that the worker does not need, then the description."""
+        operator = operator_file.read(str(self.operator))
+        config = Config.read({"RELAY_CONFIG": str(self.path)})
+        decisions = DecisionLoop(config.settings, config.seed)
+        section = DescriptionsSection(decisions, None)
+        section.follow(operator, config)
+        await wait_until(lambda: "reads" in section.learned)
+
+        fleet_size = config.settings.fleet_size + 1
+        changed = replace(config, settings=replace(config.settings, fleet_size=fleet_size))
+        decisions.configure(section.applied(changed.settings))
+        section.follow(operator, changed)
+
+        self.describe(operation("s", "post", "reads"))
+        await wait_until(lambda: section.learned["reads"].idempotency is Idempotency.NON_IDEMPOTENT)
+        section.close()
+        assert decisions.balancer.settings.fleet_size == fleet_size
+        assert decisions.balancer.settings.classes["reads"].idempotency is Idempotency.NON_IDEMPOTENT
+
     def test_invalid_descriptions_at_the_start_end_the_process(self) -> None:
         self.describe(operation("u", "post", "wrong"))
         self.path.write_text(json.dumps(self.config()))
@@ -161,20 +196,27 @@
         assert 'the class "wrong" is not in the settings' in self.stop()
 
 
-def answer_probe(listener: Listener, probe: Peer) -> None:
+async def wait_until(condition: Callable[[], bool]) -> None:
+    """Wait until the condition holds. Raises TimeoutError."""
+    async with asyncio.timeout(PATIENCE):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+def answer_health_check(listener: Listener, peer: Peer) -> None:
     """Answer a health check on an open connection, or forget the connection if it has ended."""
-    if probe.line():
-        probe.send("PONG x0=0.3")
+    if peer.line():
+        peer.send(HEALTHY)
     else:
-        listener.probes.remove(probe)
-        probe.close()
+        listener.probes.remove(peer)
+        peer.close()
 
 
 def is_reset(listener: Listener) -> bool:
     """Accept a connection and reset it if it is an attempt; a health check is answered and kept."""
     peer = listener.accept()
     if peer.line() == "STATS":
-        peer.send("PONG x0=0.3")
+        peer.send(HEALTHY)
         listener.probes.append(peer)
         return False
     peer.close(reset=True)
--- a/tests/descriptions/test_tightening.py
+++ b/tests/descriptions/test_tightening.py
@@ -39,6 +39,6 @@
     assert tightened == settings_of(expected)
 
 
-def test_class_that_the_settings_lack_is_left_out() -> None:
+def test_class_that_the_settings_lack_is_ignored() -> None:
     settings = settings_of((SAFE, ALL, 0))
     assert tighten_settings(settings, {"slow": LearnedClass(UNSAFE, ALL, 0)}) == settings
--- a/wheatstile/descriptions/schema_size.py
+++ b/wheatstile/descriptions/schema_size.py
@@ -1,5 +1,6 @@
 """What a message's JSON Schema says of the message: its discriminator and a bound on its size. Pure."""
 
+from collections.abc import Callable, Mapping
 from typing import TypeAlias
 
 from wheatstile.descriptions.model import JsonValue
@@ -51,26 +52,20 @@
         return _text_bytes(len(str(value["const"])))
     if isinstance(choices := value.get("enum"), list):
         return max((_text_bytes(len(str(choice))) for choice in choices), default=0)
-    match value.get("type"):
-        case "boolean" | "null":
-            return LITERAL_BYTES
-        case "integer":
-            return _integer_bound(value)
-        case "string":
-            length = value.get("maxLength")
-            return _text_bytes(length) if isinstance(length, int) else None
-        case "array":
-            return _array_bound(schema, value, known)
-        case "object":
-            return _object_bound(schema, value, known)
-    return None
+    kind = value.get("type")
+    bound = BOUNDS.get(kind) if isinstance(kind, str) else None
+    return bound(schema, value, known) if bound else None
 
 
 def _text_bytes(characters: int) -> int:
     return MAX_BYTES_PER_CHARACTER * characters + QUOTES
 
 
-def _integer_bound(value: _SchemaObject) -> int | None:
+def _literal_bound(_schema: DocumentNode, _value: _SchemaObject, _known: _Sizes) -> int | None:
+    return LITERAL_BYTES
+
+
+def _integer_bound(_schema: DocumentNode, value: _SchemaObject, _known: _Sizes) -> int | None:
     maximum = value.get("maximum")
     minimum = value.get("minimum")
     if not isinstance(maximum, int) or not isinstance(minimum, int):
@@ -78,6 +73,11 @@
     return max(len(str(maximum)), len(str(minimum)))
 
 
+def _string_bound(_schema: DocumentNode, value: _SchemaObject, _known: _Sizes) -> int | None:
+    length = value.get("maxLength")
+    return _text_bytes(length) if isinstance(length, int) else None
+
+
 def _array_bound(schema: DocumentNode, value: _SchemaObject, known: _Sizes) -> int | None:
     max_items = value.get("maxItems")
     items = schema.get("items")
@@ -98,3 +98,14 @@
             return None
         total += MAX_BYTES_PER_CHARACTER * len(name) + KEY_PUNCTUATION + member_bytes
     return total
+
+
+BOUNDS: Mapping[str, Callable[[DocumentNode, _SchemaObject, _Sizes], int | None]] = {
+    "boolean": _literal_bound,
+    "null": _literal_bound,
+    "integer": _integer_bound,
+    "string": _string_bound,
+    "array": _array_bound,
+    "object": _object_bound,
+}
+"""How the size of a value is bounded, by the `type` of its schema."""
--- a/wheatstile/descriptions/section.py
+++ b/wheatstile/descriptions/section.py
@@ -12,7 +12,7 @@
 from wheatstile.config.platform import Config
 from wheatstile.descriptions.file_states import FileState, file_states
 from wheatstile.descriptions.tightening import tighten_settings
-from wheatstile.descriptions.worker_client import compile_blocking, compile_in_worker, compile_request
+from wheatstile.descriptions.worker_client import build_request, compile_blocking, compile_in_worker
 from wheatstile.descriptions.worker_protocol import (
     CompilationRejected,
     CompilationResult,
@@ -44,7 +44,7 @@
     """
     paths = _paths(operator)
     before = file_states(paths)
-    result = compile_blocking(compile_request(operator, config), operator)
+    result = compile_blocking(build_request(operator, config), operator)
     if isinstance(result, CompilationRejected):
         return result
     is_unchanged = before == file_states(paths)
@@ -78,12 +78,12 @@
 
     def follow(self, operator: OperatorFile, config: Config) -> None:
         """Watch what these files name from now on; without a change, the running watch goes on."""
-        request = compile_request(operator, config)
+        self._config = config
+        request = build_request(operator, config)
         if request == self._request:
             return
         compiled_at_startup = not self._request and self._compiled_files is not None
         self._request = request
-        self._config = config
         self.close()
         if operator.settings.descriptions.paths:
             if not compiled_at_startup:
--- a/wheatstile/descriptions/worker.py
+++ b/wheatstile/descriptions/worker.py
@@ -26,7 +26,7 @@
 MAX_REASONS = 100  # that a result holds; also of warnings
 
 
-def compile_request(request: CompileRequest) -> CompilationResult:
+def handle_request(request: CompileRequest) -> CompilationResult:
     """Compile what the request asks for: the classes as they hold, or the reasons for rejecting it."""
     operator = OperatorFile(Path(request.operator_path), request.settings)
     paths = [operator.near(path) for path in operator.settings.descriptions.paths]
@@ -53,7 +53,7 @@
     resource.setrlimit(resource.RLIMIT_CPU, (MAX_CPU_TIME_S, MAX_CPU_TIME_S))
     resource.setrlimit(resource.RLIMIT_AS, (MAX_MEMORY_BYTES, MAX_MEMORY_BYTES))
     request = CompileRequest.decode(sys.stdin.buffer.read())
-    sys.stdout.buffer.write(encode_result(compile_request(request)))
+    sys.stdout.buffer.write(encode_result(handle_request(request)))
 
 
 if __name__ == "__main__":
--- a/wheatstile/descriptions/worker_client.py
+++ b/wheatstile/descriptions/worker_client.py
@@ -19,7 +19,7 @@
 WORKER_TIMEOUT_S = 300.0
 
 
-def compile_request(operator: OperatorFile, config: Config) -> bytes:
+def build_request(operator: OperatorFile, config: Config) -> bytes:
     """Return the request for these files; equal bytes ask for the same compilation."""
     request = CompileRequest(
         operator_path=str(operator.path.absolute()),
