--- /dev/null
+++ b/tests/descriptions/test_file_states.py
@@ -0,0 +1,50 @@
+"""States of files, by which a change is seen."""
+
+import os
+from pathlib import Path
+
+import pytest
+
+from wheatstile.descriptions import file_states as module
+from wheatstile.descriptions.file_states import file_states
+
+
+def names(states: list[module.FileState]) -> list[str]:
+    """The names of the files, in the order of their paths."""
+    return [Path(state.path).name for state in states]
+
+
+@pytest.fixture
+def folder(tmp_path: Path) -> Path:
+    """A folder with a file in it and one in a subfolder."""
+    (tmp_path / "parts").mkdir()
+    (tmp_path / "a.yaml").write_text("a")
+    (tmp_path / "parts" / "b.yaml").write_text("b")
+    return tmp_path
+
+
+def test_folder_and_all_files_below_it_are_covered(folder: Path) -> None:
+    assert names(file_states([folder])) == [folder.name, "a.yaml", "b.yaml"]
+
+
+def test_file_and_referenced_files_are_covered_and_missing_ones_left_out(folder: Path) -> None:
+    referenced = [str(folder / "parts" / "b.yaml"), str(folder / "missing.yaml")]
+    assert names(file_states([folder / "a.yaml"], referenced)) == ["a.yaml", "b.yaml"]
+
+
+def test_replaced_file_of_the_same_size_and_time_has_another_state(folder: Path) -> None:
+    path = folder / "a.yaml"
+    before = file_states([path])
+    status = path.stat()
+    replacement = folder / "replacement"
+    replacement.write_text("z")
+    os.utime(replacement, ns=(status.st_atime_ns, status.st_mtime_ns))
+    replacement.replace(path)
+    after = file_states([path])
+    assert after[0].modified_ns == before[0].modified_ns
+    assert after != before
+
+
+def test_number_of_files_is_bounded(folder: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "MAX_FILES", 2)
+    assert len(file_states([folder])) == module.MAX_FILES
--- a/wheatstile/descriptions/extensions.py
+++ b/wheatstile/descriptions/extensions.py
@@ -10,12 +10,16 @@
 from typing import TypeVar
 
 from wheatstile.descriptions.findings import InvalidDescriptionError, SourceLocation
-from wheatstile.descriptions.model import DEDUPLICATION_SCOPES, Extension, RetrySafety
+from wheatstile.descriptions.model import (
+    DEDUPLICATION_SCOPES,
+    MICROSECONDS_PER_SECOND,
+    Extension,
+    RetrySafety,
+)
 from wheatstile.descriptions.references import DocumentNode
 from wheatstile.interface import DeduplicationScope, Idempotency
 
 MICROSECONDS_PER_MILLISECOND = 1000
-MICROSECONDS_PER_SECOND = 1_000_000
 TIMEOUT_LIMIT_MS = 1e9
 WINDOW_LIMIT_S = 1e8
 
--- a/wheatstile/descriptions/model.py
+++ b/wheatstile/descriptions/model.py
@@ -11,6 +11,7 @@
 JsonValue: TypeAlias = "bool | int | float | str | list[JsonValue] | dict[str, JsonValue] | None"
 """A value of a JSON or YAML document."""
 
+MICROSECONDS_PER_SECOND = 1_000_000
 DEDUPLICATION_SCOPES = (DeduplicationScope.ALL, DeduplicationScope.ZONE, DeduplicationScope.CELL)
 """The scopes that a description may declare."""
 
--- a/wheatstile/descriptions/route_compiler.py
+++ b/wheatstile/descriptions/route_compiler.py
@@ -13,12 +13,16 @@
     Route,
 )
 from wheatstile.descriptions.findings import FindingCollector, SourceLocation
-from wheatstile.descriptions.model import Operation, OperationKind, RetrySafety, is_stricter
+from wheatstile.descriptions.model import (
+    MICROSECONDS_PER_SECOND,
+    Operation,
+    OperationKind,
+    RetrySafety,
+    is_stricter,
+)
 from wheatstile.descriptions.routes import RouteSyntaxError, path_tokens, subject_tokens
 from wheatstile.interface import Idempotency
 
-MICROSECONDS = 1_000_000  # in one second
-
 
 def unknown_class(name: str, classes: ClassPolicies) -> str:
     """Return the reason given for a class that the platform's settings do not have."""
@@ -121,18 +125,22 @@
         has_key = retry_safety.idempotency is Idempotency.IDEMPOTENCY_KEY
         if has_key and 0 < window_us < deadline_us:
             reason = (
-                f"{operation.name}: a repeat is known for {window_us / MICROSECONDS:g} s, and the class "
-                f'"{policy.name}" tries again for up to {deadline_us / MICROSECONDS:g} s'
+                f"{operation.name}: a repeat is known for {_seconds(window_us)} s, and the class "
+                f'"{policy.name}" tries again for up to {_seconds(deadline_us)} s'
             )
             self.findings.conflict(retry_safety.location, reason, policy.override_location)
         if operation.timeout_us > deadline_us and operation.timeout_location:
             reason = (
-                f"{operation.name} takes up to {operation.timeout_us / MICROSECONDS:g} s, and clients of the "
-                f'class "{policy.name}" give up after {deadline_us / MICROSECONDS:g} s'
+                f"{operation.name} takes up to {_seconds(operation.timeout_us)} s, and clients of the "
+                f'class "{policy.name}" give up after {_seconds(deadline_us)} s'
             )
             self.findings.conflict(operation.timeout_location, reason, policy.override_location)
 
 
+def _seconds(microseconds: int) -> str:
+    return f"{microseconds / MICROSECONDS_PER_SECOND:g}"
+
+
 def _templates(operation: Operation) -> list[str]:
     """Return the route below the path of each of its servers; servers that differ by host alone share one."""
     if operation.kind is not OperationKind.HTTP:
