--- a/tests/descriptions/test_section.py
+++ b/tests/descriptions/test_descriptions_section.py
@@ -17,7 +17,7 @@
 from wheatstile.descriptions.section import DescriptionsSection
 from wheatstile.interface import Idempotency
 from wheatstile.net.decision_loop import DecisionLoop
-from wheatstile.resolvers.files import write_atomic
+from wheatstile.resolvers.atomic_write import write_atomic
 
 SERVERS_PER_ZONE = 12  # a server that resets is not tried again for a while
 CLIENT_DEADLINE_MS = 2000
@@ -133,7 +133,7 @@
         self.check_retries_of_every_class()
         assert self.node
         self.node.send_signal(signal.SIGHUP)  # the platform's settings are read again, and tightened again
-        self.logged("reloaded")
+        self.logged("config_reloaded")
         self.check_retries_of_every_class()
         self.operator.write_text("{}")
         self.node.send_signal(signal.SIGHUP)
--- a/wheatstile/descriptions/document_folder.py
+++ b/wheatstile/descriptions/document_folder.py
@@ -8,7 +8,7 @@
 from wheatstile.descriptions.parsed_file import MAX_FILE_BYTES, ParsedFile
 from wheatstile.descriptions.parser import parse
 from wheatstile.descriptions.references import DocumentNode, DocumentStore
-from wheatstile.resolvers.files import open_regular, snapshot
+from wheatstile.resolvers.regular_file import open_regular, snapshot
 
 MAX_FILES = 1000  # of all descriptions and what they refer to
 
--- a/wheatstile/descriptions/section.py
+++ b/wheatstile/descriptions/section.py
@@ -21,7 +21,7 @@
 )
 from wheatstile.interface import Settings
 from wheatstile.net.decision_loop import DecisionLoop
-from wheatstile.resolvers.notices import Notices
+from wheatstile.resolvers.file_watcher import FileWatcher
 
 log = structlog.get_logger()
 
@@ -102,7 +102,7 @@
 
     async def _watch(self, paths: list[Path], section: Descriptions) -> None:
         """Compile at each change, until cancelled."""
-        watchers = [Notices(path, section.recheck_s) for path in paths]
+        watchers = [FileWatcher(path, section.recheck_s) for path in paths]
         async with _running(watchers):
             while True:
                 for watcher in watchers:
@@ -153,7 +153,7 @@
 
 
 @asynccontextmanager
-async def _running(watchers: Sequence[Notices]) -> AsyncIterator[None]:
+async def _running(watchers: Sequence[FileWatcher]) -> AsyncIterator[None]:
     """Run the watchers in tasks. One that fails ends alone: the files are also polled."""
     tasks = [asyncio.create_task(watcher.run()) for watcher in watchers]
     try:
@@ -164,7 +164,7 @@
         await asyncio.wait(tasks)
 
 
-async def _wait_for_change(watchers: Sequence[Notices], timeout_s: float) -> None:
+async def _wait_for_change(watchers: Sequence[FileWatcher], timeout_s: float) -> None:
     """Wait until one of the watchers reports a change, at most for the time given."""
     waits = [asyncio.create_task(watcher.changed.wait()) for watcher in watchers]
     try:
--- a/wheatstile/descriptions/worker_protocol.py
+++ b/wheatstile/descriptions/worker_protocol.py
@@ -92,7 +92,7 @@
 
 def class_settings(config: Config) -> dict[str, ClassSettings]:
     """Return what the platform's configuration says of each class, by name."""
-    deadlines_ms = config.channels.deadlines
+    deadlines_ms = config.client_limits.deadlines_ms
     return {
         name: ClassSettings(
             service_class.idempotency,
