--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -67,7 +67,7 @@
     assert run("servers", "publish", "new.json", "live.json")[0] == 1  # its generation goes back
     assert run("servers", "seal", "new.json")[0] == 0
     assert run("servers", "accept", "new.json")[0] == 0
-    told = {"id": "link-1", "host_port": "127.0.0.1:9001", "locality": "home", "phase": "draining"}
+    told = {"id": "link-1", "host_port": "127.0.0.1:9001", "locality": "home", "phase": "shutdown_started"}
     Path("told.json").write_text(json.dumps({"revision": 1, "complete": True, "members": [told]}))
     explained = ("servers", "explain", "new.json", "--discovery", "told.json")
     assert "discovery holds: discovery answers" in run(*explained)[1]
--- /dev/null
+++ b/tests/net/test_client_floods.py
@@ -0,0 +1,53 @@
+"""Clients that send much at once."""
+
+from typing import Any
+
+import pytest
+from support.balancer import SLOW_CONNECT, Balancer
+
+FLOOD = 1000  # lines that a client sends at once
+
+
+@pytest.fixture
+def settings() -> dict[str, Any]:
+    return SLOW_CONNECT
+
+
+@pytest.mark.parametrize("command", ["PING", "STATS", "OPEN 0000000000000001 key1 c=web,d=9000,g=abc"])
+@pytest.mark.parametrize("first", ["", "OPEN 0000000000000001 key1 c=web,d=9000,g=abc"])
+def test_flood_of_commands_in_one_turn_gets_one_answer_and_is_not_forwarded(
+    balancer: Balancer, first: str, command: str
+) -> None:
+    """A client waits after its first line; whoever sends more has broken the protocol."""
+    balancer.start()
+    client = balancer.client()
+    with balancer.paused():
+        client.send(*filter(None, [first]), *[command] * FLOOD)
+    assert client.lines_to_the_end() == ["ERR"]
+    assert balancer.check_serving(2)["attempt_established"] == 1
+
+
+def test_flood_of_commands_during_an_attempt_ends_it(balancer: Balancer) -> None:
+    """The attempt's answer comes in the same turn: one final answer all the same."""
+    balancer.start()
+    client = balancer.open(1)
+    server, _ = balancer.server.accept_session()
+    with balancer.paused():
+        client.send(*["PING"] * FLOOD)
+        server.send("UP r")
+    assert client.lines_to_the_end() == ["ERR"]
+    assert server.ends()
+    balancer.check_serving(2)
+
+
+def test_flood_of_lines_on_an_established_session_is_relayed_in_order(balancer: Balancer) -> None:
+    """Every line once, whole and unchanged, and the answers back, beside another client that is served."""
+    balancer.start()
+    client, server = balancer.establish(1)
+    lines = [f"PING {number}" for number in range(FLOOD)]
+    with balancer.paused():
+        client.send(*lines)
+    assert [server.line() for _ in lines] == lines
+    balancer.check_serving(2)
+    server.send(*lines)
+    assert [client.line() for _ in lines] == lines
--- /dev/null
+++ b/tests/net/test_repeat_window.py
@@ -0,0 +1,68 @@
+"""Repeats of requests with an idempotency key, within its window and after it."""
+
+import time
+from typing import Any
+
+import pytest
+from support.balancer import SLOW_CONNECT, Balancer, with_class
+
+WINDOW = 3_000_000  # microseconds: longer than the kernel takes to repeat a connection's first packet
+AFTER_THE_WINDOW = 3.2  # seconds
+
+
+@pytest.fixture
+def settings() -> dict[str, Any]:
+    return SLOW_CONNECT
+
+
+@pytest.mark.parametrize(("scope", "answer"), [("all", "BUSY"), ("zone", "ERR")])
+def test_keyed_request_that_fails_after_its_window_is_not_repeated(
+    balancer: Balancer, scope: str, answer: str
+) -> None:
+    """The failure is read once the servers have forgotten the key."""
+    balancer.settings = balancer.settings | with_class("dedup", scope, 300_000)
+    balancer.start()
+    client = balancer.open(1)
+    server, _ = balancer.server.accept_session()
+    with balancer.paused():
+        server.send("ERR")
+        time.sleep(0.35)
+    assert [line.split()[0] for line in client.lines_to_the_end()] == [answer]
+    assert not balancer.server.has_waiting()
+
+
+@pytest.mark.parametrize(("scope", "answer"), [("all", "BUSY"), ("zone", "ERR")])
+def test_keyed_repeat_that_connects_after_the_window_is_not_sent(
+    balancer: Balancer, scope: str, answer: str
+) -> None:
+    """It was decided on in time; what counts is when its first line would go out."""
+    balancer.settings = balancer.settings | with_class("dedup", scope, WINDOW)
+    balancer.start()
+    client = balancer.open(1)
+    first, _ = balancer.server.accept_session()
+    sent = time.monotonic()
+    ahead = balancer.server.fill_backlog()
+    first.send("ERR")
+    balancer.server.wait_for_connect()
+    with balancer.paused():
+        second = balancer.server.accept_waiting(ahead)
+        time.sleep(max(0.0, sent + AFTER_THE_WINDOW - time.monotonic()))
+    assert second.line() == ""
+    assert [line.split()[0] for line in client.lines_to_the_end()] == [answer]
+    assert not balancer.server.has_waiting()
+
+
+def test_keyed_repeat_that_connects_within_the_window_is_sent(balancer: Balancer) -> None:
+    """The same order of events in a window that is not over."""
+    balancer.settings = balancer.settings | with_class("dedup", "zone", 60_000_000)
+    balancer.start()
+    client = balancer.open(1)
+    first, _ = balancer.server.accept_session()
+    ahead = balancer.server.fill_backlog()
+    first.send("ERR")
+    balancer.server.wait_for_connect()
+    with balancer.paused():
+        second = balancer.server.accept_waiting(ahead)
+    assert second.line().startswith("OPEN 0000000000000001 ")
+    second.send("UP r2")
+    assert client.line() == "UP r2"
--- /dev/null
+++ b/tests/net/test_upstream_attempt.py
@@ -0,0 +1,113 @@
+"""Attempts whose connect is slow, or whose answer is broken."""
+
+import time
+from contextlib import suppress
+from typing import Any
+
+import pytest
+from support.balancer import SLOW_CONNECT, Balancer, with_class
+from support.peer import Listener
+
+
+@pytest.fixture
+def settings() -> dict[str, Any]:
+    return SLOW_CONNECT
+
+
+@pytest.mark.parametrize("reset", [False, True])
+@pytest.mark.parametrize("part", ["", "U", "UP r", "BUSY", "ERR\r"])
+def test_answer_that_breaks_off_is_a_failed_attempt_and_is_not_relayed(
+    balancer: Balancer, part: str, reset: bool
+) -> None:
+    """Without its line's end it is no answer; what may be repeated is, on a new connection."""
+    balancer.start()
+    client = balancer.open(1)
+    first, _ = balancer.server.accept_session()
+    first.sock.sendall(part.encode())
+    first.close(reset)
+    second, line = balancer.server.accept_session()
+    assert line.startswith("OPEN 0000000000000001 ")
+    second.send("UP r2")
+    assert client.line() == "UP r2"
+    second.close()
+    assert client.lines_to_the_end() == []
+
+
+@pytest.mark.parametrize("part", ["UP r", "BUSY"])
+def test_answer_that_breaks_off_is_not_repeated_where_it_may_have_run(balancer: Balancer, part: str) -> None:
+    """A class that may not be repeated fails: neither a second attempt nor `BUSY`, which invites one."""
+    balancer.settings = balancer.settings | with_class("fragile")
+    balancer.start()
+    client = balancer.open(1)
+    server, _ = balancer.server.accept_session()
+    server.sock.sendall(part.encode())
+    server.close()
+    assert client.lines_to_the_end() == ["ERR"]
+    assert not balancer.server.has_waiting()
+
+
+@pytest.mark.parametrize("answer", [b"UP " + b"r" * 100_000, b"UP r"], ids=["a flood", "half a line"])
+def test_answer_without_end_gives_way_to_the_next_attempt(balancer: Balancer, answer: bytes) -> None:
+    """Too long a line fails at once, half a line at the attempt's time; its connection is closed first."""
+    balancer.start()
+    client = balancer.open(1, wait=6000)
+    first, _ = balancer.server.accept_session()
+    with suppress(ConnectionError):  # closed while the flood still comes
+        first.sock.sendall(answer)
+    second, line = balancer.server.accept_session()
+    assert line.startswith("OPEN 0000000000000001 ")
+    assert first.ends()
+    second.send("UP r2")
+    assert client.line() == "UP r2"
+
+
+def test_endless_line_of_a_server_ends_the_session(balancer: Balancer) -> None:
+    """The line before it is passed on, and no part of the one that never ends."""
+    balancer.start()
+    client, server = balancer.establish(1)
+    with suppress(ConnectionError):
+        server.sock.sendall(b"whole\r\n" + b"x" * 100_000)
+    assert client.lines_to_the_end() == ["whole"]
+    assert server.ends()
+    balancer.check_serving(2)
+
+
+def test_slow_connect_is_used_with_the_remaining_time(
+    balancer: Balancer,
+) -> None:
+    """Where the settings allow so long to connect; the server is told no more than the client's rest."""
+    balancer.start()
+    ahead = balancer.server.fill_backlog()
+    begun = time.monotonic()
+    client = balancer.open(1, wait=9000)
+    balancer.server.wait_for_connect()
+    with balancer.paused():
+        server = balancer.server.accept_waiting(ahead)
+        time.sleep(max(0.0, begun + 1.5 - time.monotonic()))
+    line = server.line()
+    assert line.startswith("OPEN 0000000000000001 ")
+    wait = int(line.partition("d=")[2].partition(",")[0])
+    assert 0 < wait <= 9000 - 1500
+    server.send("UP r")
+    assert client.line() == "UP r"
+
+
+def test_connect_timeout_closes_the_attempt_before_the_next(
+    balancer: Balancer,
+) -> None:
+    """The settings allow 1 s to connect: never two attempts at once, and nothing comes up later."""
+    balancer.settings = balancer.settings | {"limits": SLOW_CONNECT["limits"] | {"dialTimeoutUs": 1_000_000}}
+    balancer.start()
+    watch, _ = balancer.discovery.watch()
+    watch.begin_watch()
+    ahead = balancer.server.fill_backlog()
+    other = Listener()
+    client = balancer.open(1)
+    balancer.server.wait_for_connect()
+    watch.chunk(2, balancer.member("s2", host_port=other.address))
+    server, line = other.accept_session()
+    assert line.startswith("OPEN 0000000000000001 ")
+    assert not balancer.server.is_connecting()
+    server.send("UP r")
+    assert client.line() == "UP r"
+    assert len(ahead) > 0  # they filled the queue until here
--- a/tests/resolvers/test_section.py
+++ b/tests/resolvers/test_section.py
@@ -166,7 +166,7 @@
         watch, _ = self.discovery.watch()
         watch.begin_watch()
         members = [self.member(name, host_port=self.fleet.addresses[name]) for name in ("s1", "s2")]
-        watch.chunk(2, members[0] | {"phase": "draining"}, members[1] | {"phase": "gone"})
+        watch.chunk(2, members[0] | {"phase": "shutdown_started"}, members[1] | {"phase": "gone"})
         deadline_s = time.monotonic() + PATIENCE
         while self.served_by(6) != {"s3"}:
             assert time.monotonic() < deadline_s
--- a/wheatstile/process/graceful_shutdown.py
+++ b/wheatstile/process/graceful_shutdown.py
@@ -9,7 +9,8 @@
 from dataclasses import dataclass
 
 from wheatstile.net.client_listener import ClientListener
-from wheatstile.net.line_stream import LINGER
+from wheatstile.net.graceful_shutdown import GracefulShutdown
+from wheatstile.net.line_stream import LINGER_S
 
 KILL_MARGIN_S = 0.7  # beside the longest deadline, from SIGTERM to SIGKILL at the earliest
 MAX_COUNTED_DEADLINE_S = 3.0  # a longer deadline is taken as this one
@@ -39,7 +40,7 @@
     """Serve on for a while, then migrate the clients one by one; new ones are still accepted."""
     schedule = ShutdownSchedule.for_deadline(longest_deadline_s)
     await asyncio.sleep(schedule.serve_s)
-    await client_listener.drain(schedule.migrate_s)
+    await GracefulShutdown(client_listener).migrate_sessions(schedule.migrate_s)
 
 
 async def answer_pending_clients(client_listener: ClientListener, listener: socket.socket) -> None:
@@ -48,5 +49,5 @@
     It has a time of its own, so that all get an answer however late it is.
     """
     with suppress(TimeoutError):
-        async with asyncio.timeout(LINGER):
-            await client_listener.close(listener)
+        async with asyncio.timeout(LINGER_S):
+            await GracefulShutdown(client_listener).close(listener)
