--- a/wheatstile/resolvers/approval.py
+++ b/wheatstile/resolvers/approval.py
@@ -9,12 +9,12 @@
 
 
 def approval_path(endpoint_file_path: Path) -> Path:
-    """The path of the approval file, beside the endpoint file that it approves."""
+    """Return the path of the approval file, beside the endpoint file that it approves."""
     return endpoint_file_path.with_name(f"{endpoint_file_path.name}.accept")
 
 
 def read_accepted_digests(endpoint_file_path: Path) -> frozenset[str]:
-    """The digests that an operator has accepted; none where the approval file is missing or unusable.
+    """Read the digests that an operator has accepted; none where the approval file is missing or unusable.
 
     May block: call it off the event loop.
     """
--- a/wheatstile/resolvers/atomic_write.py
+++ b/wheatstile/resolvers/atomic_write.py
@@ -20,6 +20,7 @@
 
     Raises:
         OSError: the file could not be replaced; the old one stays.
+
     """
     prefix = f".{path.name}."
     for leftover in path.parent.glob(f"{glob.escape(prefix)}*{TEMPORARY_SUFFIX}"):
--- a/wheatstile/resolvers/discovery_state.py
+++ b/wheatstile/resolvers/discovery_state.py
@@ -20,7 +20,7 @@
     steady_since_us: int | None = None  # reports have come without a failed call since then
 
     def copy(self) -> "DiscoveryState":
-        """A copy of the servers for a merge in another thread; it does not know when they were reported."""
+        """Copy the servers for a merge in another thread, without the times of their reports."""
         return DiscoveryState(self.listening_since_us, dict(self.endpoints), dict(self.gone))
 
     def apply_update(
@@ -32,6 +32,7 @@
 
         Returns:
             The servers that discovery wants no new connections for: those draining and those gone.
+
         """
         unavailable = []
         for name, resolved in update.items():
@@ -50,13 +51,13 @@
         return unavailable
 
     def record_report(self, now_us: int) -> None:
-        """Discovery has answered, be it only that nothing has changed."""
+        """Record that discovery has answered, be it only that nothing has changed."""
         self.last_report_at_us = now_us
         if self.steady_since_us is None:
             self.steady_since_us = now_us
 
     def record_failure(self) -> None:
-        """A call to discovery has failed or ended."""
+        """Record that a call to discovery has failed or ended."""
         self.steady_since_us = None
 
     def _remove(self, name: str, resolved: ResolvedEndpoint) -> ResolvedEndpoint:
--- a/wheatstile/resolvers/endpoint_file.py
+++ b/wheatstile/resolvers/endpoint_file.py
@@ -44,7 +44,7 @@
 
     @classmethod
     def from_settings(cls, servers: Servers) -> "EndpointFileRules":
-        """The limits that the operator's file states."""
+        """Take the limits from the operator's file."""
         return cls(
             networks=Networks(servers.networks),
             max_servers=servers.most,
@@ -67,7 +67,7 @@
     sealed: bool
 
     def ready_names(self) -> frozenset[str]:
-        """The names of the servers that may get new connections."""
+        """Return the names of the servers that may get new connections."""
         return frozenset(
             name
             for name, resolved in self.servers.items()
@@ -88,6 +88,7 @@
 
     Raises:
         ConfigurationError: with every violation and its place.
+
     """
     text, value = load(file, data, rules.max_bytes)
     if not isinstance(value, dict):
@@ -109,7 +110,7 @@
 def site_violations(
     endpoint_file: EndpointFile, sites: tuple[str, ...], rules: EndpointFileRules, named_by_file: bool = False
 ) -> list[Violation]:
-    """The sites that this file would leave with too few ready servers.
+    """Find the sites that this file would leave with too few ready servers.
 
     named_by_file: the sites are those that the file names, so that a violation points at the site's name.
     """
--- a/wheatstile/resolvers/endpoint_file_reader.py
+++ b/wheatstile/resolvers/endpoint_file_reader.py
@@ -58,6 +58,7 @@
         rules: the limits that the file has to keep to.
         settle_time_s: for how long an unsealed file has to stay unchanged.
         clock: seconds, monotonic.
+
     """
 
     def __init__(
--- a/wheatstile/resolvers/endpoint_merger.py
+++ b/wheatstile/resolvers/endpoint_merger.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Mapping
-from dataclasses import dataclass
 
 import structlog
 
@@ -13,8 +12,8 @@
 from wheatstile.resolvers import merge
 from wheatstile.resolvers.discovery_state import DiscoveryState
 from wheatstile.resolvers.endpoint_file import EndpointFile
-from wheatstile.resolvers.gc_pause import gc_paused
-from wheatstile.resolvers.merge import MergedEndpoint
+from wheatstile.resolvers.endpoint_publisher import EndpointPublisher
+from wheatstile.resolvers.merge import MergedEndpoint, MergeInput, MergeResult
 from wheatstile.resolvers.source_selection import (
     MICROSECONDS_PER_SECOND,
     EndpointSource,
@@ -32,32 +31,6 @@
 MIN_TIMER_DELAY_S = 0.001
 
 
-@dataclass(frozen=True, slots=True)
-class _MergeResult:
-    selection: SourceSelection
-    endpoints: dict[str, MergedEndpoint]
-    changes: list[ResolvedEndpoint]
-
-
-@dataclass(frozen=True, slots=True)
-class _MergeInput:
-    """All that a merge depends on. For a merge in a thread it holds copies."""
-
-    revision: int
-    now_us: int
-    selection: SourceSelection
-    discovery: DiscoveryState
-    file_endpoints: Mapping[str, ResolvedEndpoint]
-    previous: dict[str, MergedEndpoint]
-
-    def merge(self) -> _MergeResult:
-        endpoints = merge.merge_endpoints(
-            self.now_us, self.selection, self.discovery, self.file_endpoints, self.previous
-        )
-        changes = merge.changed_endpoints(self.previous, endpoints)
-        return _MergeResult(self.selection, endpoints, changes)
-
-
 class EndpointMerger:
     """Discovery's observer while an endpoint file is configured. Owns the merged list of servers.
 
@@ -68,6 +41,7 @@
     def __init__(self, decisions: DecisionLoop, upstreams: UpstreamPool, policy: MergePolicy) -> None:
         self.decisions = decisions
         self.upstreams = upstreams
+        self._publisher = EndpointPublisher(decisions, upstreams)
         self.policy = policy
         self.discovery = DiscoveryState(decisions.now())
         self.file_endpoints: Mapping[str, ResolvedEndpoint] = {}
@@ -112,13 +86,13 @@
         self._on_change()
 
     def on_keepalive(self) -> None:
-        """Discovery has answered that nothing has changed."""
+        """Note that discovery has answered that nothing has changed."""
         self.discovery.record_report(self.decisions.now())
         if self.selection and self.selection.source is EndpointSource.FILE:
             self._recheck_source()
 
     def on_failure(self) -> None:
-        """A call to discovery has ended."""
+        """Note that a call to discovery has ended."""
         self.discovery.record_failure()
 
     def close(self) -> None:
@@ -132,7 +106,7 @@
         self.file_endpoints = {}
         self.close()
         selection = SourceSelection(EndpointSource.DISCOVERY, "the file is switched off")
-        self._apply(self._merge_input(selection).merge())
+        self._apply(self._merge_input(selection).run())
 
     def _withdraw(self, withdrawn: list[ResolvedEndpoint]) -> None:
         for resolved in withdrawn:
@@ -141,8 +115,7 @@
                 del self.endpoints[name]
             else:
                 self.endpoints[name] = MergedEndpoint(resolved, merge.DRAINED_BY_DISCOVERY)
-        self._update_addresses(withdrawn)
-        self._dispatch(withdrawn)
+        self._publisher.publish(withdrawn)
 
     def _select_source(self) -> SourceSelection:
         has_file = bool(self.file_endpoints)
@@ -176,25 +149,13 @@
         if self._background_merge:
             return  # it sees the new revision
         if len(self.discovery.endpoints) + len(self.file_endpoints) <= MAX_ENDPOINTS_MERGED_ON_LOOP:
-            self._apply(self._merge_input(self._select_source()).merge())
+            self._apply(self._merge_input(self._select_source()).run())
         else:
             self._background_merge = asyncio.create_task(self._merge_in_background())
 
-    def _merge_input(self, selection: SourceSelection) -> _MergeInput:
-        now_us = self.decisions.now()
-        return _MergeInput(
-            self._revision, now_us, selection, self.discovery, self.file_endpoints, self.endpoints
-        )
-
-    def _copied_merge_input(self) -> _MergeInput:
-        now_us = self.decisions.now()
-        return _MergeInput(
-            self._revision,
-            now_us,
-            self._select_source(),
-            self.discovery.copy(),
-            self.file_endpoints,
-            dict(self.endpoints),
+    def _merge_input(self, selection: SourceSelection) -> MergeInput:
+        return MergeInput(
+            self.decisions.now(), selection, self.discovery, self.file_endpoints, self.endpoints
         )
 
     async def _merge_in_background(self) -> None:
@@ -207,27 +168,28 @@
                 if result:
                     self._apply(result, addresses_are_updated=True)
                 else:
-                    self._apply(self._merge_input(self._select_source()).merge())
+                    self._apply(self._merge_input(self._select_source()).run())
         except Exception:
             log.exception("endpoint_merge_failed")
         finally:
             # Here and not in a callback of the task: a change in between would be seen by neither.
             self._background_merge = None
 
-    async def _merge_in_thread(self) -> _MergeResult | None:
-        """The result for the present revision; None if each merge was overtaken by a change."""
+    async def _merge_in_thread(self) -> MergeResult | None:
+        """Merge the present revision in a thread; None if each merge was overtaken by a change."""
         for _ in range(MAX_THREAD_MERGES):
-            merge_input = self._copied_merge_input()
-            result = await asyncio.to_thread(merge_input.merge)
+            revision = self._revision
+            merge_input = self._merge_input(self._select_source()).copy()
+            result = await asyncio.to_thread(merge_input.run)
             # New addresses change no decision, so they may come in batches before the update itself.
             for start in range(0, len(result.changes), ADDRESS_BATCH_SIZE):
-                self._update_addresses(result.changes[start : start + ADDRESS_BATCH_SIZE])
+                self._publisher.update_addresses(result.changes[start : start + ADDRESS_BATCH_SIZE])
                 await asyncio.sleep(0)
-            if merge_input.revision == self._revision:
+            if revision == self._revision:
                 return result
         return None
 
-    def _apply(self, result: _MergeResult, addresses_are_updated: bool = False) -> None:
+    def _apply(self, result: MergeResult, addresses_are_updated: bool = False) -> None:
         previous = self.selection
         self.selection = result.selection
         self.endpoints = result.endpoints
@@ -235,11 +197,11 @@
             self._report_source(result)
         if result.changes:
             if not addresses_are_updated:
-                self._update_addresses(result.changes)
-            self._dispatch(result.changes)
+                self._publisher.update_addresses(result.changes)
+            self._publisher.dispatch(result.changes)
         self._schedule_recheck(result.selection)
 
-    def _report_source(self, result: _MergeResult) -> None:
+    def _report_source(self, result: MergeResult) -> None:
         self.decisions.counters[f"endpoint_source_{result.selection.source}_selected"] += 1
         log.info(
             "endpoint_source_selected",
@@ -248,16 +210,3 @@
             ready=len(merge.ready_names(result.endpoints)),
             changed=len(result.changes),
         )
-
-    def _update_addresses(self, changes: list[ResolvedEndpoint]) -> None:
-        self.upstreams.update([resolved for resolved in changes if resolved.address], False)
-
-    def _dispatch(self, changes: list[ResolvedEndpoint]) -> None:
-        """Send all changes to the decision module as one update, then forget the gone servers."""
-        endpoints = [resolved.endpoint for resolved in changes]
-        with gc_paused():
-            self.decisions.dispatch(api.EndpointUpdate(api.EndpointUpdateKind.DELTA, endpoints))
-        gone = [resolved for resolved in changes if resolved.address is None]
-        if gone:
-            self.upstreams.update(gone, False)
-        log.debug("endpoint_update_dispatched", changed=len(changes), gone=len(gone))
--- a/wheatstile/resolvers/endpoint_rows.py
+++ b/wheatstile/resolvers/endpoint_rows.py
@@ -38,7 +38,7 @@
     started: Annotated[int, Meta(ge=0, le=1 << 53)] | None = None  # Unix time in milliseconds
 
     def resolve(self, address: Address) -> ResolvedEndpoint:
-        """The endpoint that this row states, at its parsed address."""
+        """Return the endpoint that this row states, at its parsed address."""
         endpoint = api.Endpoint(
             name=self.id,
             state=api.EndpointState(self.state),
@@ -66,7 +66,7 @@
 
 
 def parse_address(text: str, networks: Networks) -> Address:
-    """HOST:PORT with an IPv4 literal that lies in these networks. Raises ValueError with the reason."""
+    """Parse HOST:PORT with an IPv4 literal in these networks. Raises ValueError with the reason."""
     match = _match_address(text)
     if match is None:
         if text.startswith("["):
@@ -145,7 +145,7 @@
         return address
 
     def weight_ratio_violations(self) -> Iterator[Violation]:
-        """The weights that are too large beside the smallest one."""
+        """Find the weights that are too large beside the smallest one."""
         smallest = min((weight for weight, _ in self._weights), default=1.0)
         for weight, index in self._weights:
             if weight > MAX_WEIGHT_RATIO * smallest > 0:
--- a/wheatstile/resolvers/file_watcher.py
+++ b/wheatstile/resolvers/file_watcher.py
@@ -26,18 +26,18 @@
     names: frozenset[str]  # of the entries in these folders that matter
 
     def concerns(self, _change: Change, path: str) -> bool:
-        """Whether a change of this path matters: a filter for `watchfiles.awatch`."""
+        """Return whether a change of this path matters: a filter for `watchfiles.awatch`."""
         return os.path.basename(path) in self.names
 
 
 def watched_paths(path: Path) -> WatchedPaths:
-    """The folders and names to watch for a path that may lead through symbolic links. May block."""
+    """Find what to watch for a path that may lead through symbolic links. May block."""
     folders: set[str] = set()
     names: set[str] = set()
     current: Path | None = Path(os.path.abspath(path))
-    links_left = MAX_SYMBOLIC_LINKS
-    while current and links_left:
-        links_left -= 1
+    remaining_links = MAX_SYMBOLIC_LINKS
+    while current and remaining_links:
+        remaining_links -= 1
         link = _first_link(current)
         for entry in (current, link):
             if entry:
@@ -48,12 +48,12 @@
 
 
 def _first_link(path: Path) -> Path | None:
-    """The symbolic link nearest to the end of the path: the path itself or one of its parents."""
+    """Return the symbolic link nearest to the end of the path: the path itself or a parent."""
     return next((part for part in (path, *path.parents) if part.is_symlink()), None)
 
 
 def _follow(link: Path, path: Path) -> Path:
-    """The path with this link, which is the path itself or a parent, replaced by its target."""
+    """Return the path with this link, which is the path itself or a parent, replaced by its target."""
     target = link.parent / os.readlink(link)
     return target if link == path else target / path.relative_to(link)
 
--- a/wheatstile/resolvers/last_known_good.py
+++ b/wheatstile/resolvers/last_known_good.py
@@ -33,7 +33,7 @@
 
     @classmethod
     def from_endpoint(cls, resolved: ResolvedEndpoint) -> "StoredServer":
-        """The stored form of a server with an address. Raises ValueError where it has none."""
+        """Take the stored form of a server with an address. Raises ValueError where it has none."""
         if resolved.address is None:
             raise ValueError(f"server {resolved.endpoint.name} has no address")
         host, port = resolved.address
@@ -85,10 +85,11 @@
 
 
 def restore(folder: Path, rules: EndpointFileRules) -> LastKnownGood | None:
-    """The stored file, checked by the rules of today; None if there is none.
+    """Read the stored file and check it by the rules of today; None if there is none.
 
     Raises:
         ConfigurationError: it is damaged, or does not keep to the rules.
+
     """
     path = folder / FILE_NAME
     if not path.exists():
--- a/wheatstile/resolvers/merge.py
+++ b/wheatstile/resolvers/merge.py
@@ -36,6 +36,37 @@
         return self.resolved.endpoint.state == api.EndpointState.READY
 
 
+@dataclass(frozen=True, slots=True)
+class MergeResult:
+    """A merged list, and what differs from the one before."""
+
+    selection: SourceSelection
+    endpoints: dict[str, MergedEndpoint]  # by name
+    changes: list[ResolvedEndpoint]
+
+
+@dataclass(frozen=True, slots=True)
+class MergeInput:
+    """All that a merge depends on."""
+
+    now_us: int
+    selection: SourceSelection
+    discovery: DiscoveryState
+    file_endpoints: Mapping[str, ResolvedEndpoint]  # never changed in place
+    previous: dict[str, MergedEndpoint]
+
+    def copy(self) -> "MergeInput":
+        """Copy what may change during a merge in another thread."""
+        return replace(self, discovery=self.discovery.copy(), previous=dict(self.previous))
+
+    def run(self) -> MergeResult:
+        """Merge, and compare with the previous list."""
+        endpoints = merge_endpoints(
+            self.now_us, self.selection, self.discovery, self.file_endpoints, self.previous
+        )
+        return MergeResult(self.selection, endpoints, changed_endpoints(self.previous, endpoints))
+
+
 def merge_endpoints(
     now_us: int,
     selection: SourceSelection,
@@ -43,7 +74,7 @@
     file_endpoints: Mapping[str, ResolvedEndpoint],
     previous: Mapping[str, MergedEndpoint],
 ) -> dict[str, MergedEndpoint]:
-    """The servers in force, by name.
+    """Return the servers in force, by name.
 
     Servers in `previous`, the last result, that no source names any more are retired: listed as draining for
     RETIREMENT_US, unless discovery reported them gone.
@@ -68,7 +99,7 @@
 def _merge_file_endpoint(
     from_file: ResolvedEndpoint, from_discovery: ResolvedEndpoint | None
 ) -> MergedEndpoint:
-    """The file decides on weight and address, discovery on draining, and the later start counts.
+    """Combine both: the file decides on weight and address, discovery on draining, the later start counts.
 
     A server that started within the slow-start time is protected whichever source reports the start.
     """
@@ -89,7 +120,7 @@
 
 
 def _retire(now_us: int, endpoint: MergedEndpoint, source: EndpointSource) -> MergedEndpoint:
-    """The endpoint as draining; one that has been retired before stays as it is."""
+    """Return the endpoint as draining; one that has been retired before stays as it is."""
     if endpoint.retired_until_us:
         return endpoint
     draining = replace(endpoint.resolved.endpoint, state=api.EndpointState.DRAINING)
@@ -103,7 +134,7 @@
 def changed_endpoints(
     before: Mapping[str, MergedEndpoint], after: Mapping[str, MergedEndpoint]
 ) -> list[ResolvedEndpoint]:
-    """What differs between two merges, as a delta update states it: new, changed and gone servers."""
+    """Return what differs between two merges, as a delta: new, changed and gone servers."""
     changes = [
         endpoint.resolved
         for name, endpoint in after.items()
@@ -118,7 +149,7 @@
 def withdrawn_endpoints(
     merged: Mapping[str, MergedEndpoint], unavailable: Iterable[ResolvedEndpoint]
 ) -> list[ResolvedEndpoint]:
-    """The servers in force that have to change at once, as discovery reports them draining or gone."""
+    """Return the servers in force that must change at once: discovery reports them draining or gone."""
     withdrawn = []
     for reported in unavailable:
         endpoint = merged.get(reported.endpoint.name)
@@ -132,11 +163,11 @@
 
 
 def ready_names(merged: Mapping[str, MergedEndpoint]) -> frozenset[str]:
-    """The names of the servers that may get new connections."""
+    """Return the names of the servers that may get new connections."""
     return frozenset(name for name, endpoint in merged.items() if endpoint.is_ready)
 
 
 def served_sites(merged: Mapping[str, MergedEndpoint]) -> tuple[str, ...]:
-    """The sites with a ready server, sorted by name; servers without a site are left out."""
+    """Return the sites with a ready server, sorted by name, without the empty name."""
     sites = {endpoint.resolved.endpoint.zone for endpoint in merged.values() if endpoint.is_ready}
     return tuple(sorted(sites - {""}))
--- a/wheatstile/resolvers/problem_reporter.py
+++ b/wheatstile/resolvers/problem_reporter.py
@@ -18,6 +18,7 @@
     Args:
         counters: the process's counters, by the name of the log event.
         clock: seconds, monotonic.
+
     """
 
     def __init__(self, counters: Counter[str], clock: Callable[[], float] = time.monotonic) -> None:
@@ -27,11 +28,11 @@
         self._last_logged_at_s = 0.0
 
     def reset(self) -> None:
-        """The file is in order: whatever comes next is new."""
+        """Forget the last problem, as the file is in order: whatever comes next is new."""
         self._last_problem = ()
 
     def report_rejected(self, reasons: Sequence[str], digest: str | None = None) -> None:
-        """The file cannot be used. The digest is known where its content is valid in itself."""
+        """Report that the file cannot be used; the digest is known where its content is valid in itself."""
         if self._is_due("endpoint_file_rejected", reasons):
             known_digest = {"digest": digest} if digest else {}
             log.warning(
@@ -39,12 +40,12 @@
             )
 
     def report_unreadable(self, reasons: Sequence[str]) -> None:
-        """The file is missing, is no regular file, or cannot be read."""
+        """Report that the file is missing, is no regular file, or cannot be read."""
         if self._is_due("endpoint_file_unreadable", reasons):
             log.warning("endpoint_file_unreadable", reasons=_shown(reasons), violations=len(reasons))
 
     def report_approval_required(self, reasons: Sequence[str], digest: str) -> None:
-        """The file removes too many servers to be accepted without approval."""
+        """Report that the file removes too many servers to be accepted without approval."""
         if self._is_due("endpoint_file_approval_required", reasons):
             log.warning(
                 "endpoint_file_approval_required",
@@ -54,7 +55,7 @@
             )
 
     def _is_due(self, event: str, reasons: Sequence[str]) -> bool:
-        """Count the problem; whether it has to be logged now."""
+        """Count the problem, and return whether it has to be logged now."""
         self._counters[event] += 1
         now_s = self._clock()
         problem = (event, *reasons)
--- a/wheatstile/resolvers/regular_file.py
+++ b/wheatstile/resolvers/regular_file.py
@@ -34,8 +34,8 @@
     modified_at_ns: int
 
     @classmethod
-    def of(cls, descriptor: int) -> "FileSignature":
-        """The signature of an open file. Raises OSError."""
+    def from_descriptor(cls, descriptor: int) -> "FileSignature":
+        """Take the signature of an open file. Raises OSError."""
         status = os.fstat(descriptor)
         return cls(status.st_dev, status.st_ino, status.st_size, status.st_mtime_ns)
 
@@ -62,6 +62,7 @@
 
     Raises:
         OSError: it cannot be opened, or is no regular file.
+
     """
     # Without O_NONBLOCK a FIFO in the file's place would stop the reader until somebody writes to it.
     descriptor = os.open(path, os.O_RDONLY | os.O_NONBLOCK | os.O_CLOEXEC | os.O_NOCTTY)
@@ -74,7 +75,7 @@
 
 @contextmanager
 def opened_regular(path: Path) -> Iterator[int]:
-    """The descriptor of a regular file that is closed with the block. Raises OSError."""
+    """Open a regular file for the block. Raises OSError."""
     descriptor = open_regular(path)
     try:
         yield descriptor
@@ -84,7 +85,7 @@
 
 def snapshot(descriptor: int, max_bytes: int) -> Snapshot:
     """Read an open file from its start: one byte more than max_bytes at most. Raises OSError."""
-    before = FileSignature.of(descriptor)
+    before = FileSignature.from_descriptor(descriptor)
     limit = max_bytes + 1
     parts = []
     offset = 0
@@ -92,13 +93,13 @@
         parts.append(part)
         offset += len(part)
     data = b"".join(parts)
-    after = FileSignature.of(descriptor)
+    after = FileSignature.from_descriptor(descriptor)
     torn = before != after or len(data) != min(after.size, limit)
     return Snapshot(data, after, xxhash.xxh3_128_digest(data), torn)
 
 
 def read_all(path: Path, max_bytes: int) -> bytes:
-    """A regular file's bytes, one more than max_bytes at most. Raises ConfigurationError."""
+    """Read a regular file, one byte more than max_bytes at most. Raises ConfigurationError."""
     try:
         with opened_regular(path) as descriptor:
             return snapshot(descriptor, max_bytes).data
--- a/wheatstile/resolvers/source.py
+++ b/wheatstile/resolvers/source.py
@@ -110,7 +110,7 @@
                 await watcher.changed.wait()
 
     async def _handle(self, result: ReadResult) -> float:
-        """Act on what was read; the seconds until the next poll, unless a change is noticed before."""
+        """Act on what was read; return the seconds until the next poll, if no change is noticed before."""
         if result.outcome is ReadOutcome.UNSETTLED:
             return result.retry_after_s
         if result.endpoint_file:
@@ -157,7 +157,7 @@
         self._pending = evaluation.pending
 
     def _active_endpoints(self) -> ActiveEndpoints:
-        """What the next file is compared with."""
+        """Return what the next file is compared with."""
         if self.active_file:
             return ActiveEndpoints.from_file(self.active_file)
         merged = self.merger.endpoints
--- a/wheatstile/resolvers/source_selection.py
+++ b/wheatstile/resolvers/source_selection.py
@@ -43,7 +43,7 @@
 
     @classmethod
     def from_settings(cls, servers: Servers) -> "MergePolicy":
-        """The policy in the operator's `servers` section."""
+        """Take the policy from the operator's `servers` section."""
         return cls(
             MergeMode(servers.mode),
             int(servers.after_s * MICROSECONDS_PER_SECOND),
@@ -62,10 +62,11 @@
 
 
 def required_recovery_us(losses: int, policy: MergePolicy) -> int:
-    """How long discovery must answer before it takes over: not at all after one loss, then doubling."""
-    if losses < 2:
+    """Return how long discovery must answer to take over: not at all after one loss, then doubling."""
+    if losses <= 1:
         return 0
-    return min(1 << (losses - 2), MAX_RECOVERY_FACTOR) * policy.recovery_delay_us
+    doublings = losses - 2
+    return min(1 << doublings, MAX_RECOVERY_FACTOR) * policy.recovery_delay_us
 
 
 def select_source(
@@ -75,7 +76,7 @@
     has_file: bool,
     previous: SourceSelection | None,
 ) -> SourceSelection:
-    """The source in force from now on, given the previous selection (None: there has been none)."""
+    """Select the source in force from now on, given the previous selection (None: none yet)."""
     losses = _recent_losses(now_us, policy, previous)
     if not has_file:
         return SourceSelection(EndpointSource.DISCOVERY, "no file has been taken yet", None, losses)
@@ -100,7 +101,7 @@
 def _select_after_discovery(
     now_us: int, policy: MergePolicy, discovery: DiscoveryState, losses: tuple[int, ...]
 ) -> SourceSelection:
-    """The fallback mode's selection while discovery is in force."""
+    """Select in fallback mode while discovery is in force."""
     last_report_at_us = discovery.last_report_at_us
     if last_report_at_us is None and not discovery.endpoints:
         return SourceSelection(EndpointSource.FILE, "discovery has never told anything", None, losses)
@@ -117,7 +118,7 @@
 def _select_after_file(
     now_us: int, policy: MergePolicy, discovery: DiscoveryState, reason: str, losses: tuple[int, ...]
 ) -> SourceSelection:
-    """The fallback mode's selection while the file is in force, which it is for this reason."""
+    """Select in fallback mode while the file is in force, which it is for this reason."""
     steady_since_us = discovery.steady_since_us
     last_report_at_us = discovery.last_report_at_us
     if steady_since_us is None or last_report_at_us is None:
--- a/wheatstile/resolvers/update_guard.py
+++ b/wheatstile/resolvers/update_guard.py
@@ -20,7 +20,7 @@
 
     @classmethod
     def from_file(cls, endpoint_file: EndpointFile) -> "ActiveEndpoints":
-        """The endpoints of a file in force: its sites are those that it names, else those that it serves."""
+        """Take the endpoints of a file in force: its sites are those it names, else those it serves."""
         served_sites = {
             resolved.endpoint.zone
             for resolved in endpoint_file.servers.values()
@@ -75,46 +75,50 @@
         candidate: the new file.
         active: what it would replace.
         pending: the file that has awaited approval so far, if any.
-        accepted_digests: digests that an operator has accepted by name. They approve the removal of servers
-            and nothing else.
+        accepted_digests: accepted by an operator; they approve the removal of servers and nothing else.
         rules: the operator's limits.
+
     """
     if active.endpoint_file and active.endpoint_file.digest == candidate.digest:
         reasons = ("the list in force says the same",)
         return Evaluation(EvaluationOutcome.UNCHANGED, reasons, pending)
-    violations = _generation_violations(candidate, active.endpoint_file)
-    if candidate.sites is None:
-        violations += [violation.reason for violation in site_violations(candidate, active.sites, rules)]
+    violations = _violations(candidate, active, rules)
     if violations:
         return Evaluation(EvaluationOutcome.REJECTED, tuple(violations), pending)
     removed = active.ready - candidate.ready_names()
     if len(removed) <= rules.max_removed_share * len(active.ready):
         return Evaluation(EvaluationOutcome.ACCEPTED)
     change = f"takes {len(removed)} of {len(active.ready)} ready servers away"
-    return _evaluate_large_removal(candidate, removed, change, pending, accepted_digests, rules)
+    removal = PendingApproval(candidate.digest, candidate.generation, removed)
+    return _evaluate_large_removal(removal, change, pending, accepted_digests, rules)
 
 
 def _evaluate_large_removal(
-    candidate: EndpointFile,
-    removed: frozenset[str],
+    removal: PendingApproval,
     change: str,
     pending: PendingApproval | None,
     accepted_digests: frozenset[str],
     rules: EndpointFileRules,
 ) -> Evaluation:
-    if candidate.digest in accepted_digests:
+    if removal.digest in accepted_digests:
         return Evaluation(EvaluationOutcome.ACCEPTED, (f"{change}, as accepted",))
-    if pending and _confirms(candidate, removed, pending):
+    if pending and _confirms(removal, pending):
         reason = f"{change}, as generation {pending.generation} did before it"
         return Evaluation(EvaluationOutcome.ACCEPTED, (reason,))
-    if pending and pending.digest == candidate.digest:
+    if pending and pending.digest == removal.digest:
         return Evaluation(EvaluationOutcome.AWAITING_APPROVAL, (f"{change}; still held",), pending)
     reason = (
         f"{change}, more than servers.most_removed ({rules.max_removed_share:g}) allows: held until a newer "
-        f"generation repeats it or `wheatstile servers accept` names {candidate.digest}"
+        f"generation repeats it or `wheatstile servers accept` names {removal.digest}"
     )
-    pending = PendingApproval(candidate.digest, candidate.generation, removed)
-    return Evaluation(EvaluationOutcome.AWAITING_APPROVAL, (reason,), pending)
+    return Evaluation(EvaluationOutcome.AWAITING_APPROVAL, (reason,), removal)
+
+
+def _violations(candidate: EndpointFile, active: ActiveEndpoints, rules: EndpointFileRules) -> list[str]:
+    violations = _generation_violations(candidate, active.endpoint_file)
+    if candidate.sites is None:  # else its own sites were checked when it was parsed
+        violations += [violation.reason for violation in site_violations(candidate, active.sites, rules)]
+    return violations
 
 
 def _generation_violations(candidate: EndpointFile, active: EndpointFile | None) -> list[str]:
@@ -129,8 +133,8 @@
     return []
 
 
-def _confirms(candidate: EndpointFile, removed: frozenset[str], pending: PendingApproval) -> bool:
+def _confirms(removal: PendingApproval, pending: PendingApproval) -> bool:
     """Whether a newer generation removes servers that the pending one did, and no others."""
-    if candidate.generation is None or pending.generation is None:
+    if removal.generation is None or pending.generation is None:
         return False
-    return candidate.generation > pending.generation and removed <= pending.removed
+    return removal.generation > pending.generation and removal.removed <= pending.removed
