Reject integers without a canonical form, and weights of 1e300 and more, with their place

A weight from 1e300 on was not compared with the smallest one at all. Change: such integers are violations at their own pointer and line; every finite weight is compared.

--- a/wheatstile/resolvers/endpoint_rows.py
+++ b/wheatstile/resolvers/endpoint_rows.py
@@ -1,6 +1,7 @@
 """The servers of an endpoint file, row by row: endpoints, or every violation. Pure: no input or output."""
 
 import re
+import sys
 from collections.abc import Iterator
 from dataclasses import dataclass
 from math import inf
@@ -14,10 +15,9 @@
 from wheatstile.config.endpoints import ResolvedEndpoint
 from wheatstile.config.networks import Networks
 from wheatstile.config.violations import Violation, pointer
-from wheatstile.resolvers.canonical_json import JsonValue
+from wheatstile.resolvers.canonical_json import MAX_EXACT_INTEGER, JsonValue
 
 MAX_WEIGHT_RATIO = 1000.0  # between the largest weight and the smallest
-MAX_COMPARED_WEIGHT = 1e300  # a larger one is not compared: MAX_WEIGHT_RATIO times it may be infinite
 MAX_PORT = 65535
 MICROSECONDS_PER_MILLISECOND = 1000
 
@@ -100,6 +100,7 @@
             return
         self._check_id(index, row.id)
         self._check_weight(index, row.weight)
+        self._check_integers(index, value)
         address = self._check_address(index, row.address)
         if address:
             self.endpoints[row.id] = row.resolve(address)
@@ -130,8 +131,15 @@
     def _check_weight(self, index: int, weight: float) -> None:
         if not 0 < weight < inf:
             self._report(index, "weight", f"{weight} is no finite number over 0")
-        elif weight < MAX_COMPARED_WEIGHT:
-            self._weights.append((weight, index))
+        elif weight <= sys.float_info.max:  # an integer may be larger, where the row's form is wrong anyhow
+            self._weights.append((float(weight), index))
+
+    def _check_integers(self, index: int, row: JsonValue) -> None:
+        """Report integers that have no canonical form, so that the file could not be sealed."""
+        members = row.items() if isinstance(row, dict) else ()
+        for key, value in members:
+            if isinstance(value, int) and abs(value) > MAX_EXACT_INTEGER:
+                self._report(index, key, f"{value} is over {MAX_EXACT_INTEGER}, the largest exact integer")
 
     def _check_address(self, index: int, text: str) -> Address | None:
         try:
