--- a/wheatstile/net/client_listener.py
+++ b/wheatstile/net/client_listener.py
@@ -10,9 +10,10 @@
 import structlog
 
 from wheatstile import interface as api
-from wheatstile.config.platform import ChannelLimits
+from wheatstile.config.platform import ClientLimits
 from wheatstile.net.client_connection import DRAIN, SILENT, STAY_AWAY, ClientConnection
 from wheatstile.net.decision_loop import DecisionLoop
+from wheatstile.net.line_stream import LINE_LIMIT
 from wheatstile.net.open_request import OpenRequest
 from wheatstile.net.upstream_pool import UpstreamPool
 
@@ -29,7 +30,7 @@
 class ClientListener:
     """The front: owns the channels, each for its whole life."""
 
-    def __init__(self, decisions: DecisionLoop, upstreams: UpstreamPool, limits: ChannelLimits) -> None:
+    def __init__(self, decisions: DecisionLoop, upstreams: UpstreamPool, limits: ClientLimits) -> None:
         self.decisions, self.upstreams, self.limits = decisions, upstreams, limits
         self.channels: dict[asyncio.Task[None], ClientConnection] = {}
         self._unserved: dict[
@@ -52,7 +53,7 @@
 
     def longest(self, first: OpenRequest) -> int:
         """The milliseconds that this client waits at most."""
-        return min(first.wait, self.limits.deadlines[first.fields["c"]])
+        return min(first.wait, self.limits.deadlines_ms[first.fields["c"]])
 
     def admit(self, channel: ClientConnection) -> None:
         """A channel has asked for an RPC: from here on it is served, and safe from the crowd."""
@@ -76,16 +77,18 @@
         """End the oldest channel without an RPC when there are too many, however they fell silent.
 
         A usual client writes its first line at once and is soon served; the crowd may not take its place.
+        Nor may one that has written in this very turn be closed over what it wrote, unless all have.
         """
         most = max(self._left(), int(self.limits.descriptors * UNSERVED))
         if self._unserved and len(self._unserved) >= most:
-            channel = next(iter(self._unserved))
+            oldest = next(iter(self._unserved))
+            channel = next((it for it in self._unserved if not it.lines.unread()), oldest)
             self._unserved.pop(channel).cancel()
             self.decisions.counters["crowded out"] += 1
 
     def unavailable(self, milliseconds: int) -> bytes:
         """The unavailable status, with the time after which to come again, if the settings allow it."""
-        milliseconds = min(milliseconds, self.limits.most_advice)
+        milliseconds = min(milliseconds, self.limits.max_retry_after_ms)
         return b"BUSY %d\r\n" % milliseconds if milliseconds > 0 else b"BUSY\r\n"
 
     async def serve(self, listener: socket.socket) -> None:
@@ -125,6 +128,7 @@
         with sock, suppress(OSError):
             sock.setblocking(False)
             sock.send(self.unavailable(STAY_AWAY))
+            sock.recv(LINE_LIMIT)  # a close over an unread request would reset the connection
 
     def _refuse_one(self, listener: socket.socket) -> None:
         """With no descriptor left, a spare one is given up for as long as it takes to refuse one client.
--- a/wheatstile/resolvers/endpoint_file.py
+++ b/wheatstile/resolvers/endpoint_file.py
@@ -94,7 +94,7 @@
     if not isinstance(value, dict):
         raise ConfigurationError(file, [Violation("", "is no object", 1)])
     rows = _parse_servers(value.get("servers"), rules)
-    violations = [*shape.faults(value, FileHeader), *rows.violations]
+    violations = [*shape.find_violations(value, FileHeader), *rows.violations]
     if violations:
         raise _located_error(file, text, violations)
     endpoint_file = _build(value, rows)
--- a/wheatstile/store/member.py
+++ b/wheatstile/store/member.py
@@ -1,285 +1,230 @@
-"""One member of the store without its sockets: the Raft core, its disk, its state, and who waits for what.
+"""One member of the store without its sockets: Raft, storage, state machine, and the requests that wait.
 
-What comes up within one turn of the loop is carried out together, with one fsync for all (group commit).
+What comes up within one turn of the event loop is processed together, with one fsync for all (group commit).
 """
 
 from __future__ import annotations
 
 import asyncio
-import itertools
 import random
-import time
-import zlib
-from collections.abc import Callable
-from contextlib import suppress
-from dataclasses import dataclass
-from pathlib import Path
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
+from types import TracebackType
+from typing import Self
 
 import msgspec
 import structlog
 
-from wheatstile.store.disk import Disk
-from wheatstile.store.machine import Command, Machine, Result
-from wheatstile.store.messages import Entry, EntryKind, Message, NotLeader, Role
-from wheatstile.store.protocol import Status
-from wheatstile.store.raft import Node, Timing
+from wheatstile.store.applied_state import AppliedState
+from wheatstile.store.commands import Command, CommandResult
+from wheatstile.store.errors import NotLeaderError, StorageFailedError
+from wheatstile.store.member_config import MemberConfig
+from wheatstile.store.pending_reads import PendingReads
+from wheatstile.store.proposal_queue import ProposalQueue
+from wheatstile.store.protocol import MemberStatus
+from wheatstile.store.raft.messages import Message, Ready, Role
+from wheatstile.store.raft.node import RaftNode
+from wheatstile.store.raft_clock import TICK_MS, TICK_S, catch_up, now_ticks
+from wheatstile.store.storage import Storage
 
 log = structlog.get_logger()
 
-TICK = 0.05
-"""Seconds a tick lasts: an election time-out is 0.5 to 1 s, a heartbeat goes every 0.1 s."""
-CATCH_UP = 100
-"""Ticks made up for at most after a pause; a leader steps down within them, a follower asks for votes."""
-COMPACT_EVERY = 5_000
-"""Applied entries after which the log is compacted into a snapshot."""
-
-GROUP, GROUP_WAIT = 512, 0.005
-"""Commands that wait at most for those before them to be committed, and seconds."""
-
-
-class DiskFailed(Exception):
-    """What is on the disk is not known any more, so nothing may be said on the strength of it."""
-
-
-class Unknown(Exception):
-    """Whether the command is applied cannot be told any more."""
-
-
-@dataclass(frozen=True)
-class Place:
-    """Who this member is and where it keeps what it knows."""
-
-    name: str
-    voters: frozenset[str]
-    directory: Path
-    cluster: str = "wheatstile"
-    seed: int = 0
-    trace: bool = False  # prints what it does, for checkers over histories
-    compact_every: int = COMPACT_EVERY
-
 
 class Member:
-    """`send` takes a message for another member, and may drop it."""
-
-    def __init__(self, place: Place, send: Callable[[Message], None]) -> None:
-        self.place, self._send = place, send
-        self.disk = Disk(place.directory, place.cluster, place.name)
-        loaded = self.disk.loaded
-        if loaded.torn_bytes:
-            log.warning("a torn record is cut off", bytes=loaded.torn_bytes)
-        self.machine = Machine.load(loaded.snapshot.data if loaded.snapshot else b"")
-        draw = random.Random(f"{place.seed}:{place.name}").randrange
-        self.node = Node(place.name, place.voters, draw, Timing(), loaded.hard_state, loaded.snapshot,
-                         loaded.entries, ticks=self._now())
-        self.loop = asyncio.get_running_loop()
-        self.failed: asyncio.Future[None] = self.loop.create_future()
-        self.applied_one = asyncio.Event()  # of the next application, and then replaced
-        self._writes: dict[int, tuple[int, asyncio.Future[Result]]] = {}  # index -> (term, who waits)
-        self._queue: list[tuple[float, Command, asyncio.Future[Result]]] = []
-        self._proposed = 0  # the index of the last command taken from the queue
-        self._reads: dict[int, asyncio.Future[int]] = {}
-        # A read's number: not one of an earlier life of this member, whose answer may still come.
-        self._numbers = itertools.count(time.monotonic_ns())
-        self._kicked = False
-        self._leading = 0  # the term in which this member's commands are stamped
-        self._clock: tuple[int, int] = (0, 0)  # the committed clock when this term's began, and ours then
-        self._said = Role.FOLLOWER
-
-    @staticmethod
-    def _now() -> int:
-        return int(time.monotonic() / TICK)
-
-    # -- time -----------------------------------------------------------------------------------------------
-
-    def catch_up(self) -> None:
-        """Brings the core's ticks up to the clock: a process that was stopped has been away as long."""
-        now = self._now()
-        due = now - self.node.ticks
-        if due > CATCH_UP:
-            log.warning("a pause", seconds=round(due * TICK, 2))
-            self.node.ticks += due - CATCH_UP
-        while self.node.ticks < now:
-            self.node.tick()
+    """A running member; `close` releases its files, also at the end of a `with` statement.
+
+    `send` takes a message for another member, and may lose it. Needs a running event loop. Raises
+    `CorruptStorageError`, OSError.
+    """
+
+    def __init__(self, config: MemberConfig, send: Callable[[Message], None]) -> None:
+        self.config = config
+        self._send = send
+        self._loop = asyncio.get_running_loop()
+        self._storage = Storage(config.directory, config.cluster, config.name)
+        recovered = self._storage.recovered
+        if recovered.torn_bytes:
+            log.warning("store_torn_record_truncated", truncated_bytes=recovered.torn_bytes)
+        self.node = RaftNode(
+            config.name,
+            config.voters,
+            random.Random(f"{config.seed}:{config.name}").randrange,
+            hard_state=recovered.hard_state,
+            snapshot=recovered.snapshot,
+            entries=recovered.entries,
+            ticks=now_ticks(),
+        )
+        self.applied = AppliedState(self.node, recovered.snapshot, self._trace)
+        self._proposals = ProposalQueue(self.node, self.applied.clock_ms)
+        self._reads = PendingReads(self.node, self.schedule_flush)
+        self._failed: asyncio.Future[None] = self._loop.create_future()  # ends with StorageFailedError
+        self._is_flush_scheduled = False
+        self._last_logged_role = Role.FOLLOWER
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """Close the files."""
+        self._storage.close()
 
     async def run(self) -> None:
-        """Keeps time until the disk fails. Raises `DiskFailed`."""
-        while not self.failed.done():
-            self.catch_up()
-            self._end_keys()
-            self.kick()
-            await asyncio.wait([self.failed], timeout=TICK)
-        self.failed.result()
-
-    def clock_ms(self) -> int:
-        """The committed clock as this leader runs it; it stands while nobody leads."""
-        base, since = self._clock
-        if self._leading != self.node.term or self.node.role is not Role.LEADER:
-            return self.machine.now_ms
-        return max(self.machine.now_ms, base + (time.monotonic_ns() - since) // 1_000_000)
-
-    def _end_keys(self) -> None:
-        """Has the log carry the clock on where a key's time is up and nobody writes."""
-        end = self.machine.next_end()
-        if end is not None and self._leading == self.node.term and end <= self.clock_ms():
-            with suppress(NotLeader):
-                self.node.propose(msgspec.msgpack.encode(Command(now_ms=self.clock_ms())))
-
-    # -- what is asked of it --------------------------------------------------------------------------------
-
-    async def write(self, command: Command) -> Result:
-        """The command's result once it is committed and applied here. Raises `NotLeader`, `Unknown`."""
-        self.catch_up()
-        if self.node.role is not Role.LEADER:
-            raise NotLeader(self.node.leader)
-        future: asyncio.Future[Result] = self.loop.create_future()
-        self._queue.append((self.loop.time(), command, future))
-        self.kick()
-        return await future
-
-    def _propose_queued(self) -> None:
-        """Takes what waits into the log, all at once, when what was taken before is committed: the more there
-        is to do, the more goes by one fsync. Nothing waits longer than `GROUP_WAIT` and a tick."""
-        if not self._queue or (
-            self.node.commit < self._proposed and len(self._queue) < GROUP
-            and self.loop.time() - self._queue[0][0] < GROUP_WAIT
-        ):
-            return
-        queue, self._queue = self._queue, []
-        for _, command, future in queue:
-            if future.done():
-                continue  # its client's time is up, and nothing has been done
-            try:
-                stamped = msgspec.structs.replace(command, now_ms=self.clock_ms())
-                self._proposed = self.node.propose(msgspec.msgpack.encode(stamped))
-                self._writes[self._proposed] = (self.node.term, future)
-            except NotLeader as error:
-                future.set_exception(error)
-
-    async def current(self) -> None:
-        """Returns once what is applied here holds all that was committed before the call. Raises `NotLeader`
-        where nobody leads; without a quorum it does not return."""
-        self.catch_up()
-        number = next(self._numbers)
-        future: asyncio.Future[int] = self.loop.create_future()
-        self._reads[number] = future
-        try:
-            self.node.read(number)
-            self.kick()
-            index = await future
-        finally:
-            del self._reads[number]
-            self.node.forget(number)
-        while self.node.applied < index:
-            await self.applied_one.wait()
+        """Keep time until the storage fails. Raises `StorageFailedError`."""
+        while not self._failed.done():
+            catch_up(self.node)
+            self._propose_due_expiration()
+            self.schedule_flush()
+            await asyncio.wait([self._failed], timeout=TICK_S)
+        self._failed.result()
 
     @property
-    def age_ms(self) -> int:
-        """By how much, at the most, a read without asking anybody may be behind."""
-        self.catch_up()
-        return (self.node.age + 1) * int(TICK * 1000)
-
-    def status(self) -> Status:
-        node = self.node
-        return Status(node.name, node.role.value, node.leader or "", node.term, node.commit, node.applied,
-                      node.snap.index, sorted(node.config.voters), sorted(node.config.learners),
-                      bool(node.config.old), self.age_ms, self.clock_ms(), len(self.machine.keys),
-                      self.disk.syncs, self.place.cluster)
-
-    def step(self, msg: Message) -> None:
-        self.catch_up()
-        self.node.step(msg)
-        self.kick()
-
-    # -- carrying out ---------------------------------------------------------------------------------------
-
-    def kick(self) -> None:
-        if not self._kicked and not self.failed.done():
-            self._kicked = True
-            self.loop.call_soon(self._carry_out)
-
-    def _carry_out(self) -> None:
-        """One Ready, in the order that raft.py asks: persist, send, apply, answer reads."""
-        self._kicked = False
-        if self.failed.done():
+    def commit_age_ms(self) -> int:
+        """By how much, at the most, a read that asks no other member may be behind."""
+        catch_up(self.node)
+        return (self.node.commit_age_ticks + 1) * TICK_MS
+
+    def status(self) -> MemberStatus:
+        """Return what this member reports of itself."""
+        raft_log = self.node.log
+        configuration = raft_log.configuration
+        return MemberStatus(
+            name=self.config.name,
+            role=self.node.role,
+            leader=self.node.leader or "",
+            term=self.node.term,
+            commit_index=raft_log.commit_index,
+            applied_index=raft_log.applied_index,
+            snapshot_index=raft_log.snapshot.index,
+            voters=sorted(configuration.voters),
+            learners=sorted(configuration.learners),
+            is_changing_members=bool(configuration.outgoing_voters),
+            commit_age_ms=self.commit_age_ms,
+            clock_ms=self.applied.clock_ms(),
+            key_count=len(self.applied.state_machine.keys),
+            fsync_count=self._storage.fsync_count,
+            cluster=self.config.cluster,
+        )
+
+    async def write(self, command: Command) -> CommandResult:
+        """Return the command's result once it is committed and applied on this member.
+
+        Raises `NotLeaderError`, `OutcomeUnknownError`.
+        """
+        catch_up(self.node)
+        if self.node.role is not Role.LEADER:
+            raise NotLeaderError(self.node.leader)
+        result = self._proposals.submit(command)
+        self.schedule_flush()
+        return await result
+
+    async def wait_until_current(self) -> None:
+        """Return once all that was committed before the call is applied on this member (read index).
+
+        Raises `NotLeaderError` where nobody leads; without a quorum it does not return.
+        """
+        catch_up(self.node)
+        index = await self._reads.read_index()
+        await self.applied.wait_for(index)
+
+    async def change_members(self, voters: list[str], learners: list[str]) -> None:
+        """Return once these are the members. Raises `NotLeaderError`, `MembershipChangeRejectedError`."""
+        index = self.node.change_members(voters, learners)
+        self.schedule_flush()
+        await self.applied.wait_for(index)
+        while self.node.log.configuration.outgoing_voters:
+            await self.applied.next_application.wait()
+
+    def transfer_leadership(self, target: str) -> None:
+        """Begin to hand leadership to `target`. Raises `NotLeaderError`, `MembershipChangeRejectedError`."""
+        self.node.transfer_leadership(target)
+        self.schedule_flush()
+
+    def on_message(self, message: Message) -> None:
+        """Handle a message from another member."""
+        catch_up(self.node)
+        self.node.step(message)
+        self.schedule_flush()
+
+    def _propose_due_expiration(self) -> None:
+        """Carry the committed clock on where a key expires and nobody writes."""
+        if self.applied.is_expiration_due():
+            command = Command(clock_ms=self.applied.clock_ms())
+            with suppress(NotLeaderError):
+                self.node.propose(msgspec.msgpack.encode(command))
+
+    def schedule_flush(self) -> None:
+        """Process Raft's `Ready` in the next turn of the event loop."""
+        if not self._is_flush_scheduled and not self._failed.done():
+            self._is_flush_scheduled = True
+            self._loop.call_soon(self._flush)
+
+    def _flush(self) -> None:
+        """Process one `Ready` in the order of its fields, unless the storage fails."""
+        self._is_flush_scheduled = False
+        if self._failed.done():
             return
-        self._propose_queued()
+        self._proposals.propose_due()
         ready = self.node.ready()
-        if ready.empty():
+        if ready.is_empty():
             return
+        with self._fail_on_storage_error():
+            self._persist(ready)
+        if self._failed.done():
+            return
+        self._process_persisted(ready)
+        if self.applied.index - self.node.log.snapshot.index >= self.config.compact_every:
+            with self._fail_on_storage_error():
+                self._compact()
+
+    @contextmanager
+    def _fail_on_storage_error(self) -> Iterator[None]:
         try:
-            if ready.snapshot is not None:
-                self.disk.compact(ready.snapshot, self.node.hard_state, list(self.node.log))
-            else:
-                self.disk.save(ready.hard_state, ready.entries)
+            yield
         except OSError as error:
-            self._fail(error)
-            return
+            self._failed.set_exception(StorageFailedError(str(self.config.directory), error))
+
+    def _persist(self, ready: Ready) -> None:
+        if ready.snapshot is None:
+            self._storage.append(ready.hard_state, ready.entries)
+        else:
+            entries = list(self.node.log.entries)
+            self._storage.save_snapshot(ready.snapshot, self.node.hard_state, entries)
+
+    def _process_persisted(self, ready: Ready) -> None:
+        """Install the snapshot, send the messages, apply the entries and answer the reads, in this order."""
         if ready.snapshot is not None:
-            self.machine = Machine.load(ready.snapshot.data)
-            self._trace(f"snapshot {ready.snapshot.index}")
-            for index in [i for i in self._writes if i <= ready.snapshot.index]:
-                self._settle(index, None)
-        for msg in ready.messages:
-            self._send(msg)
-        for entry in ready.committed:
-            self._apply(entry)
-        for number, index in ready.reads:
-            if waiting := self._waiting(number):
-                waiting.set_result(index)
-        for number in ready.refused:
-            if waiting := self._waiting(number):
-                waiting.set_exception(NotLeader(self.node.leader))
-        if ready.committed or ready.snapshot:
-            event, self.applied_one = self.applied_one, asyncio.Event()
-            event.set()
-        if self.node.role is not self._said:
-            self._said = self.node.role
-            log.info("role", role=self._said.value, term=self.node.term, leader=self.node.leader)
-            if self._said is Role.LEADER:
-                self._trace(f"leader {self.node.term}")
-        if self.node.applied - self.node.snap.index >= self.place.compact_every:
-            self._compact()
-
-    def _waiting(self, number: int) -> asyncio.Future[int] | None:
-        """The read of this number, unless its client has left."""
-        future = self._reads.get(number)
-        return None if future is None or future.done() else future
+            self.applied.install(ready.snapshot)
+            self._proposals.on_snapshot_installed(ready.snapshot.index)
+        for message in ready.messages:
+            self._send(message)
+        for entry in ready.committed_entries:
+            result = self.applied.apply(entry)
+            self._proposals.on_applied(entry, result)
+        self._reads.on_ready(ready)
+        if ready.committed_entries or ready.snapshot:
+            self.applied.announce_application()
+        self._log_role_change()
 
     def _compact(self) -> None:
-        self.node.compact(self.machine.dump())
-        try:
-            self.disk.compact(self.node.snap, self.node.hard_state, list(self.node.log))
-        except OSError as error:
-            self._fail(error)
-
-    def _fail(self, error: OSError) -> None:
-        self.failed.set_exception(DiskFailed(f"{self.place.directory}: {error}"))
-
-    def _apply(self, entry: Entry) -> None:
-        result = Result(True, entry.index)
-        if entry.kind is EntryKind.DATA:
-            result = self.machine.apply(entry.index, msgspec.msgpack.decode(entry.data, type=Command))
-        elif entry.term == self.node.term and self.node.role is Role.LEADER and self._leading != entry.term:
-            # Our first entry: all stamps of earlier leaders are known now, and the clock runs on from there.
-            self._leading = entry.term
-            self._clock = (self.machine.now_ms, time.monotonic_ns())
-        self._trace(f"applied {entry.index} {entry.term} {zlib.crc32(entry.data):08x} {int(result.ok)}")
-        self._settle(entry.index, result, entry.term)
-
-    def _settle(self, index: int, result: Result | None, term: int = -1) -> None:
-        proposed, future = self._writes.pop(index, (0, None))
-        if future is None or future.done():
+        """Replace the applied entries by a snapshot. Raises OSError."""
+        self.node.compact(self.applied.state_machine.dump())
+        raft_log = self.node.log
+        self._storage.save_snapshot(raft_log.snapshot, self.node.hard_state, list(raft_log.entries))
+
+    def _log_role_change(self) -> None:
+        role = self.node.role
+        if role is self._last_logged_role:
             return
-        if result is None:
-            future.set_exception(Unknown("covered by a snapshot"))
-        elif proposed != term:
-            future.set_exception(NotLeader(self.node.leader))  # another leader's entry took its place
-        else:
-            future.set_result(result)
+        self._last_logged_role = role
+        log.info("store_role_changed", role=role.value, term=self.node.term, leader=self.node.leader)
+        if role is Role.LEADER:
+            self._trace(f"leader {self.node.term}")
 
     def _trace(self, line: str) -> None:
-        if self.place.trace:
+        if self.config.trace:
             print(line, flush=True)
-
-    def close(self) -> None:
-        self.disk.close()
