--- a/wheatstile/resolvers/section.py
+++ b/wheatstile/resolvers/section.py
@@ -88,7 +88,7 @@
             try:
                 await source.run()
             except Exception:
-                log.exception("endpoint_file_source_failed")
+                log.exception("component_failed", component="endpoint_file_source")
             await asyncio.sleep(RESTART_DELAY_S)
 
     def _cancel_task(self) -> None:
