Correct the addresses that an overtaken merge of long lists has set

Cause: lists of more than 2,000 servers are merged in a thread, and their addresses are set before the merge is applied. Where a change overtook the merge, a server kept an address that no list named any more, or stayed among the upstreams though it was gone. Change: the names whose addresses were set by merges not applied are remembered and set again, or removed, with the merge that is applied.

--- a/wheatstile/resolvers/endpoint_merger.py
+++ b/wheatstile/resolvers/endpoint_merger.py
@@ -49,6 +49,7 @@
         self.selection: SourceSelection | None = None
         self._revision = 0  # counts the changes of discovery, file and policy
         self._background_merge: asyncio.Task[None] | None = None
+        self._overtaken_names: set[str] = set()  # servers whose addresses were set by merges not applied
         self._recheck_timer: asyncio.TimerHandle | None = None
 
     def adopt_known_endpoints(self) -> None:
@@ -187,6 +188,7 @@
                 await asyncio.sleep(0)
             if revision == self._revision:
                 return result
+            self._overtaken_names.update(resolved.endpoint.name for resolved in result.changes)
         return None
 
     def _apply(self, result: MergeResult, addresses_are_updated: bool = False) -> None:
@@ -199,8 +201,16 @@
             if not addresses_are_updated:
                 self._publisher.update_addresses(result.changes)
             self._publisher.dispatch(result.changes)
+        self._correct_overtaken_addresses()
         self._schedule_recheck(result.selection)
 
+    def _correct_overtaken_addresses(self) -> None:
+        """Set the addresses again that a merge set before a change overtook it."""
+        listed = self._overtaken_names & self.endpoints.keys()
+        self._publisher.update_addresses([self.endpoints[name].resolved for name in listed])
+        self._publisher.remove_addresses(self._overtaken_names - listed)
+        self._overtaken_names.clear()
+
     def _report_source(self, result: MergeResult) -> None:
         self.decisions.counters[f"endpoint_source_{result.selection.source}_selected"] += 1
         log.info(
--- a/wheatstile/resolvers/endpoint_publisher.py
+++ b/wheatstile/resolvers/endpoint_publisher.py
@@ -1,5 +1,7 @@
 """Sends changes of the merged list to the decision module and to the upstreams."""
 
+from collections.abc import Iterable
+
 import structlog
 
 from wheatstile import interface as api
@@ -27,6 +29,11 @@
         """Set the addresses of new and changed servers, which changes no decision."""
         self._upstreams.update([resolved for resolved in changes if resolved.address], False)
 
+    def remove_addresses(self, names: Iterable[str]) -> None:
+        """Remove servers that the decision module does not have, or has as gone."""
+        gone = [ResolvedEndpoint(api.Endpoint(name, api.EndpointState.GONE), None) for name in names]
+        self._upstreams.update(gone, False)
+
     def dispatch(self, changes: list[ResolvedEndpoint]) -> None:
         """Send changes whose addresses are set to the decision module, then remove the gone servers."""
         endpoints = [resolved.endpoint for resolved in changes]
--- a/wheatstile/resolvers/endpoint_rows.py
+++ b/wheatstile/resolvers/endpoint_rows.py
@@ -93,6 +93,7 @@
         self._weights: list[tuple[float, int]] = []  # with the index of their row
 
     def add(self, index: int, value: JsonValue) -> None:
+        """Check the next row: its endpoint is kept, or its violations are."""
         try:
             row = msgspec.convert(value, EndpointRow)
         except msgspec.ValidationError:
