--- /dev/null
+++ b/tests/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the command line."""
