--- a/tests/test_standing_terms.py
+++ b/tests/test_standing_terms.py
@@ -196,7 +196,7 @@
     balancer.start()
     client, server = balancer.up(1)
     balancer.terminate()
-    balancer.logged("draining")
+    balancer.logged("shutdown_started")
     with balancer.stopped():
         server.sock.sendall(b"whole\r\nhalf")
         time.sleep(3.2)  # until all are to be moved
--- a/wheatstile/config/__init__.py
+++ b/wheatstile/config/__init__.py
@@ -1,1 +1,1 @@
-"""Configuration: the platform's file and settings, and the operator's file; each fault has its place."""
+"""Configuration: the platform's file and settings, and the operator's file; violations have a location."""
--- a/wheatstile/config/operator.py
+++ b/wheatstile/config/operator.py
@@ -131,7 +131,7 @@
 
 
 def parse(file: str, data: bytes) -> Operator:
-    """The settings in these bytes. Raises ConfigurationError with every violation and its place."""
+    """The settings in these bytes. Raises ConfigurationError with every violation and its location."""
     text, value = load(file, data, MOST_BYTES)
     if not isinstance(value, dict):
         raise ConfigurationError(file, [Violation("", "is no object", 1)])
