Put the docstrings of process, configuration and simulator in the imperative mood

Cause: the wider lint rules ask for it, and half of the docstrings began with a noun. Change: docstrings alone; compound assertions in their tests are split, the decoder's test of an error takes messages one by one.

--- a/tests/config/test_operator.py
+++ b/tests/config/test_operator.py
@@ -39,7 +39,8 @@
         "f:5 /log/level",
         "f:6 /sarvers",
     ]
-    assert 'did you mean "mode"?' in found[0] and 'did you mean "servers"?' in found[-1]
+    assert 'did you mean "mode"?' in found[0]
+    assert 'did you mean "servers"?' in found[-1]
 
 
 @pytest.mark.parametrize(
--- a/tests/config/test_settings.py
+++ b/tests/config/test_settings.py
@@ -29,7 +29,9 @@
     assert settings.classes["web"].latency_objective_us == 500_000
     assert settings.classes["web"].idempotency is api.Idempotency.IDEMPOTENT
     assert settings.classes["web"].message_latency_objective_us == 60_000
-    assert settings.poll_endpoints and settings.health_checks_enabled and settings.retry_after_enabled
+    assert settings.poll_endpoints
+    assert settings.health_checks_enabled
+    assert settings.retry_after_enabled
     assert settings.load_metrics == ("load",)
     assert settings.slow_start_overload_window_us == 1_500_000  # stands in for a key that is missing
     assert settings.poll_interval_us == 10_000_000
--- a/tests/net/test_endpoint_stream.py
+++ b/tests/net/test_endpoint_stream.py
@@ -72,11 +72,8 @@
 
 
 def test_the_lists_before_an_error_are_yielded_before_it_is_raised() -> None:
-    decoder = EndpointStreamDecoder(is_stream=True)
-    messages: list[Message] = []
+    stream = CHUNKED + chunk(endpoint_list(3) + b"\nnothing\n" + endpoint_list(4) + b"\n")
+    messages = EndpointStreamDecoder(is_stream=True).receive(stream)
+    assert revisions([next(messages), next(messages)]) == [ResponseStarted, 3]
     with pytest.raises(DiscoveryError, match="no list"):
-        for message in decoder.receive(
-            CHUNKED + chunk(endpoint_list(3) + b"\nnothing\n" + endpoint_list(4) + b"\n")
-        ):
-            messages.append(message)
-    assert revisions(messages) == [ResponseStarted, 3]
+        next(messages)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -153,9 +153,11 @@
 def test_malformed_lines_end_in_a_plain_fault(lines: list[str], word: str) -> None:
     status, out, errors = serve(batch(*configure(3)) + batch(*lines, turn=2))
     assert status == 1
-    assert out[-2].startswith("FAULT\t") and word in out[-2]
+    assert out[-2].startswith("FAULT\t")
+    assert word in out[-2]
     assert out[-1] == "READY\tturn=2"
-    assert word in errors and "Traceback" not in errors
+    assert word in errors
+    assert "Traceback" not in errors
 
 
 @pytest.mark.parametrize("key", ["classes", "fleetSize", "discovery", "limits", "rules"])
@@ -172,7 +174,8 @@
 
 def test_input_cut_off_inside_a_batch_is_said_and_a_clean_end_is_clean() -> None:
     status, out, errors = serve("ROUND\tclockUs=1\tturn=1\n")
-    assert (status, out) == (1, []) and "inside a batch" in errors
+    assert (status, out) == (1, [])
+    assert "inside a batch" in errors
     assert serve("") == (0, [], "")
 
 
--- a/wheatstile/config/endpoints.py
+++ b/wheatstile/config/endpoints.py
@@ -27,7 +27,7 @@
 
 
 def weight_of(value: float | str) -> float:
-    """An endpoint's weight; what nobody could balance by counts as 1. Raises ValueError or TypeError."""
+    """Read a weight; what nobody could balance by counts as 1. Raises ValueError or TypeError."""
     weight = float(value)
     return weight if 0 < weight < inf else 1.0
 
--- a/wheatstile/config/operator.py
+++ b/wheatstile/config/operator.py
@@ -126,12 +126,12 @@
     settings: Operator
 
     def near(self, path: str) -> Path:
-        """A path that the file names."""
+        """Resolve a path that the file names."""
         return self.path.parent / path
 
 
 def parse(file: str, data: bytes) -> Operator:
-    """The settings in these bytes. Raises ConfigurationError with every violation and its location."""
+    """Read the settings in these bytes. Raises ConfigurationError with every violation and its location."""
     text, value = load(file, data, MOST_BYTES)
     if not isinstance(value, dict):
         raise ConfigurationError(file, [Violation("", "is no object", 1)])
@@ -145,7 +145,7 @@
 
 
 def read(path: str) -> OperatorFile:
-    """The operator's file at this path. Raises ConfigurationError."""
+    """Read the operator's file at this path. Raises ConfigurationError."""
     try:
         with open(path, "rb") as file:
             data = file.read(MOST_BYTES + 1)
@@ -155,7 +155,7 @@
 
 
 def schema() -> dict[str, Any]:
-    """The JSON Schema of the operator's file (draft 2020-12)."""
+    """Return the JSON Schema of the operator's file (draft 2020-12)."""
     generated = msgspec.json.schema(Operator)
     return {"$schema": "https://json-schema.org/draft/2020-12/schema", "title": "wheatstile"} | generated
 
--- a/wheatstile/config/platform.py
+++ b/wheatstile/config/platform.py
@@ -112,7 +112,7 @@
 
 
 def _descriptors(config: Section) -> int:
-    """The descriptors that this balancer may have open: what it is given, as far as the system allows it."""
+    """Return how many descriptors may be open: what the platform gives, as far as the system allows it."""
     platform_limits = Section(config.require("limits"), "the platform's limits.")
     _, hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)
     return min(platform_limits.integer("sockets", 1), hard_limit)
--- a/wheatstile/config/reports.py
+++ b/wheatstile/config/reports.py
@@ -7,7 +7,7 @@
 
 
 def parse_load_report(text: str, separator: str, metric_names: Mapping[str, str]) -> api.LoadReport:
-    """The values of `NAME<separator>VALUE,...`, by the interface's names.
+    """Read the values of `NAME<separator>VALUE,...`, by the interface's names.
 
     Unknown names, and values that are no finite number of 0 or more, count as absent.
     """
--- a/wheatstile/config/section.py
+++ b/wheatstile/config/section.py
@@ -20,46 +20,46 @@
         self._prefix = prefix
 
     def get(self, key: str, default: object) -> object:
-        """The value as it is, whatever its type."""
+        """Return the value as it is, whatever its type."""
         return self._values.get(key, default)
 
     def require(self, key: str) -> object:
-        """The value as it is. Raises MissingKeyError."""
+        """Return the value as it is. Raises MissingKeyError."""
         try:
             return self._values[key]
         except KeyError:
             raise MissingKeyError(key) from None
 
     def section(self, key: str) -> "Section":
-        """The object under this key. Raises MissingKeyError."""
+        """Return the object under this key. Raises MissingKeyError."""
         return Section(self.require(key), f"{self._prefix}{key}.")
 
     def optional_section(self, key: str) -> "Section":
-        """The object under this key, an empty one if it is missing."""
+        """Return the object under this key, an empty one if it is missing."""
         return Section(self.get(key, {}), f"{self._prefix}{key}.")
 
     def sections(self, key: str) -> list["Section"]:
-        """The objects of the list under this key. Raises MissingKeyError."""
+        """Return the objects of the list under this key. Raises MissingKeyError."""
         values = iterable(self.require(key), f"{self._prefix}{key}")
         return [Section(value, f"{self._prefix}{key}[{index}].") for index, value in enumerate(values)]
 
     def optional_sections(self, key: str) -> list["Section"]:
-        """The objects of the list under this key, none if it is missing."""
+        """Return the objects of the list under this key, none if it is missing."""
         return self.sections(key) if key in self._values else []
 
     def text(self, key: str) -> str:
-        """The string under this key. Raises MissingKeyError."""
+        """Return the string under this key. Raises MissingKeyError."""
         value = self.require(key)
         if not isinstance(value, str):
             raise WrongTypeError(f"{self._prefix}{key}", "a string", value)
         return value
 
     def name(self, key: str) -> str:
-        """The string under this key, or a number or null as text. Raises MissingKeyError."""
+        """Return the string under this key, or a number or null as text. Raises MissingKeyError."""
         return checked_name(self.require(key), f"{self._prefix}{key}")
 
     def names(self, key: str) -> list[str]:
-        """The strings, as `name` has them, of the list under this key; none if it is missing."""
+        """Return the strings, as `name` has them, of the list under this key; none if it is missing."""
         location = f"{self._prefix}{key}"
         return [checked_name(value, location) for value in iterable(self.get(key, []), location)]
 
@@ -68,7 +68,10 @@
         return bool(self.get(key, False))
 
     def number(self, key: str, least: float, default: float | None = None) -> float:
-        """The finite number under this key, `least` or more. Without a default it raises MissingKeyError."""
+        """Return the finite number under this key, `least` or more.
+
+        Raises MissingKeyError without a default.
+        """
         value = self.require(key) if default is None else self.get(key, default)
         return checked_number(value, f"{self._prefix}{key}", least)
 
@@ -78,7 +81,7 @@
 
 
 def checked_number(value: object, location: str, least: float) -> float:
-    """The value, if it is a finite number, `least` or more. Raises SettingsError naming the location."""
+    """Return the value if it is a finite number, `least` or more; else raise SettingsError naming it."""
     # JSON's true would pass as 1, and the standard library reads NaN and Infinity.
     if isinstance(value, bool) or not isinstance(value, int | float) or not isfinite(value) or value < least:
         raise SettingsError(f"settings: {location} must be a number of {least:g} or more, not {value!r}")
@@ -86,14 +89,14 @@
 
 
 def checked_name(value: object, location: str) -> str:
-    """The value as text, if it is no list or object. Raises WrongTypeError naming the location."""
+    """Return the value as text, if it is no list or object. Raises WrongTypeError naming the location."""
     if isinstance(value, list | dict):
         raise WrongTypeError(location, "a string", value)
     return str(value)
 
 
 def iterable(value: object, location: str) -> list[object]:
-    """The elements of a list. Raises WrongTypeError naming the location."""
+    """Return the elements of a list. Raises WrongTypeError naming the location."""
     if not isinstance(
         value, list | dict | str
     ):  # the latter two pass where they are empty: elements are checked
--- a/wheatstile/config/settings.py
+++ b/wheatstile/config/settings.py
@@ -31,7 +31,7 @@
 
 
 def parse_settings(text: str) -> api.Settings:
-    """The settings in this JSON text. Raises SettingsError naming the key at fault."""
+    """Read the settings in this JSON text. Raises SettingsError naming the key at fault."""
     try:
         value = json.loads(text)
     except ValueError as error:
@@ -40,7 +40,7 @@
 
 
 def read_settings(value: object) -> api.Settings:
-    """The settings in this parsed JSON. Raises SettingsError naming the key at fault."""
+    """Read the settings in this parsed JSON. Raises SettingsError naming the key at fault."""
     try:
         return _read(Section(value))
     except MissingKeyError as error:
@@ -84,7 +84,7 @@
 
 
 def _check_unused(settings: Section, rules: Section) -> None:
-    """What is not decided by is checked all the same: a fault there shows that the settings are no such."""
+    """Check also what is not decided by: a fault there shows that these are no settings."""
     accounts = settings.optional_sections("accounts")
     shares = [account.number("share", 0, 1.0) for account in accounts]
     if accounts and not sum(shares):
@@ -122,7 +122,7 @@
 
 
 def _load_metrics(settings: Section) -> tuple[str, ...]:
-    """The metrics that servers report, in the interface's words; unknown ones are passed over."""
+    """Return the metrics that servers report, in the interface's words; unknown ones are passed over."""
     telemetry = settings.optional_section("telemetry")
     if telemetry.get("via", NO_TELEMETRY) == NO_TELEMETRY:
         return ()
--- a/wheatstile/config/violations.py
+++ b/wheatstile/config/violations.py
@@ -51,12 +51,12 @@
 
 
 def pointer(*parts: str | int) -> str:
-    """The JSON pointer to this path (RFC 6901)."""
+    """Return the JSON pointer to this path (RFC 6901)."""
     return "".join("/" + str(part).replace("~", "~0").replace("/", "~1") for part in parts)
 
 
 def load(file: str, data: bytes, most_bytes: int) -> tuple[str, Any]:
-    """The text and its value, as JSON whose objects name no key twice. Raises ConfigurationError."""
+    """Return the text and its value, as JSON whose objects name no key twice. Raises ConfigurationError."""
     if len(data) > most_bytes:
         raise ConfigurationError(file, [Violation("", f"{len(data)} bytes; {most_bytes} at most")])
     text = _decode(file, data)
@@ -100,7 +100,7 @@
 
 
 def locate(text: str, violations: Iterable[Violation]) -> list[Violation]:
-    """The same violations with their lines, in the order of the text. A missing key stands at its parent."""
+    """Give the violations their lines, in the order of the text. A missing key stands at its parent."""
     given = list(violations)
     lines = {violation.pointer: violation.line for violation in given}
     unplaced = {violation.pointer for violation in given if not violation.line}
@@ -136,7 +136,7 @@
 
 
 def _duplicate_keys(text: str) -> list[Violation]:
-    """The keys that stand twice in one object; for text that is JSON but for them."""
+    """Return the keys that stand twice in one object; for text that is JSON but for them."""
     try:
         return [
             Violation(
@@ -168,16 +168,16 @@
     key_lines: dict[str, int] = field(default_factory=dict)
 
     def next_value(self) -> str:
-        """The pointer of the value to come."""
+        """Return the pointer of the value to come."""
         return self.member or f"{self.pointer}/{self.index}"
 
     def advance(self) -> None:
-        """A comma has come."""
+        """Handle a comma."""
         self.index += 1
         self.member = ""
 
     def open_member(self, key: str, line: int) -> Location:
-        """A key has come."""
+        """Handle a member's key, and return its location."""
         first_line = self.key_lines.get(key, 0)
         self.key_lines.setdefault(key, line)
         self.member = self.pointer + pointer(key)
--- a/wheatstile/net/decision_loop.py
+++ b/wheatstile/net/decision_loop.py
@@ -20,7 +20,7 @@
 
 
 def _counter_names(prefix: str, kinds: tuple[type, ...]) -> dict[type, str]:
-    """The counter of each type, as in `events_client_disconnected`."""
+    """Return the counter of each type, as in `events_client_disconnected`."""
     return {kind: prefix + re.sub(r"(?<=[a-z])(?=[A-Z])", "_", kind.__name__).lower() for kind in kinds}
 
 
@@ -66,7 +66,7 @@
         self._is_dispatching = False
 
     def now(self) -> int:
-        """The module's clock: Unix time in microseconds, which never goes back."""
+        """Return the module's clock: Unix time in microseconds, which never goes back."""
         return (self._epoch_ns + time.monotonic_ns()) // 1000
 
     def start(self, health_checker: HealthChecker, discovery_watcher: DiscoveryWatcher) -> None:
--- a/wheatstile/net/discovery_watcher.py
+++ b/wheatstile/net/discovery_watcher.py
@@ -21,13 +21,13 @@
     """Whom discovery notifies: alone, or merged with other sources, it makes the list to decide by."""
 
     def on_update(self, result: EndpointSnapshot, kind: api.EndpointUpdateKind) -> None:
-        """A list, or changes to one, has come."""
+        """Handle a list, or changes to one."""
 
     def on_keepalive(self) -> None:
         """Nothing has changed."""
 
     def on_failure(self) -> None:
-        """A call has ended; the decisions are notified apart from this."""
+        """Handle the end of a call; the decisions are notified apart from this."""
 
 
 class DiscoveryOnlyObserver:
@@ -135,5 +135,5 @@
             self.on_update(snapshot, api.EndpointUpdateKind.DELTA)
 
     def _is_news(self, snapshot: EndpointSnapshot) -> bool:
-        """Changes from before the list that stands would undo what is known by now."""
+        """Tell news from changes before the list that stands, which would undo what is known by now."""
         return snapshot.complete or snapshot.revision > self.revision
--- a/wheatstile/net/endpoint_stream.py
+++ b/wheatstile/net/endpoint_stream.py
@@ -68,12 +68,12 @@
             raise DiscoveryError("discovery ended the watch")
 
     def on_headers_complete(self) -> None:
-        """Called by httptools."""
+        """Handle the end of the headers (called by httptools)."""
         self._is_started = True
         self._messages.append(ResponseStarted())
 
     def on_body(self, body: bytes) -> None:
-        """Called by httptools with each part of the body."""
+        """Handle a part of the body (called by httptools)."""
         self._lines.append(body)
         if self._is_stream:
             for text in self._lines.take_lists():
@@ -82,7 +82,7 @@
             self._error = self._error or DiscoveryError("discovery sent a list without an end")
 
     def on_message_complete(self) -> None:
-        """Called by httptools at the end of the body."""
+        """Handle the end of the body (called by httptools)."""
         self.is_complete = True
         if not self._is_stream:
             self._decode(self._lines.unfinished_line)
--- a/wheatstile/process/graceful_shutdown.py
+++ b/wheatstile/process/graceful_shutdown.py
@@ -29,7 +29,7 @@
 
     @classmethod
     def for_deadline(cls, longest_deadline_s: float) -> "ShutdownSchedule":
-        """The schedule that ends MIGRATION_MARGIN_S before the earliest SIGKILL."""
+        """Make the schedule that ends MIGRATION_MARGIN_S before the earliest SIGKILL."""
         killed_after_s = min(longest_deadline_s, MAX_COUNTED_DEADLINE_S) + KILL_MARGIN_S
         serve_s = max(NEW_CONNECTIONS_S, killed_after_s - MIGRATION_MARGIN_S - MIGRATION_SPREAD_S)
         return cls(serve_s, killed_after_s - MIGRATION_MARGIN_S - serve_s)
--- a/wheatstile/process/main.py
+++ b/wheatstile/process/main.py
@@ -72,7 +72,7 @@
 
 
 def _configure_log(operator: "OperatorFile | None", log_format: str | None, log_level: str | None) -> None:
-    """The command line's options go before the operator's file."""
+    """Configure the log; the command line's options go before the operator's file."""
     if operator:
         log_format = log_format or operator.settings.log.format
         log_level = log_level or operator.settings.log.level
--- a/wheatstile/simulator/host.py
+++ b/wheatstile/simulator/host.py
@@ -95,7 +95,7 @@
         self._add_actions(balancer.start(now_us))
 
     def _endpoint_update(self, fields: Fields) -> api.EndpointUpdate | None:
-        """The update that names an endpoint list; one of an unknown kind is passed over."""
+        """Return the update that names an endpoint list; one of an unknown kind is passed over."""
         kind = wire.UPDATE_KINDS.get(fields.text("kind"))
         if kind is api.EndpointUpdateKind.FAILED:
             return api.EndpointUpdate(kind, [])
--- a/wheatstile/simulator/line.py
+++ b/wheatstile/simulator/line.py
@@ -16,14 +16,14 @@
         self._values = values
 
     def text(self, key: str, default: str | None = None) -> str:
-        """The value as it is; without a default the key is required."""
+        """Return the value as it is; without a default the key is required."""
         value = self._values.get(key, default)
         if value is None:
             raise WireError(f"{key} is missing")
         return value
 
     def integer(self, key: str, default: int | None = None) -> int:
-        """The whole number under this key; without a default the key is required."""
+        """Return the whole number under this key; without a default the key is required."""
         value = self._values.get(key)
         if value is None:
             if default is None:
@@ -35,7 +35,7 @@
             raise WireError(f"{key} is not a whole number: {value}") from None
 
     def number(self, key: str, default: float) -> float:
-        """The number under this key."""
+        """Return the number under this key."""
         try:
             return float(self._values.get(key, default))
         except ValueError:
@@ -46,13 +46,13 @@
         return self._values.get(key, "0") == "1"
 
     def load_report(self) -> api.LoadReport | None:
-        """The load report in `stats`, if there is one."""
+        """Return the load report in `stats`, if there is one."""
         stats = self._values.get("stats")
         return parse_load_report(stats, ":", LOAD_METRICS) if stats else None
 
 
 def parse_line(line: str) -> tuple[str, Fields]:
-    """The message's name and its fields. Raises WireError."""
+    """Split a line into the message's name and its fields. Raises WireError."""
     name, *parts = line.split("\t")
     values = {}
     for part in parts:
--- a/wheatstile/simulator/wire.py
+++ b/wheatstile/simulator/wire.py
@@ -93,7 +93,7 @@
 
 
 def _outcome(fields: Fields) -> api.AttemptOutcome:
-    """An unknown word is an error: the attempt is over in some way, so that it may have been executed."""
+    """Read the verdict; an unknown word is an error, as an attempt that is over may have been executed."""
     return OUTCOMES.get(fields.text("verdict"), api.AttemptOutcome.ERROR)
 
 
@@ -178,11 +178,11 @@
 
 
 def ready_line(turn: str) -> str:
-    """The line that ends the reply to a batch."""
+    """Return the line that ends the reply to a batch."""
     return f"READY\tturn={turn}"
 
 
 def fault_line(instance: int, message: str) -> str:
-    """The line that ends a run with a plain message."""
+    """Return the line that ends a run with a plain message."""
     plain = " ".join(message.split())
     return f"FAULT\tbalancer={instance}\twhat={plain}"
