--- a/wheatstile/config/operator.py
+++ b/wheatstile/config/operator.py
@@ -154,7 +154,7 @@
     return OperatorFile(Path(path), parse(path, data))
 
 
-def schema() -> dict[str, Any]:
+def schema() -> dict[str, object]:
     """Return the JSON Schema of the operator's file (draft 2020-12)."""
     generated = msgspec.json.schema(Operator)
     return {"$schema": "https://json-schema.org/draft/2020-12/schema", "title": "wheatstile"} | generated
--- a/wheatstile/config/shape.py
+++ b/wheatstile/config/shape.py
@@ -11,8 +11,8 @@
 Path = tuple[str | int, ...]  # keys and indices from the document's root
 
 
-def find_violations(value: Any, expected: Any, path: Path = ()) -> Iterator[Violation]:
-    """Each way in which the value is not of the expected type.
+def find_violations(value: object, expected: Any, path: Path = ()) -> Iterator[Violation]:
+    """Yield a violation for each way in which the value is not of the expected type.
 
     Structs, lists and dicts are gone into; a key that a struct does not have is a violation.
     """
@@ -42,7 +42,7 @@
     return alternatives[0] if len(alternatives) == 1 else expected
 
 
-def _value_violations(value: Any, expected: Any, path: Path) -> Iterator[Violation]:
+def _value_violations(value: object, expected: Any, path: Path) -> Iterator[Violation]:
     try:
         msgspec.convert(value, expected)
     except msgspec.ValidationError as error:
@@ -50,7 +50,7 @@
 
 
 def _struct_violations(
-    value: dict[str, Any], expected: type[msgspec.Struct], path: Path
+    value: dict[str, object], expected: type[msgspec.Struct], path: Path
 ) -> Iterator[Violation]:
     fields = {field.encode_name: field for field in msgspec.structs.fields(expected)}
     for key, element in value.items():
--- a/wheatstile/config/violations.py
+++ b/wheatstile/config/violations.py
@@ -82,7 +82,7 @@
         raise ConfigurationError(file, [Violation("", reason, line)]) from None
 
 
-def _reject_duplicate_keys(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+def _reject_duplicate_keys(pairs: list[tuple[str, object]]) -> dict[str, object]:
     value = dict(pairs)
     if len(value) < len(pairs):
         raise _DuplicateKeyError
