--- a/tests/cli/test_descriptions_command.py
+++ b/tests/cli/test_descriptions_command.py
@@ -8,6 +8,8 @@
 import pytest
 from support.command_line import EXAMPLE_CONFIG, run_command
 
+pytestmark = pytest.mark.usefixtures("folder")
+
 SHOP = """openapi: 3.1.0
 info: {title: Shop, version: '1'}
 paths:
--- a/tests/cli/test_servers_command.py
+++ b/tests/cli/test_servers_command.py
@@ -9,6 +9,8 @@
 import pytest
 from support.command_line import run_command
 
+pytestmark = pytest.mark.usefixtures("folder")
+
 
 @pytest.mark.usefixtures("live_file")
 def test_published_file_is_sealed_and_valid() -> None:
--- a/tests/resolvers/conftest.py
+++ b/tests/support/served_balancer_factory.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterator
 
 import pytest
+
 from support.served_balancer import ServedBalancer
 
 MakeBalancer = Callable[..., ServedBalancer]
