--- a/tests/net/test_client_floods.py
+++ b/tests/net/test_client_floods.py
@@ -24,7 +24,7 @@
     with balancer.paused():
         client.send(*filter(None, [first]), *[command] * FLOOD)
     assert client.lines_to_the_end() == ["ERR"]
-    assert balancer.check_serving(2)["attempt_established"] == 1
+    assert balancer.check_serving(2)["attempts_established"] == 1
 
 
 def test_flood_of_commands_during_an_attempt_ends_it(balancer: Balancer) -> None:
--- a/tests/net/test_graceful_shutdown.py
+++ b/tests/net/test_client_shutdown.py
@@ -50,7 +50,7 @@
     balancer.start()
     client, server = balancer.establish()
     balancer.terminate()
-    balancer.logged("draining")
+    balancer.logged("shutdown_started")
     with balancer.paused():
         client.close()
         time.sleep(3.2)  # until all are to be moved
@@ -63,7 +63,7 @@
     client = balancer.open()
     server, _ = balancer.server.accept_session()
     balancer.terminate()
-    balancer.logged("draining")
+    balancer.logged("shutdown_started")
     with balancer.paused():
         server.send("UP r")
         time.sleep(3.2)  # until whoever is not up is answered
@@ -74,11 +74,12 @@
 
 def test_client_that_has_sent_nothing_is_rejected(balancer: Balancer) -> None:
     balancer.start()
-    silent, half = balancer.client(), balancer.client()
+    silent = balancer.client()
+    half = balancer.client()
     half.sock.sendall(b"OPEN 00000000000")
     pinging = balancer.pinged_client()
     balancer.terminate()
-    balancer.logged("draining")
+    balancer.logged("shutdown_started")
     time.sleep(1.5)  # FIRST_LINE_WITHIN would have ended the first ones
     late = balancer.client()
     assert (late.line(), late.line()) == ("BUSY 1000", "")
@@ -90,7 +91,7 @@
 def test_request_after_pong_is_answered_during_the_shutdown(balancer: Balancer) -> None:
     balancer.start()
     balancer.terminate()
-    balancer.logged("draining")
+    balancer.logged("shutdown_started")
     resting = [balancer.pinged_client() for _ in range(3)]
     with balancer.paused():
         time.sleep(1.9)  # with nobody to move it closes 1.7 s after the signal
@@ -104,7 +105,7 @@
 def test_clients_in_the_backlog_are_answered_however_late_it_is(balancer: Balancer) -> None:
     balancer.start()
     balancer.terminate()
-    balancer.logged("draining")
+    balancer.logged("shutdown_started")
     with balancer.paused():
         clients = [balancer.open(number) for number in range(1, 21)]
         silent = balancer.client()
@@ -124,7 +125,7 @@
     balancer.settings = SLOW_CONNECT | {"limits": SLOW_CONNECT["limits"] | limits}
     balancer.start()
     balancer.terminate()
-    balancer.logged("draining")
+    balancer.logged("shutdown_started")
     time.sleep(1.5)
     late = balancer.client()
     assert (late.line(), late.line()) == (rejection, "")
--- a/tests/net/test_discovery_watcher.py
+++ b/tests/net/test_discovery_watcher.py
@@ -50,7 +50,7 @@
     watch.chunk(2, balancer.member("s2"))
     watch.close()
     balancer.discovery.watch()  # so the third failure is over
-    assert balancer.stop().count("the watch ended") == 2
+    assert balancer.stop().count("endpoint_watch_ended") == 2
 
 
 def send_indented(watch: Peer, revision: int, *members: dict[str, Any]) -> None:
@@ -67,7 +67,7 @@
     send_indented(watch, 2, balancer.member(host_port="127.0.0.1:2"))
     watch.send("1", "\n")
     send_indented(watch, 3, balancer.member())
-    balancer.wait_for_counter("event EndpointUpdate", 3)
+    balancer.wait_for_counter("events_endpoint_update", 3)
     balancer.establish()
 
 
@@ -78,7 +78,7 @@
     watch.chunk(5, balancer.member(phase="draining"))
     watch.chunk(4, balancer.member(phase="ready"))
     watch.chunk(6, balancer.member("s2", phase="draining"))
-    balancer.wait_for_counter("event EndpointUpdate", 3)
+    balancer.wait_for_counter("events_endpoint_update", 3)
     client = balancer.open(wait=300)
     assert re.search("^BUSY", client.line())
     assert select.select([balancer.server.sock], [], [], 0)[0] == []
@@ -113,7 +113,7 @@
     watch, _ = balancer.discovery.watch()
     watch.begin_watch()
     watch.send("1", "\n")
-    balancer.wait_for_counter("event EndpointUpdate", 5)
+    balancer.wait_for_counter("events_endpoint_update", 5)
     watch.close()
     broke = time.monotonic()
     balancer.discovery.watch()
--- a/tests/net/test_session_setup.py
+++ b/tests/net/test_session_setup.py
@@ -103,7 +103,7 @@
     with balancer.paused():
         health_check.send("PONG x0=0.3")  # first the answer that sends it on, then its end
         client.close()
-    assert balancer.check_serving(3)["attempt_established"] == 2
+    assert balancer.check_serving(3)["attempts_established"] == 2
 
 
 @pytest.mark.parametrize("settings", [SLOW_HEALTH_CHECKS])
@@ -150,7 +150,7 @@
     client = balancer.open()
     balancer.server.wait_for_connect()
     watch.chunk(2, balancer.member(phase="draining"), balancer.member("s2", host_port=other.address))
-    balancer.wait_for_counter("event EndpointUpdate", 2)
+    balancer.wait_for_counter("events_endpoint_update", 2)
     server = balancer.server.accept_waiting(ahead)
     assert server.line() == ""
     second, line = other.accept_session()
@@ -168,6 +168,6 @@
     _client = balancer.open()
     balancer.server.wait_for_connect()
     watch.chunk(2, balancer.member("s2", host_port=other.address), complete=True)
-    balancer.wait_for_counter("event EndpointUpdate", 2)
+    balancer.wait_for_counter("events_endpoint_update", 2)
     assert balancer.server.accept_waiting(ahead).line() == ""
     assert "0000000000000001" in other.accept_session()[1]
--- a/tests/net/test_upstream_reply.py
+++ b/tests/net/test_upstream_reply.py
@@ -30,5 +30,5 @@
         (b"", Reply(api.AttemptOutcome.RESET)),
     ],
 )
-def test_health_check_reply_tells_the_load(line: bytes, reply: Reply) -> None:
+def test_health_check_reply_is_an_outcome_and_a_load(line: bytes, reply: Reply) -> None:
     assert parse_health_check_reply(line) == reply
--- a/tests/process/test_reload.py
+++ b/tests/process/test_reload.py
@@ -104,7 +104,7 @@
     balancer.start()
     classes = [SETTINGS["classes"][0] | {"name": "other"}]
     entry = balancer.reload(name="n1", settings=SETTINGS | balancer.settings | {"classes": classes})
-    assert "name" in entry["only_at_the_next_start"]
+    assert "name" in entry["pending_restart"]
     client = balancer.client()
     client.send("OPEN 0000000000000001 k c=other,d=9000,g=a")
     assert "c=other" in balancer.server.accept_session()[1]
@@ -116,7 +116,7 @@
     good = json.loads(balancer.path.read_text())
     for path, value in ABSURD_SETTINGS:
         entry = balancer.reload(with_setting(good, path, value))
-        assert entry["event"] == "the old configuration goes on", (path, value)
+        assert entry["event"] == "config_reload_rejected", (path, value)
         assert key_of(path) in entry["reason"], (path, value)
     balancer.check_serving(1)
 
@@ -141,7 +141,7 @@
     with balancer.paused():
         watch.close()
         balancer.process.send_signal(signal.SIGHUP)
-    balancer.logged("reloaded")
+    balancer.logged("config_reloaded")
     call, request = new.watch()
     assert request == "GET /discovery/hosts HTTP/1.1"
     call.send("HTTP/1.1 200 OK", "Content-Length: 2", "", "{}")  # no list: asked for again
@@ -165,4 +165,4 @@
     assert (client.line(), client.line()) == ("MOVE", "")
     client.close()
     assert balancer.wait() == 0
-    assert '"reloaded"' in balancer.stop()
+    assert '"config_reloaded"' in balancer.stop()
--- a/tests/process/test_start.py
+++ b/tests/process/test_start.py
@@ -41,18 +41,18 @@
     balancer.write_config()
     with socket.create_server(balancer.listen):
         balancer.launch()
-        balancer.logged("the address is held")
-    balancer.logged("serving")
+        balancer.logged("bind_address_in_use")
+    balancer.logged("serving_started")
 
 
 def test_sigterm_while_the_address_is_in_use_ends_it(balancer: Balancer) -> None:
     balancer.write_config()
     with socket.create_server(balancer.listen):
         balancer.launch()
-        balancer.logged("the address is held")
+        balancer.logged("bind_address_in_use")
         balancer.terminate()
         assert balancer.wait() == 0
-    assert '"serving"' not in balancer.stop()
+    assert '"serving_started"' not in balancer.stop()
 
 
 def test_sighup_while_the_address_is_in_use_changes_discovery(balancer: Balancer) -> None:
@@ -60,10 +60,10 @@
     new = Listener()
     with socket.create_server(balancer.listen):
         balancer.launch()
-        balancer.logged("the address is held")
+        balancer.logged("bind_address_in_use")
         balancer.reload(discovery=new.address)
         assert new.watch()[1] == "GET /discovery/hosts HTTP/1.1"
-    balancer.logged("serving")
+    balancer.logged("serving_started")
 
 
 @pytest.mark.parametrize("settings", [WITHOUT_HEALTH_CHECKS])
@@ -74,9 +74,9 @@
     with open(balancer.path, "w") as file:  # opens once the program has opened it to read
         balancer.process.send_signal(signal.SIGHUP)
         file.write(text)
-    balancer.logged("serving")
+    balancer.logged("serving_started")
     balancer.path.write_text(text)  # read by the reload
-    balancer.logged("reloaded")
+    balancer.logged("config_reloaded")
     balancer.ready()
 
 
@@ -97,7 +97,7 @@
     )
     with open(folder / "hold", "w"):  # opens once the interpreter reads it
         balancer.process.send_signal(signal.SIGHUP)
-    balancer.logged("serving")
+    balancer.logged("serving_started")
     balancer.ready()
 
 
@@ -106,7 +106,7 @@
     balancer.start()
     _client, _server = balancer.establish()
     counters = balancer.counters()
-    assert (counters["session_requested"], counters["attempt_established"]) == (1, 1)
+    assert (counters["sessions_requested"], counters["attempts_established"]) == (1, 1)
 
 
 @pytest.mark.parametrize("settings", [{}])
--- a/tests/support/balancer.py
+++ b/tests/support/balancer.py
@@ -135,7 +135,7 @@
     def counters(self) -> dict[str, int]:
         """Return the program's counters."""
         self.process.send_signal(signal.SIGUSR1)
-        return self.logged("counters")
+        return self.logged("counters_reported")
 
     def wait_for_counter(self, name: str, least: int) -> dict[str, int]:
         """Wait until this counter has this value; returns all of them."""
@@ -221,7 +221,7 @@
         """Replace the configuration file, or keys in it, and reload; returns what the program logs."""
         self.path.write_text(text or json.dumps(json.loads(self.path.read_text()) | changes))
         self.process.send_signal(signal.SIGHUP)
-        return self.logged("reloaded", "the old configuration goes on")
+        return self.logged("config_reloaded", "config_reload_rejected")
 
     def client(self) -> Peer:
         """Connect a client."""
@@ -259,6 +259,6 @@
         """Check that the server's next session is this new client's, and that nothing has failed inside."""
         self.establish(number)
         counters = self.counters()
-        assert "client_connection_failed" not in counters
-        assert "module failures" not in counters
+        assert "client_connections_failed" not in counters
+        assert "decision_module_failures" not in counters
         return counters
--- a/wheatstile/net/client_listener.py
+++ b/wheatstile/net/client_listener.py
@@ -9,7 +9,7 @@
 
 import structlog
 
-from wheatstile.config.platform import ChannelLimits
+from wheatstile.config.platform import ClientLimits
 from wheatstile.net.client_connection import RETRY_AFTER_MS, ClientConnection
 from wheatstile.net.client_replies import rejection_line
 from wheatstile.net.decision_loop import DecisionLoop
@@ -35,7 +35,7 @@
     client can be answered at all; when these are out, the oldest pending connection is evicted.
     """
 
-    def __init__(self, decisions: DecisionLoop, upstreams: UpstreamPool, limits: ChannelLimits) -> None:
+    def __init__(self, decisions: DecisionLoop, upstreams: UpstreamPool, limits: ClientLimits) -> None:
         self.decisions = decisions
         self.upstreams = upstreams
         self.limits = limits  # a reload replaces it
@@ -58,7 +58,7 @@
 
     def max_wait_ms(self, request: OpenRequest) -> int:
         """Return the milliseconds that this request's client waits at most. Raises KeyError for its class."""
-        return min(request.wait_ms, self.limits.deadlines[request.service_class])
+        return min(request.wait_ms, self.limits.deadlines_ms[request.service_class])
 
     def admit(self, connection: ClientConnection, session: Session) -> None:
         """Take note that a connection has asked for this session: from here on it is not evicted."""
@@ -94,11 +94,11 @@
             oldest = next(iter(self._pending))
             evicted = next((pending for pending in self._pending if not pending.has_unread()), oldest)
             self._pending.pop(evicted).cancel()
-            self.decisions.counters["client_connection_evicted"] += 1
+            self.decisions.counters["client_connections_evicted"] += 1
 
     def rejection_line(self, retry_after_ms: int) -> bytes:
         """Return the line that rejects a client, with the time to retry after if the settings allow it."""
-        return rejection_line(min(retry_after_ms, self.limits.most_advice))
+        return rejection_line(min(retry_after_ms, self.limits.max_retry_after_ms))
 
     async def serve(self, listener: socket.socket) -> None:
         """Accept for ever, also while descriptors are out: whoever cannot be kept is rejected."""
@@ -135,7 +135,7 @@
         return True
 
     def _on_accept_error(self, listener: socket.socket, error: OSError) -> None:
-        self.decisions.counters[f"accept_failed_{errno.errorcode.get(error.errno or 0, '?')}"] += 1
+        self.decisions.counters[f"accepts_failed_{errno.errorcode.get(error.errno or 0, '?')}"] += 1
         if error.errno in OUT_OF_DESCRIPTORS:
             self._reject_on_spare_descriptor(listener)
 
@@ -153,7 +153,7 @@
             self._spare_descriptor = os.open(os.devnull, os.O_RDONLY)
 
     def _reject(self, sock: socket.socket) -> None:
-        self.decisions.counters["client_rejected_out_of_descriptors"] += 1
+        self.decisions.counters["clients_rejected_out_of_descriptors"] += 1
         with sock, suppress(OSError):
             sock.setblocking(False)
             sock.send(self.rejection_line(RETRY_AFTER_MS))
@@ -163,6 +163,6 @@
         connection = self.connections.pop(task)
         self._pending.pop(connection, None)
         if not task.cancelled() and (error := task.exception()):
-            self.decisions.counters["client_connection_failed"] += 1
+            self.decisions.counters["client_connections_failed"] += 1
             session_id = connection.session.id if connection.session else ""
             log.error("client_connection_failed", session_id=session_id, exc_info=error)
--- a/wheatstile/net/graceful_shutdown.py
+++ b/wheatstile/net/client_shutdown.py
@@ -1,4 +1,4 @@
-"""The end of serving: clients with a session are migrated, and all others get an answer."""
+"""The end of clients' connections: sessions are migrated, and all others get an answer."""
 
 import asyncio
 import socket
@@ -11,7 +11,7 @@
 CLOSE_INTERVAL_S = 0.02
 
 
-class GracefulShutdown:
+class ClientShutdown:
     """Ends what a listener's clients have open. First they are migrated, and then the listener is closed."""
 
     def __init__(self, clients: ClientListener) -> None:
--- a/wheatstile/net/health_checker.py
+++ b/wheatstile/net/health_checker.py
@@ -6,7 +6,7 @@
 import structlog
 
 from wheatstile import interface as api
-from wheatstile.config.platform import ServerLimits
+from wheatstile.config.platform import UpstreamLimits
 from wheatstile.net.decision_loop import DecisionLoop
 from wheatstile.net.errors import LineTooLongError
 from wheatstile.net.line_stream import LineStream
@@ -24,7 +24,7 @@
 class HealthCheckConnections:
     """The bound on the connections of all health checkers, and which of them are idle."""
 
-    def __init__(self, limits: ServerLimits) -> None:
+    def __init__(self, limits: UpstreamLimits) -> None:
         self.limits = limits
         self.open_count = 0
         self.idle: dict[HealthChecker, None] = {}  # the longest idle first
@@ -100,7 +100,7 @@
         if self._stream:
             self._connections.idle[self] = None
         try:
-            async with asyncio.timeout(self._connections.limits.idle if self._stream else None):
+            async with asyncio.timeout(self._connections.limits.idle_timeout_s if self._stream else None):
                 await self.check_requested.wait()
         except TimeoutError:
             self._close()
@@ -123,9 +123,9 @@
         if (
             reused and reply.outcome is api.AttemptOutcome.RESET
         ):  # it was closed as idle while the check went out
-            self._decisions.counters["health_check_repeated"] += 1
+            self._decisions.counters["health_checks_repeated"] += 1
             return
-        self._decisions.counters[f"health_check_{reply.outcome}"] += 1
+        self._decisions.counters[f"health_checks_{reply.outcome}"] += 1
         self.pending_checks -= 1
         elapsed_us = self._decisions.now() - start_us
         self._decisions.dispatch(
@@ -145,7 +145,7 @@
             return Reply(api.AttemptOutcome.CONNECT_FAILED)
         assert self._stream
         try:
-            async with asyncio.timeout(self._connections.limits.probe_timeout):
+            async with asyncio.timeout(self._connections.limits.health_check_timeout_s):
                 await self._stream.send(REQUEST_LINE)
                 return parse_health_check_reply(await self._stream.read_line())
         except TimeoutError:
@@ -157,7 +157,7 @@
         self._connections.close_longest_idle()
         self._stream = LineStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
         self._connections.open_count += 1
-        async with asyncio.timeout(self._connections.limits.connect_timeout):
+        async with asyncio.timeout(self._connections.limits.connect_timeout_s):
             await asyncio.get_running_loop().sock_connect(self._stream.sock, self.upstream.address)
 
     def _close(self) -> None:
--- a/wheatstile/net/latency_monitor.py
+++ b/wheatstile/net/latency_monitor.py
@@ -30,7 +30,7 @@
 
     def _report(self, upstream: Upstream, now_us: int) -> None:
         """Dispatch the median latency, for one session of the server, if it is slow or was before."""
-        threshold_ms = self._upstreams.limits.shortest_aim / OBJECTIVE_DIVISOR
+        threshold_ms = self._upstreams.limits.message_latency_objective_ms / OBJECTIVE_DIVISOR
         waiting_ms = [
             (now_us - since_us) / 1000 for since_us in upstream.waiting_since_us.values() if since_us
         ]
--- a/wheatstile/net/upstream_attempt.py
+++ b/wheatstile/net/upstream_attempt.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from wheatstile import interface as api
-from wheatstile.config.platform import ServerLimits
+from wheatstile.config.platform import UpstreamLimits
 from wheatstile.net.errors import LineTooLongError
 from wheatstile.net.line_stream import LineStream
 from wheatstile.net.upstream import Upstream
@@ -40,7 +40,7 @@
 
     __slots__ = ("_limits", "stream", "upstream")
 
-    def __init__(self, upstream: Upstream, limits: ServerLimits) -> None:
+    def __init__(self, upstream: Upstream, limits: UpstreamLimits) -> None:
         self.upstream = upstream
         self._limits = limits
         self.stream: LineStream | None = None
@@ -56,7 +56,7 @@
         """
         deadline_s = asyncio.get_running_loop().time() + timeout_s
         failure = await self._connect(
-            timeout_s if reopening else min(self._limits.connect_timeout, timeout_s)
+            timeout_s if reopening else min(self._limits.connect_timeout_s, timeout_s)
         )
         if failure is None:
             failure = await self._send_open_line(open_line, deadline_s, reopening)
--- a/wheatstile/net/upstream_pool.py
+++ b/wheatstile/net/upstream_pool.py
@@ -4,7 +4,7 @@
 
 from wheatstile import interface as api
 from wheatstile.config.endpoints import ResolvedEndpoint
-from wheatstile.config.platform import ServerLimits
+from wheatstile.config.platform import UpstreamLimits
 from wheatstile.net.decision_loop import DecisionLoop
 from wheatstile.net.health_checker import HealthCheckConnections, HealthChecker
 from wheatstile.net.upstream import Upstream
@@ -14,19 +14,19 @@
 class UpstreamPool:
     """All servers by name. Attempts and health checks start here."""
 
-    def __init__(self, decisions: DecisionLoop, limits: ServerLimits) -> None:
+    def __init__(self, decisions: DecisionLoop, limits: UpstreamLimits) -> None:
         self.by_name: dict[str, Upstream] = {}
         self._decisions = decisions
         self._health_check_connections = HealthCheckConnections(limits)
         self._health_checkers: dict[Upstream, HealthChecker] = {}
 
     @property
-    def limits(self) -> ServerLimits:
+    def limits(self) -> UpstreamLimits:
         """What the settings say of dealing with servers; a reload replaces it."""
         return self._health_check_connections.limits
 
     @limits.setter
-    def limits(self, limits: ServerLimits) -> None:
+    def limits(self, limits: UpstreamLimits) -> None:
         """Follow a reload: what is opened next keeps to the new limits."""
         self._health_check_connections.limits = limits
 
@@ -63,7 +63,7 @@
         upstream = self.by_name.get(server)
         return UpstreamAttempt(upstream, self.limits) if upstream else None
 
-    def probe(self, server: str) -> None:
+    def check_health(self, server: str) -> None:
         """Check this server's health; exactly one HealthCheckResult follows."""
         upstream = self.by_name.get(server)
         if upstream is None:
--- a/wheatstile/net/upstream_reply.py
+++ b/wheatstile/net/upstream_reply.py
@@ -35,7 +35,7 @@
 
 def parse_load_report(text: bytes) -> api.LoadReport | None:
     """Parse a load report as it closes a line; None if it holds no usable figure."""
-    return reports.report_in(text.decode("latin-1"), "=", LOAD_METRICS) or None
+    return reports.parse_load_report(text.decode("latin-1"), "=", LOAD_METRICS) or None
 
 
 def parse_final_reply(line: bytes) -> Reply:
