--- a/wheatstile/net/client_shutdown.py
+++ b/wheatstile/net/graceful_shutdown.py
@@ -11,7 +11,7 @@
 CLOSE_INTERVAL_S = 0.02
 
 
-class ClientShutdown:
+class GracefulShutdown:
     """Ends what a listener's clients have open. First they are migrated, and then the listener is closed."""
 
     def __init__(self, clients: ClientListener) -> None:
--- a/wheatstile/process/graceful_shutdown.py
+++ b/wheatstile/process/graceful_shutdown.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from wheatstile.net.client_listener import ClientListener
-from wheatstile.net.client_shutdown import ClientShutdown
+from wheatstile.net.graceful_shutdown import GracefulShutdown
 from wheatstile.net.line_stream import LINGER_S
 
 KILL_MARGIN_S = 0.7  # beside the longest deadline, from SIGTERM to SIGKILL at the earliest
@@ -40,7 +40,7 @@
     """Serve on for a while, then migrate the clients one by one; new ones are still accepted."""
     schedule = ShutdownSchedule.for_deadline(longest_deadline_s)
     await asyncio.sleep(schedule.serve_s)
-    await ClientShutdown(client_listener).migrate_sessions(schedule.migrate_s)
+    await GracefulShutdown(client_listener).migrate_sessions(schedule.migrate_s)
 
 
 async def answer_pending_clients(client_listener: ClientListener, listener: socket.socket) -> None:
@@ -50,4 +50,4 @@
     """
     with suppress(TimeoutError):
         async with asyncio.timeout(LINGER_S):
-            await ClientShutdown(client_listener).close(listener)
+            await GracefulShutdown(client_listener).close(listener)
