--- a/tests/net/test_client_listener.py
+++ b/tests/net/test_client_listener.py
@@ -52,12 +52,12 @@
     resource.prlimit(balancer.process.pid, resource.RLIMIT_NOFILE, (3, 1024))
     client.send(f"OPEN {1:016x} key c=web,d=9000,g=a")
     counters: dict[str, int] = {}
-    while not counters.get("health_check_not_sent"):
+    while not counters.get("health_checks_not_sent"):
         counters = balancer.counters()
     resource.prlimit(balancer.process.pid, resource.RLIMIT_NOFILE, (1024, 1024))
     balancer.server.accept_session()[0].send("UP r")
     assert client.line() == "UP r"
-    assert "health_check_connect_failed" not in counters
+    assert "health_checks_connect_failed" not in counters
 
 
 def test_health_checks_of_many_servers_spare_descriptors_for_clients(balancer: Balancer) -> None:
--- a/tests/net/test_connection_close.py
+++ b/tests/net/test_connection_close.py
@@ -10,11 +10,12 @@
 
 import pytest
 from support.balancer import SLOW_CONNECT, Balancer
-from support.peer import Peer
+from support.peer import POLL_INTERVAL_S, Peer
 
 DESCRIPTORS = 64  # few enough to be filled
 NO_READING = 4096  # bytes of a receive buffer that is soon full
-STEADY = 0.3  # seconds after which a queue that stands counts as held
+TO_CLIENT, FROM_CLIENT = range(2)  # places in what `queues` returns
+STUCK_AFTER_S = 0.3  # without being emptied, a queue of the kernel counts as stuck
 
 
 @pytest.fixture
@@ -23,16 +24,26 @@
 
 
 def queues(local: tuple[str, int], remote: tuple[str, int]) -> tuple[int, int]:
-    """The bytes that the kernel holds to send, and to be read, at the local end of a connection."""
+    """Return the bytes that the kernel holds to send, and to be read, at the local end of a connection."""
     ends_wanted = f":{local[1]:04X}", f":{remote[1]:04X}"
     for row in Path("/proc/net/tcp").read_text().splitlines()[1:]:
-        _, local_end, remote_end, _, held, *_ = row.split()
+        _, local_end, remote_end, _, queue_sizes, *_ = row.split()
         if (local_end[-5:], remote_end[-5:]) == ends_wanted:
-            to_send, _, to_read = held.partition(":")
+            to_send, _, to_read = queue_sizes.partition(":")
             return int(to_send, 16), int(to_read, 16)
     raise AssertionError("no such connection")
 
 
+def is_stuck(balancer: Balancer, client: socket.socket, direction: int) -> bool:
+    """Whether bytes stay in the kernel at the balancer's end: TO_CLIENT or FROM_CLIENT."""
+    end_s = time.monotonic() + STUCK_AFTER_S
+    while queues(balancer.listen, client.getsockname())[direction]:
+        if time.monotonic() > end_s:
+            return True
+        time.sleep(POLL_INTERVAL_S)
+    return False
+
+
 @pytest.mark.parametrize("before", [b"", b"PING\r\n", b"OPEN 00000000000"])
 def test_request_is_served_as_its_idle_connection_would_be_evicted(balancer: Balancer, before: bytes) -> None:
     """The oldest idle connection asks in the turn in which newcomers would have it closed for their room."""
@@ -54,7 +65,7 @@
     assert line.startswith("OPEN 0000000000000001 key1 ")
     server.send("UP r")
     assert oldest.line() == "UP r"
-    assert balancer.counters()["client_connection_evicted"] > len(newcomers)
+    assert balancer.counters()["client_connections_evicted"] > len(newcomers)
 
 
 @pytest.mark.parametrize(("end", "answer"), [("its time is up", "ERR"), ("shutting down", "BUSY 1000")])
@@ -70,7 +81,7 @@
     assert client.lines_to_the_end() == [answer]
     balancer.open(1, client=client)
     if end != "shutting down":
-        assert balancer.check_serving(2)["attempt_established"] == 1
+        assert balancer.check_serving(2)["attempts_established"] == 1
         balancer.terminate()
     assert balancer.wait() == 0
     assert not balancer.server.has_waiting()
@@ -85,7 +96,7 @@
     numbers = [int(path.name) for path in Path(f"/proc/{balancer.process.pid}/fd").iterdir()]
     resource.prlimit(balancer.process.pid, resource.RLIMIT_NOFILE, (max(numbers) + 1, 1024))
     idle = []
-    while not balancer.counters().get("client_rejected_out_of_descriptors"):
+    while not balancer.counters().get("clients_rejected_out_of_descriptors"):
         idle.append(balancer.client())  # they take the numbers between, until one is refused
     with balancer.paused():
         client = balancer.open(1)
@@ -148,7 +159,7 @@
     assert server.ends()
 
 
-def test_last_line_in_the_kernel_survives_the_close_over_unread_bytes(balancer: Balancer) -> None:
+def test_last_line_in_the_kernel_survives_the_close_over_pending_bytes(balancer: Balancer) -> None:
     """The client takes nothing until the balancer has closed, and has sent lines that nobody reads."""
     balancer.server.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, NO_READING)
     balancer.start()
@@ -159,27 +170,17 @@
     server, _ = balancer.server.accept_session()
     server.send("UP r")
     assert client.line() == "UP r"
-    own_end = sock.getsockname()
-
-    def held(direction: int) -> bool:
-        """Whether bytes stay in the kernel at the balancer's end: 0 those to the client, 1 those from it."""
-        give_up = time.monotonic() + STEADY
-        while queues(balancer.listen, own_end)[direction]:
-            if time.monotonic() > give_up:
-                return True
-            time.sleep(0.002)
-        return False
-
     to_client = itertools.count()
     server.send(f"{next(to_client):0100}")
-    while not held(0):
+    while not is_stuck(balancer, sock, TO_CLIENT):
         server.send(f"{next(to_client):0100}")
     client.send("x" * 4000)
-    while not held(1):  # the server reads nothing, so the balancer reads no more of the client
+    # The server reads nothing, so the balancer reads no more of the client.
+    while not is_stuck(balancer, sock, FROM_CLIENT):
         server.send(f"{next(to_client):0100}")  # else it would count as silent
         client.send(*["x" * 4000] * 8)  # half of what the balancer drops as it closes
     server.send("BYE")
     server.sock.shutdown(socket.SHUT_WR)
-    balancer.wait_for_counter("session_ended_ok", 1)
+    balancer.wait_for_counter("sessions_ended_ok", 1)
     lines = client.lines_to_the_end()
     assert lines == [f"{number:0100}" for number in range(next(to_client))] + ["BYE"]
--- a/tests/net/test_health_checker.py
+++ b/tests/net/test_health_checker.py
@@ -38,8 +38,8 @@
     health_check, client = start_with_pending_check(balancer)
     health_check.close(reset)  # as if it had been closed before the check came
     counters = serve_waiting_client(balancer, client)
-    assert counters.get("health_check_repeated") == 1
-    assert "health_check_reset" not in counters
+    assert counters.get("health_checks_repeated") == 1
+    assert "health_checks_reset" not in counters
 
 
 @pytest.mark.parametrize(("objective_ms", "timeout_s"), [(50.0, 0.1), (100.0, 0.2), (0.0, 0.25)])
@@ -53,7 +53,7 @@
     new_connection = balancer.server.accept()
     assert new_connection.line() == "STATS"
     new_connection.close()
-    balancer.wait_for_counter("health_check_reset", 1)
+    balancer.wait_for_counter("health_checks_reset", 1)
 
 
 def test_second_answer_is_not_taken_for_the_next(balancer: Balancer) -> None:
--- a/tests/net/test_session_relay.py
+++ b/tests/net/test_session_relay.py
@@ -40,7 +40,8 @@
 def test_client_that_reads_nothing_holds_the_upstream_back_and_loses_no_line(balancer: Balancer) -> None:
     balancer.start()
     client, server = balancer.establish()
-    sent, line = 0, b"x" * 4094 + b"\r\n"
+    sent = 0
+    line = b"x" * 4094 + b"\r\n"
     server.sock.settimeout(1)
     with pytest.raises(TimeoutError):
         while True:
--- a/tests/process/test_restart.py
+++ b/tests/process/test_restart.py
@@ -14,7 +14,9 @@
 from support.balancer import SLOW_CONNECT, Balancer
 from support.peer import TIMEOUT_S, Peer
 
-READY_WITHIN, READY_WITHIN_BESIDE_PREDECESSOR = 6.0, 10.0  # seconds, of the standing test
+# Of the standing test.
+READY_TIMEOUT_S = 6.0
+READY_TIMEOUT_BESIDE_PREDECESSOR_S = 10.0
 
 
 @pytest.fixture
@@ -23,7 +25,7 @@
 
 
 class Load:
-    """Clients that come again at once, for as long as the program is restarted under them."""
+    """Clients that connect again at once, for as long as the program is restarted under them."""
 
     CLIENTS = 20
 
@@ -33,18 +35,18 @@
         self._numbers = itertools.count(1)
         self._changed = threading.Condition()
         self._over = threading.Event()
-        self._threads = [threading.Thread(target=self._come_again) for _ in range(self.CLIENTS)]
+        self._threads = [threading.Thread(target=self._keep_connecting) for _ in range(self.CLIENTS)]
         for thread in self._threads:
             thread.start()
 
-    def _come_again(self) -> None:
+    def _keep_connecting(self) -> None:
         while not self._over.is_set():
             with suppress(OSError):
-                self._hold_one()
+                self._run_session()
             self._over.wait(0.02)  # refused, while nobody listens
 
-    def _hold_one(self) -> None:
-        """One connection, held until the balancer ends it."""
+    def _run_session(self) -> None:
+        """Run one session until the balancer ends it."""
         with socket.create_connection(self.listen, TIMEOUT_S) as sock:
             client = Peer(sock)
             with self._changed:
@@ -62,18 +64,19 @@
                         return
 
     def wait_for_all(self, before: int) -> None:
-        """Until as many connections as there are clients have come up since there were so many."""
+        """Wait until as many sessions as there are clients were established since there were so many."""
         with self._changed:
             assert self._changed.wait_for(lambda: self.established >= before + self.CLIENTS, TIMEOUT_S)
 
     def end(self) -> None:
+        """End all clients."""
         self._over.set()
         for thread in self._threads:
             thread.join()
 
 
-@pytest.mark.parametrize("held", [False, True], ids=["predecessor gone", "predecessor there"])
-def test_restart_under_load_is_ready_in_time(balancer: Balancer, held: bool) -> None:
+@pytest.mark.parametrize("address_in_use", [False, True], ids=["address free", "address in use"])
+def test_restart_under_load_is_ready_in_time(balancer: Balancer, address_in_use: bool) -> None:
     """Three times in a row, all clients coming again at once; the second way the address is still held."""
     fleet = Fleet(["s1", "s2", "s3"])
     members = [balancer.member(name, host_port=address) for name, address in fleet.addresses.items()]
@@ -85,14 +88,14 @@
             predecessor = balancer.process
             established = load.established
             predecessor.send_signal(signal.SIGTERM)
-            if not held:
+            if not address_in_use:
                 assert predecessor.wait(TIMEOUT_S) == 0
-            launched = time.monotonic()
+            launched_at = time.monotonic()
             balancer.launch(stderr=subprocess.DEVNULL)
             assert predecessor.wait(TIMEOUT_S) == 0
             balancer.ready()
-            took = time.monotonic() - launched
-            assert took < (READY_WITHIN_BESIDE_PREDECESSOR if held else READY_WITHIN)
+            ready_after_s = time.monotonic() - launched_at
+            assert ready_after_s < (READY_TIMEOUT_BESIDE_PREDECESSOR_S if address_in_use else READY_TIMEOUT_S)
             load.wait_for_all(before=established)
     finally:
         load.end()
--- a/tests/process/test_start.py
+++ b/tests/process/test_start.py
@@ -106,7 +106,7 @@
     balancer.start()
     _client, _server = balancer.establish()
     counters = balancer.counters()
-    assert (counters["session_requested"], counters["attempt_established"]) == (1, 1)
+    assert (counters["sessions_requested"], counters["attempts_established"]) == (1, 1)
 
 
 @pytest.mark.parametrize("settings", [{}])
--- a/tests/support/balancer.py
+++ b/tests/support/balancer.py
@@ -259,6 +259,6 @@
         """Check that the server's next session is this new client's, and that nothing has failed inside."""
         self.establish(number)
         counters = self.counters()
-        assert "client_connection_failed" not in counters
+        assert "client_connections_failed" not in counters
         assert "decision_module_failures" not in counters
         return counters
--- a/wheatstile/net/client_connection.py
+++ b/wheatstile/net/client_connection.py
@@ -72,7 +72,7 @@
         except ClientDisconnectedError as error:
             reset = error.reset
         except ProtocolError:
-            self._decisions.counters["protocol_error"] += 1
+            self._decisions.counters["protocol_errors"] += 1
             await self._stop_reading()
             await self._stream.finish(ERROR_LINE)
         finally:
@@ -89,7 +89,7 @@
         """Serve what the first line asks for; returns the last line that the client is owed, if any."""
         line = await self._first_line.read()
         if not line:
-            self._decisions.counters["client_rejected_at_shutdown"] += 1
+            self._decisions.counters["clients_rejected_at_shutdown"] += 1
             return self._owner.rejection_line(RETRY_AFTER_MS)
         request = OpenRequest.parse(line)
         if request.service_class not in self._owner.limits.deadlines_ms:
@@ -97,7 +97,7 @@
         if not self._owner.register_id(request.id):
             raise ProtocolError("an id that has come before")
         if not self._owner.has_capacity():
-            self._decisions.counters["client_rejected_out_of_descriptors"] += 1
+            self._decisions.counters["clients_rejected_out_of_descriptors"] += 1
             return self._owner.rejection_line(RETRY_AFTER_MS)
         return await self._run_session(request)
 
--- a/wheatstile/net/health_checker.py
+++ b/wheatstile/net/health_checker.py
@@ -123,9 +123,9 @@
         if (
             reused and reply.outcome is api.AttemptOutcome.RESET
         ):  # it was closed as idle while the check went out
-            self._decisions.counters["health_check_repeated"] += 1
+            self._decisions.counters["health_checks_repeated"] += 1
             return
-        self._decisions.counters[f"health_check_{reply.outcome}"] += 1
+        self._decisions.counters[f"health_checks_{reply.outcome}"] += 1
         self.pending_checks -= 1
         elapsed_us = self._decisions.now() - start_us
         self._decisions.dispatch(
