--- a/wheatstile/decisions/lookup_table.py
+++ b/wheatstile/decisions/lookup_table.py
@@ -53,10 +53,10 @@
 
     def _insert(self, item: Item, entry: int) -> None:
         mask = len(self._places) - 1
-        place = (crc32(b"%d" % entry, item.name_hash) if entry else item.name_hash) & mask
-        while self._places[place]:
-            place = (place + 1) & mask
-        self._places[place] = item
+        index = (crc32(b"%d" % entry, item.name_hash) if entry else item.name_hash) & mask
+        while self._places[index]:
+            index = (index + 1) & mask
+        self._places[index] = item
 
     def walk(self, seed: int, draws: int, is_passed_over: Callable[[Item], bool]) -> Iterator[Item]:
         """The items that this many draws meet, from this seed on.
--- a/wheatstile/decisions/requests.py
+++ b/wheatstile/decisions/requests.py
@@ -18,7 +18,7 @@
     if event.id in state.connections:
         return
     # Mid-flow packets often miss their server: while setups fail, a thousand misses fed a storm.
-    is_retry = event.reconnecting or (event.midflow and state.setup_rate.pace < admission.INITIAL_PACE)
+    is_retry = event.reconnecting or (event.midflow and state.setup_limiter.rate < admission.INITIAL_RATE)
     deadline_us = state.now_us + event.expires_in_us - ANSWER_MARGIN_US
     connection = state.add_connection(event, deadline_us, is_retry)
     # Every server that holds any of a group pays for it: a group that draws one pair stays on two.
@@ -34,7 +34,7 @@
     if state.is_shutting_down or admission.is_rejected_early(state):
         _answer(state, connection)
     else:
-        _place(state, connection)
+        _select_candidates(state, connection)
 
 
 def _follow_exploration(state: BalancerState, key: str, connection: Connection) -> bool:
@@ -55,7 +55,7 @@
     return not is_ejected and selection.is_eligible(state, server, connection)
 
 
-def _place(state: BalancerState, connection: Connection) -> None:
+def _select_candidates(state: BalancerState, connection: Connection) -> None:
     """Draw two candidates and check both. A repeated setup first waits for its turn."""
     if connection.is_past_repeat_window(state.now_us):
         _answer(state, connection)
@@ -83,20 +83,20 @@
     elif state.now_us >= connection.deadline_us or (best and mean_load(state) >= OVERLOAD_THRESHOLD):
         _answer(state, connection)
     elif is_expired:  # the fleet has room though this pair has not: another pair
-        _place(state, connection)
+        _select_candidates(state, connection)
     elif best:  # reports are late: asked again at once, the servers say what they said
         state.defer(connection, CANDIDATE_TIMEOUT_US << connection.candidate_draws >> 1)
 
 
 def _start_attempt(state: BalancerState, connection: Connection, server: Server) -> None:
     """One attempt, with half of the time left (the rest is for retries), or its objective if that is more."""
-    left_us = connection.deadline_us - state.now_us
-    if left_us <= 0:
+    remaining_us = connection.deadline_us - state.now_us
+    if remaining_us <= 0:
         _answer(state, connection)
         return
     state.begin_attempt(connection, server)
-    limit_us = left_us // 2 if connection.attempts < state.settings.max_attempts else left_us
-    timeout_us = max(limit_us, min(connection.service_class.latency_objective_us, left_us))
+    limit_us = remaining_us // 2 if connection.attempts < state.settings.max_attempts else remaining_us
+    timeout_us = max(limit_us, min(connection.service_class.latency_objective_us, remaining_us))
     state.actions.append(api.StartAttempt(connection.id, server.endpoint.name, timeout_us))
 
 
@@ -133,7 +133,7 @@
     if has_failed and connection.server and not is_established:
         health.eject(state, connection.server)
         if event.outcome in OUTCOMES_THAT_SLOW_DOWN:
-            state.setup_rate.on_failure()
+            state.setup_limiter.on_failure()
     move = connection.exploration
     if is_established or event.closed or event.outcome == api.AttemptOutcome.OK:
         if move and has_failed and connection.key:  # a drop after a move reads as a load above X_i
@@ -151,4 +151,4 @@
     elif move and _is_available(state, move.origin, connection):
         _start_attempt(state, connection, move.origin)
     else:
-        _place(state, connection)
+        _select_candidates(state, connection)
--- a/wheatstile/decisions/slow_start.py
+++ b/wheatstile/decisions/slow_start.py
@@ -9,12 +9,12 @@
 
 def begin(state: BalancerState, server: Server, endpoint: api.Endpoint) -> None:
     """A new process: what was sent before says nothing of it, what it was sent since its start is owed."""
-    is_owed = server.last_attempt_at_us >= endpoint.started_at_us
-    server.slow_start_tokens = state.random.random() - is_owed
+    was_sent_since_start = server.last_attempt_at_us >= endpoint.started_at_us
+    server.slow_start_tokens = state.random.random() - was_sent_since_start
     server.slow_start_tokens_at_us = state.now_us
     server.load = None
     window_us = state.settings.slow_start_overload_window_us
-    server.slow_start_chance_until_us = server.last_attempt_at_us + window_us if is_owed else 0
+    server.slow_start_chance_until_us = server.last_attempt_at_us + window_us if was_sent_since_start else 0
 
 
 def has_budget(state: BalancerState, server: Server, is_retry: bool) -> bool:
@@ -28,10 +28,10 @@
     if server.endpoint.started_at_us <= 0 or age_us >= settings.slow_start_duration_us:
         return True
     capacity = max(settings.slow_start_initial_capacity, age_us / settings.slow_start_duration_us)
-    held = OVERLOAD_THRESHOLD * len(state.connections) / len(state.ready)
-    held = held / max(mean_load(state), LEAST_MEAN_LOAD) * capacity
+    share = OVERLOAD_THRESHOLD * len(state.connections) / len(state.ready)
+    share = share / max(mean_load(state), LEAST_MEAN_LOAD) * capacity
     window_us = settings.slow_start_overload_window_us
-    rate = held * settings.slow_start_overload_factor / max(SECOND_US, window_us)
+    rate = share * settings.slow_start_overload_factor / max(SECOND_US, window_us)
     part = window_us * rate
     gained = (state.now_us - server.slow_start_tokens_at_us) * rate
     server.slow_start_tokens = min(part, server.slow_start_tokens + gained)
--- a/wheatstile/decisions/state.py
+++ b/wheatstile/decisions/state.py
@@ -116,7 +116,7 @@
     established: dict[Connection, None] = field(default_factory=dict)
     pending_migrations: dict[str, Exploration] = field(default_factory=dict)  # by client key
     slot: int = 0  # the clock t
-    setup_rate: AdaptiveTokenBucket = field(default_factory=lambda: AdaptiveTokenBucket(0, 0, 0, 0, 0))
+    setup_limiter: AdaptiveTokenBucket = field(default_factory=lambda: AdaptiveTokenBucket(0, 0, 0, 0, 0))
     peak_connections: float = 0.0
     load_check_interval_us: int = 0
     discovery_backoff_us: int = 0
@@ -233,8 +233,8 @@
 
     def is_waiting(self, connection: Connection) -> bool:
         """Whether it is held for a decision: neither answered nor established, and no attempt in flight."""
-        is_held = connection.id in self.connections and connection not in self.established
-        return is_held and not connection.attempt_in_flight
+        is_unanswered = connection.id in self.connections and connection not in self.established
+        return is_unanswered and not connection.attempt_in_flight
 
     def connections_at(self, server: Server | None) -> list[Connection]:
         """The open connections of this server."""
@@ -249,8 +249,8 @@
         connection = self.connections.get(event.id)
         if connection is None or connection.attempts != event.attempt + 1:
             return None
-        is_held = connection.attempt_in_flight or connection in self.established
-        return connection if is_held else None
+        is_current = connection.attempt_in_flight or connection in self.established
+        return connection if is_current else None
 
     def begin_attempt(self, connection: Connection, server: Server) -> None:
         """An attempt goes to this server, and counts in what it may be sent in slow start."""
--- a/wheatstile/decisions/token_bucket.py
+++ b/wheatstile/decisions/token_bucket.py
@@ -7,31 +7,31 @@
 
 @dataclass(slots=True)
 class AdaptiveTokenBucket:
-    """Additive increase, multiplicative decrease (AIMD). `pace` is the rate for a size of 1."""
+    """Additive increase, multiplicative decrease (AIMD). `rate` is the rate for a size of 1."""
 
-    pace: float
-    max_pace: float
-    min_pace: float
+    rate: float
+    max_rate: float
+    min_rate: float
     increase_per_s: float
-    decrease_factor: float
+    decrease_ratio: float
     tokens: float = 1.0
     updated_at_us: int = 0
 
     def on_failure(self) -> None:
         """Slow down."""
-        self.pace = max(self.min_pace, self.pace * self.decrease_factor)
+        self.rate = max(self.min_rate, self.rate * self.decrease_ratio)
 
     def seconds_since_update(self, now_us: int) -> float:
         """The seconds since the last call of `try_acquire`."""
         return (now_us - self.updated_at_us) / SECOND_US
 
-    def try_acquire(self, now_us: int, size: float, seconds_per_pace: float) -> bool:
-        """Spend a token if there is one; tokens come at `pace * size / seconds_per_pace` a second."""
+    def try_acquire(self, now_us: int, size: float, lifetime_s: float) -> bool:
+        """Spend a token if there is one; tokens come at `rate * size / lifetime_s` a second."""
         passed_s = self.seconds_since_update(now_us)
         self.updated_at_us = now_us
-        self.pace = min(self.max_pace, self.pace + self.increase_per_s * size * passed_s)
-        rate = self.pace * size / seconds_per_pace
-        self.tokens = min(self.tokens + rate * passed_s, max(1.0, rate / 2))
+        self.rate = min(self.max_rate, self.rate + self.increase_per_s * size * passed_s)
+        tokens_per_s = self.rate * size / lifetime_s
+        self.tokens = min(self.tokens + tokens_per_s * passed_s, max(1.0, tokens_per_s / 2))
         is_allowed = self.tokens >= 1
         self.tokens -= is_allowed
         return is_allowed
--- a/wheatstile/interface.py
+++ b/wheatstile/interface.py
@@ -94,8 +94,8 @@
     @property
     def may_have_run(self) -> bool:
         """Whether the server may have acted on the request."""
-        never_ran = (AttemptOutcome.OVERLOADED, AttemptOutcome.CONNECT_FAILED, AttemptOutcome.NOT_SENT)
-        return self not in never_ran
+        without_effect = (AttemptOutcome.OVERLOADED, AttemptOutcome.CONNECT_FAILED, AttemptOutcome.NOT_SENT)
+        return self not in without_effect
 
 
 @dataclass(frozen=True, slots=True)
--- a/wheatstile/net/client_connection.py
+++ b/wheatstile/net/client_connection.py
@@ -49,9 +49,9 @@
         self._first_line = FirstLineReader(self._stream, owner.decisions.counters)
         self._migration: asyncio.Future[MigrationReason] = asyncio.get_running_loop().create_future()
 
-    def has_unread(self) -> bool:
+    def has_pending_input(self) -> bool:
         """Whether the client has sent what nobody has read."""
-        return self._stream.has_unread()
+        return self._stream.has_pending_input()
 
     def migrate(self, reason: MigrationReason) -> None:
         """Have the client told to connect again, now or as soon as it has an established session."""
--- a/wheatstile/net/client_listener.py
+++ b/wheatstile/net/client_listener.py
@@ -92,7 +92,7 @@
         max_pending = max(self._free_descriptors(), self._min_pending())
         if self._pending and len(self._pending) >= max_pending:
             oldest = next(iter(self._pending))
-            evicted = next((pending for pending in self._pending if not pending.has_unread()), oldest)
+            evicted = next((pending for pending in self._pending if not pending.has_pending_input()), oldest)
             self._pending.pop(evicted).cancel()
             self.decisions.counters["client_connections_evicted"] += 1
 
--- a/wheatstile/net/line_stream.py
+++ b/wheatstile/net/line_stream.py
@@ -106,7 +106,7 @@
         except BlockingIOError:
             return None
 
-    def has_unread(self) -> bool:
+    def has_pending_input(self) -> bool:
         """Whether bytes have come that nobody has read."""
         try:
             return bool(self.peek())
