--- a/tests/decisions/test_package.py
+++ b/tests/decisions/test_package.py
@@ -10,7 +10,7 @@
 PACKAGE = ROOT / "wheatstile" / "decisions"
 POLICY = [ROOT / name for name in tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["policy"]]
 DECIDES_NOTHING = {"__init__.py", "balancer.py", "lookup_table.py", "state.py", "token_bucket.py"}
-MODULES = [*sorted(PACKAGE.glob("*.py")), ROOT / "wheatstile" / "interface.py"]
+MODULES = [*sorted(PACKAGE.glob("*.py")), *sorted((ROOT / "wheatstile" / "interface").glob("*.py"))]
 ALLOWED_IMPORTS = {
     "collections.abc",
     "dataclasses",
@@ -36,18 +36,20 @@
     assert {path.parent for path in POLICY} == {PACKAGE}
 
 
-def test_head_names_the_interface_file() -> None:
-    assert "wheatstile/interface.py" in (PACKAGE / "balancer.py").read_text().split('"""')[1]
+def test_head_names_the_interface() -> None:
+    assert "wheatstile/interface/" in (PACKAGE / "balancer.py").read_text().split('"""')[1]
 
 
-@pytest.mark.parametrize("path", MODULES, ids=lambda path: path.name)
+@pytest.mark.parametrize("path", MODULES, ids=lambda path: f"{path.parent.name}/{path.name}")
 def test_decisions_do_no_io_and_read_no_clock(path: Path) -> None:
     for node in ast.walk(ast.parse(path.read_text())):
         if isinstance(node, ast.Import):
             assert {name.name for name in node.names} <= ALLOWED_IMPORTS
         elif isinstance(node, ast.ImportFrom):
             module = node.module or ""
-            assert module in ALLOWED_IMPORTS or module.startswith("wheatstile.decisions")
+            assert module in ALLOWED_IMPORTS or module.startswith(
+                ("wheatstile.decisions", "wheatstile.interface")
+            )
             assert module != "random" or [name.name for name in node.names] == ["Random"]
         elif isinstance(node, ast.Call) and isinstance(node.func, ast.Name):
             assert node.func.id not in FORBIDDEN_CALLS
--- a/wheatstile/decisions/balancer.py
+++ b/wheatstile/decisions/balancer.py
@@ -1,4 +1,4 @@
-"""The decision module of one balancer: events in, actions out (wheatstile/interface.py).
+"""The decision module of one balancer: events in, actions out (wheatstile/interface/).
 
 A new connection goes to the better of two random servers by checked load over capacity; in every other slot
 each connection explores a uniformly drawn server with probability gamma, and in the slot after it the ratio
--- a/wheatstile/decisions/selection.py
+++ b/wheatstile/decisions/selection.py
@@ -19,7 +19,7 @@
         return True
     if connection.is_past_repeat_window(state.now_us):
         return False
-    return service_class.deduplication_scope.holds_both(first.server.endpoint, server.endpoint)
+    return server.endpoint.shares_scope(first.server.endpoint, service_class.deduplication_scope)
 
 
 def is_eligible(state: BalancerState, server: Server, connection: Connection | None) -> bool:
--- /dev/null
+++ b/wheatstile/interface/__init__.py
@@ -0,0 +1,80 @@
+"""The interface of the decision module: its settings, its events and its actions.
+
+Everything here speaks of load balancing (servers, connections, drains, health checks) and nothing of any wire
+protocol. All times are integers on one clock that the host chooses and that never goes back; the unit stands
+in the name (`_us`: microseconds).
+"""
+
+from wheatstile.interface.actions import (
+    Action,
+    CheckHealth,
+    Fail,
+    Migrate,
+    Reject,
+    SetTimer,
+    StartAttempt,
+    WatchEndpoints,
+)
+from wheatstile.interface.endpoint import (
+    Endpoint,
+    LoadReport,
+)
+from wheatstile.interface.enumerations import (
+    AttemptOutcome,
+    DeduplicationScope,
+    EndpointState,
+    EndpointUpdateKind,
+    Idempotency,
+    LoadMetric,
+)
+from wheatstile.interface.events import (
+    AttemptEnded,
+    ClientDisconnected,
+    ConnectionLoadChanged,
+    EndpointUpdate,
+    Established,
+    Event,
+    ExistingConnection,
+    HealthCheckResult,
+    MessageLatencyChanged,
+    Request,
+    ShutdownStarted,
+    TimerFired,
+)
+from wheatstile.interface.settings import (
+    ServiceClass,
+    Settings,
+)
+
+__all__ = [
+    "Action",
+    "AttemptEnded",
+    "AttemptOutcome",
+    "CheckHealth",
+    "ClientDisconnected",
+    "ConnectionLoadChanged",
+    "DeduplicationScope",
+    "Endpoint",
+    "EndpointState",
+    "EndpointUpdate",
+    "EndpointUpdateKind",
+    "Established",
+    "Event",
+    "ExistingConnection",
+    "Fail",
+    "HealthCheckResult",
+    "Idempotency",
+    "LoadMetric",
+    "LoadReport",
+    "MessageLatencyChanged",
+    "Migrate",
+    "Reject",
+    "Request",
+    "ServiceClass",
+    "SetTimer",
+    "Settings",
+    "ShutdownStarted",
+    "StartAttempt",
+    "TimerFired",
+    "WatchEndpoints",
+]
