Check the format and a wider set of lint rules in the tests' command

Cause: 24 files differed from the formatter, and names, docstrings, complexity and typed errors were held by nobody. Assertions of two parts are two assertions.

--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,7 @@
 	$(PYTHON) -m pytest
 
 lint:
+	.venv/bin/ruff format --check .
 	.venv/bin/ruff check .
 	.venv/bin/mypy
 	.venv/bin/lint-imports --no-cache
--- a/benchmarks/servers_file.py
+++ b/benchmarks/servers_file.py
@@ -45,7 +45,7 @@
 class Balancer(NodeTest):
     """One running balancer with an operator's file, driven from here."""
 
-    def runTest(self) -> None:
+    def runTest(self) -> None:  # noqa: N802  unittest\'s name
         """Nothing: it is driven from outside."""
 
     def begin(self, section: dict[str, Any] | None, first: bytes = b"") -> None:
@@ -175,7 +175,8 @@
         value: dict[str, Any] = {"servers": rows, "generation": 1}
         balancer = Balancer()
         balancer.begin(section(), json.dumps(value | {"seal": digest_of(value)}).encode())
-        assert balancer.node and balancer.node.stderr
+        assert balancer.node
+        assert balancer.node.stderr
         # A log that nobody reads stops its writer once the pipe is full.
         threading.Thread(target=balancer.node.stderr.read, daemon=True).start()
         found = {False: histogram(), True: histogram()}
--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -69,8 +69,17 @@
             syncs = (await clients[0].status(leader if not read else next(iter(ports)))).fsync_count - syncs
             p50, p99 = (times.get_value_at_percentile(p) / 1000 for p in (50, 99))
             per = f"{rate * seconds / syncs:.1f}" if syncs and not read else ""
-            rows.append([str(len(cluster.processes)), str(count), "read" if read else "write", f"{rate:.0f}",
-                         f"{p50:.1f}", f"{p99:.1f}", per])
+            rows.append(
+                [
+                    str(len(cluster.processes)),
+                    str(count),
+                    "read" if read else "write",
+                    f"{rate:.0f}",
+                    f"{p50:.1f}",
+                    f"{p99:.1f}",
+                    per,
+                ]
+            )
             for client in clients:
                 client.close()
     return rows
@@ -112,8 +121,10 @@
                 cluster.close()
     head = ["members", "clients", "", "a second", "p50 ms", "p99 ms", "an fsync", "of this disk's rate"]
     print(tabulate(rows, head, tablefmt="github", disable_numparse=True))
-    print(f"\nfsyncs alone: {base:.0f} a second. Leader killed to next write, 5 members, {kills} times: "
-          f"median {statistics.median(taken):.2f} s, p99 {taken[int(len(taken) * 0.99)]:.2f} s")
+    print(
+        f"\nfsyncs alone: {base:.0f} a second. Leader killed to next write, 5 members, {kills} times: "
+        f"median {statistics.median(taken):.2f} s, p99 {taken[int(len(taken) * 0.99)]:.2f} s"
+    )
 
 
 if __name__ == "__main__":
--- a/example/toy_server.py
+++ b/example/toy_server.py
@@ -1,4 +1,4 @@
-"""Two toy servers and a toy discovery for the example's balancer, all on loopback.
+r"""Two toy servers and a toy discovery for the example's balancer, all on loopback.
 
 Each server answers PING and STATS, gives every OPEN its UP, and returns each line that comes after it. Start
 this, then the balancer (make run), then be a client:
--- a/tests/config/test_operator.py
+++ b/tests/config/test_operator.py
@@ -67,7 +67,8 @@
     try:
         operator.parse("f", text.encode(errors="replace"))
     except ConfigurationError as refused:
-        assert refused.lines() and all(line.startswith("f:") for line in refused.lines())
+        assert refused.lines()
+        assert all(line.startswith("f:") for line in refused.lines())
 
 
 def test_the_schema_and_the_example_that_ship_are_those_of_the_types() -> None:
--- a/tests/decisions/test_admission.py
+++ b/tests/decisions/test_admission.py
@@ -82,7 +82,8 @@
     harness.request("r")
     harness.run(2 * SECOND_US)
     refusal = of_type(harness.log, api.Reject)[0]
-    assert 0 < refusal.retry_after_us <= 1_500_000 and not of_type(harness.log, api.StartAttempt)
+    assert 0 < refusal.retry_after_us <= 1_500_000
+    assert not of_type(harness.log, api.StartAttempt)
 
 
 def test_reconnect_wave_is_set_up_while_servers_have_room() -> None:
--- a/tests/decisions/test_endpoint_list.py
+++ b/tests/decisions/test_endpoint_list.py
@@ -12,7 +12,8 @@
         for seed in range(40):
             harness = BalancerHarness("a", poll_endpoints=True, poll_interval_us=poll_interval_us, seed=seed)
             delays += [due - harness.now for due, _, token in harness.timers if token == "list"]
-        assert len(delays) == 40 and max(delays) < poll_interval_us
+        assert len(delays) == 40
+        assert max(delays) < poll_interval_us
         for _ in range(9):  # after a failed call it is four times as long
             timers = of_type(
                 harness.dispatch(api.EndpointUpdate(api.EndpointUpdateKind.FAILED)), api.SetTimer
@@ -50,9 +51,9 @@
     for _ in range(6):
         answers = harness.dispatch(api.EndpointUpdate(api.EndpointUpdateKind.FAILED))
         delays += [timer.delay_us for timer in of_type(answers, api.SetTimer) if timer.token == "list"]
-    assert (
-        len(delays) == 6 and delays[0] <= 2 * SECOND_US and 4 * SECOND_US <= min(delays[4:]) < 12 * SECOND_US
-    )
+    assert len(delays) == 6
+    assert delays[0] <= 2 * SECOND_US
+    assert 4 * SECOND_US <= min(delays[4:]) < 12 * SECOND_US
     harness.dispatch(api.EndpointUpdate(api.EndpointUpdateKind.DELTA))
     again = of_type(harness.dispatch(api.EndpointUpdate(api.EndpointUpdateKind.FAILED)), api.SetTimer)
     assert again[0].delay_us <= 2 * SECOND_US
--- a/tests/decisions/test_health.py
+++ b/tests/decisions/test_health.py
@@ -57,7 +57,8 @@
     for index in range(30):
         harness.request(f"x{index}")
     sent = {send.server for send in of_type(harness.log, api.StartAttempt)[mark:] if send.id != "r"}
-    assert failed not in sent and len(sent) == 2
+    assert failed not in sent
+    assert len(sent) == 2
 
 
 def test_check_that_was_not_sent_says_nothing_of_its_server() -> None:
--- a/tests/decisions/test_lookup_table.py
+++ b/tests/decisions/test_lookup_table.py
@@ -63,7 +63,8 @@
         connection = connection_of(f"g{number}")
         first = pick(harness.balancer.state, connection)
         second = pick(harness.balancer.state, connection, first)
-        assert first and second
+        assert first
+        assert second
         pairs.append(first.endpoint.name + second.endpoint.name)
     assert pairs == ["s9s2", "s4s6", "s3s0", "s2s7", "s4s7", "s2s5", "s1s4", "s4s0"]
 
@@ -78,7 +79,9 @@
     )
     for number in range(200):
         a, b = (pick(harness.balancer.state, connection_of(f"g{number}")) for harness in (first, second))
-        assert a and b and a.endpoint.name == b.endpoint.name
+        assert a
+        assert b
+        assert a.endpoint.name == b.endpoint.name
 
 
 def test_the_last_server_left_is_found_by_weight_too() -> None:
@@ -87,4 +90,5 @@
     for name, server in harness.balancer.servers.items():
         server.ejected_until_us = harness.now + 1 if name.startswith("off") else 0
     found = Counter(one.endpoint.name for _ in range(2000) if (one := pick(harness.balancer.state, None)))
-    assert set(found) == {"heavy", "light"} and 2.3 < found["heavy"] / found["light"] < 3.9
+    assert set(found) == {"heavy", "light"}
+    assert 2.3 < found["heavy"] / found["light"] < 3.9
--- a/tests/decisions/test_requests.py
+++ b/tests/decisions/test_requests.py
@@ -40,7 +40,8 @@
         harness.dispatch(api.TimerFired(token))
         harness.probes.clear()
         assert harness.now <= start + 2 * SECOND_US
-    assert finals(harness, "r") == 1 and not of_type(harness.log, api.StartAttempt)
+    assert finals(harness, "r") == 1
+    assert not of_type(harness.log, api.StartAttempt)
 
 
 def test_shutdown_answers_all_that_waits_and_all_that_comes() -> None:
@@ -114,7 +115,7 @@
     st.integers(0, 5),
     st.sampled_from(list(api.Idempotency)),
 )
-def test_any_order_of_events_keeps_the_rules(
+def test_any_order_of_events_keeps_the_rules(  # noqa: C901, PLR0912  one branch for each kind of event
     script: list[tuple[str, int, str, bool]], seed: int, repeat: api.Idempotency
 ) -> None:
     """Late, doubled and stray events: one final answer, one attempt at a time, nothing after the end."""
@@ -199,7 +200,8 @@
 def test_non_idempotent_request_that_may_have_run_fails(outcome: str) -> None:
     harness = BalancerHarness("a", "b", "c", classes=UNSAFE)
     after = fail_first(harness, outcome) + harness.run(10 * SECOND_US)
-    assert not of_type(after, api.StartAttempt) and not of_type(after, api.Reject)
+    assert not of_type(after, api.StartAttempt)
+    assert not of_type(after, api.Reject)
     assert of_type(after, api.Fail) == [api.Fail("r")]
 
 
@@ -240,9 +242,9 @@
     harness.answer_checks()
     harness.run(11 * SECOND_US)
     after = harness.log[mark:]
-    assert (
-        not of_type(after, api.StartAttempt) and not of_type(after, api.Reject) and of_type(after, api.Fail)
-    )
+    assert not of_type(after, api.StartAttempt)
+    assert not of_type(after, api.Reject)
+    assert of_type(after, api.Fail)
 
 
 def test_duplicate_request_is_held_once() -> None:
@@ -287,7 +289,8 @@
 def test_requests_are_placed_without_health_checks() -> None:
     harness = BalancerHarness("a", "b", health_checks_enabled=False, load_metrics=())
     harness.request("r")
-    assert of_type(harness.log, api.StartAttempt) and not of_type(harness.log, api.CheckHealth)
+    assert of_type(harness.log, api.StartAttempt)
+    assert not of_type(harness.log, api.CheckHealth)
 
 
 def test_events_of_unknown_connections_are_ignored() -> None:
@@ -333,7 +336,8 @@
             check=True,
         )
         outputs.add(run.stdout)
-    assert len(outputs) == 1 and len(outputs.pop()) > 1000
+    assert len(outputs) == 1
+    assert len(outputs.pop()) > 1000
 
 
 @pytest.mark.parametrize(("repeat", "window"), [("unsafe", 0), ("keyed", 100_000)])
--- a/tests/decisions/test_selection.py
+++ b/tests/decisions/test_selection.py
@@ -42,7 +42,8 @@
             harness.request("r", affinity_group=group)
             harness.run(SECOND_US)
             chosen |= {send.server for send in of_type(harness.log, api.StartAttempt)}
-        assert len(chosen) <= 2 and not chosen & set(full)
+        assert len(chosen) <= 2
+        assert not chosen & set(full)
 
 
 def test_crossing_zones_has_its_cost() -> None:
--- a/tests/descriptions/test_worker_protocol.py
+++ b/tests/descriptions/test_worker_protocol.py
@@ -45,7 +45,7 @@
 
 @pytest.mark.parametrize("data", [b"", b"[]", b"{}", b'{"refused": 1}', b"\xff"])
 def test_result_that_is_none_raises_value_error(data: bytes) -> None:
-    with pytest.raises(ValueError):
+    with pytest.raises(ValueError):  # noqa: PT011  three codecs, each with an error of its own
         decode_result(data)
 
 
--- a/tests/resolvers/test_atomic_write.py
+++ b/tests/resolvers/test_atomic_write.py
@@ -40,7 +40,9 @@
 ) -> None:
     path = tmp_path / "f"
     write_atomic(path, b"old")
-    run = subprocess.run([sys.executable, "-c", script, str(path)], cwd=ROOT, capture_output=True, text=True)
+    run = subprocess.run(
+        [sys.executable, "-c", script, str(path)], cwd=ROOT, capture_output=True, text=True, check=False
+    )
     assert run.returncode == status, run.stderr
     assert path.read_bytes() == b"old"
     assert len(os.listdir(tmp_path)) == 1 + leftover_files
--- a/tests/store/process_faults.py
+++ b/tests/store/process_faults.py
@@ -26,7 +26,7 @@
     return injected
 
 
-async def inject_fault(cluster: ProcessCluster, rng: random.Random) -> str:
+async def inject_fault(cluster: ProcessCluster, rng: random.Random) -> str:  # noqa: PLR0911  one return a fault
     """Draw one fault, or the end of one, and return what it was."""
     running = [name for name in cluster.names if name in cluster.processes and name not in cluster.paused]
     victim = rng.choice(running)
--- a/tests/store/raft_histories.py
+++ b/tests/store/raft_histories.py
@@ -17,7 +17,7 @@
 HEALING_STEPS = 400
 
 
-def inject_fault(cluster: SimulatedCluster) -> None:
+def inject_fault(cluster: SimulatedCluster) -> None:  # noqa: C901  one branch for each fault
     """Draw what goes wrong, or gets well, in this step; mostly nothing does."""
     rng = cluster.rng
     victim = rng.choice(cluster.names)
--- a/tests/store/test_backup.py
+++ b/tests/store/test_backup.py
@@ -28,7 +28,7 @@
 def run_command(*arguments: object) -> subprocess.CompletedProcess[str]:
     """Run `wheatstile store` with these arguments."""
     command = [sys.executable, "-m", "wheatstile", "store", *map(str, arguments)]
-    return subprocess.run(command, capture_output=True, text=True, timeout=120)
+    return subprocess.run(command, capture_output=True, text=True, check=False, timeout=120)
 
 
 def use_member(
--- a/tests/store/test_store_server.py
+++ b/tests/store/test_store_server.py
@@ -75,7 +75,7 @@
 
     def run_command(*arguments: str) -> str:
         command = [sys.executable, "-m", "wheatstile", "store", *arguments, *options, "--within", "30"]
-        completed = subprocess.run(command, capture_output=True, text=True, timeout=120)
+        completed = subprocess.run(command, capture_output=True, text=True, check=False, timeout=120)
         assert completed.returncode == 0, completed.stderr
         return completed.stdout
 
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -12,6 +12,9 @@
     text = (ROOT / "README.md").read_text()
     code = re.search(r"```python\n(.*?)```", text, re.DOTALL)
     printed = re.search(r"```text\n(.*?)```", text, re.DOTALL)
-    assert code and printed
-    run = subprocess.run([sys.executable, "-c", code[1]], cwd=ROOT, capture_output=True, text=True)
+    assert code
+    assert printed
+    run = subprocess.run(
+        [sys.executable, "-c", code[1]], cwd=ROOT, capture_output=True, text=True, check=False
+    )
     assert (run.stderr, run.stdout) == ("", printed[1])
--- a/wheatstile/cli/groups.py
+++ b/wheatstile/cli/groups.py
@@ -16,11 +16,11 @@
         super().__init__(name, **options)  # type: ignore[arg-type]
         self._modules = modules
 
-    def list_commands(self, ctx: click.Context) -> list[str]:
+    def list_commands(self, ctx: click.Context) -> list[str]:  # noqa: ARG002  click\'s signature
         """The commands' names, sorted."""
         return sorted(self._modules)
 
-    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:  # noqa: ARG002
         """The command of this name; None where there is none."""
         if cmd_name not in self._modules:
             return None
--- a/wheatstile/decisions/exploration.py
+++ b/wheatstile/decisions/exploration.py
@@ -25,7 +25,7 @@
     """Proposition 1: how likely a connection that moved from load x_i to load x_j goes back."""
     if x_j >= x_i:
         return 1.0
-    if n < 2 or x_j <= x_i * (1 - n * gamma / (n - 1)):
+    if n < 2 or x_j <= x_i * (1 - n * gamma / (n - 1)):  # noqa: PLR2004
         return 0.0
     return 1 - (n - 1) / (n * gamma) * (1 - x_j / x_i)
 
@@ -40,7 +40,7 @@
     state.set_timer(SLOT_US, Timer.SLOT)
     state.slot += 1
     state.expire_migrations()
-    if not state.health_checks_enabled or len(state.ready) < 2:
+    if not state.health_checks_enabled or len(state.ready) < 2:  # noqa: PLR2004
         return
     first_index = _skipped_connections(state)  # drawn in every slot, also in those that compare
     if state.slot % 2:
--- a/wheatstile/decisions/load.py
+++ b/wheatstile/decisions/load.py
@@ -25,8 +25,10 @@
 
 
 def mean_load(state: BalancerState) -> float:
-    """The mean over the ready servers, each counted once. Old readings do not count: who rejects requests
-    because of them reads no others. Worked out once in an event."""
+    """The mean over the ready servers, each counted once; worked out once in an event.
+
+    Old readings do not count: who rejects requests because of them reads no others.
+    """
     if state.mean_load is None:
         oldest_us = state.now_us - LOAD_REPORT_TTL_US
         loads = [
--- a/wheatstile/decisions/lookup_table.py
+++ b/wheatstile/decisions/lookup_table.py
@@ -41,7 +41,7 @@
     """
 
     def __init__(self, items: Sequence[Item], weights: Sequence[float]) -> None:
-        self.has_equal_weights = len(set(weights)) < 2
+        self.has_equal_weights = len(set(weights)) < 2  # noqa: PLR2004
         mean_weight = sum(weights) / max(len(weights), 1)
         counts = [1 if self.has_equal_weights else ceil(weight / mean_weight) for weight in weights]
         self._generator = _FOR_EQUAL_WEIGHTS if self.has_equal_weights else _FOR_UNEQUAL_WEIGHTS
--- a/wheatstile/fault_proxy/commands.py
+++ b/wheatstile/fault_proxy/commands.py
@@ -195,7 +195,7 @@
 
 def _parse_script_time(tokens: Sequence[str]) -> float:
     """The seconds behind `at`; -1 where the line does not begin with it."""
-    if tokens[0] != SCRIPT_TIME_KEYWORD or len(tokens) < 2:
+    if tokens[0] != SCRIPT_TIME_KEYWORD or len(tokens) < 2:  # noqa: PLR2004
         return -1.0
     try:
         return float(tokens[1])
--- a/wheatstile/store/client_service.py
+++ b/wheatstile/store/client_service.py
@@ -112,7 +112,7 @@
         """Return once another term has begun."""
         term = self._member.node.term
         self._member.transfer_leadership(target)
-        while self._member.node.term == term:
+        while self._member.node.term == term:  # noqa: ASYNC110  the term is no event of the loop
             await asyncio.sleep(TRANSFER_POLL_INTERVAL_S)
         return Reply(status=self._member.status())
 
--- a/wheatstile/store/raft/node.py
+++ b/wheatstile/store/raft/node.py
@@ -159,7 +159,7 @@
         elif message.term == self.term or terms.accept_later_term(self.state, message):
             self._dispatch(message)
 
-    def _dispatch(self, message: Message) -> None:
+    def _dispatch(self, message: Message) -> None:  # noqa: C901  one case for each kind of message
         match message.kind:
             case MessageKind.PRE_VOTE | MessageKind.VOTE:
                 election.on_vote_request(self.state, message)
