--- a/tests/store/raft_cluster.py
+++ b/tests/store/raft_cluster.py
@@ -96,7 +96,7 @@
         if roll < CRASH_PROBABILITY:  # before anything is persisted
             self.crashed.add(name)
             return
-        self.persist(self.disks[name], ready)
+        self.persist(self.disks[name], ready, node.log.entries)
         if roll < 2 * CRASH_PROBABILITY:  # persisted, and nothing sent
             self.crashed.add(name)
             return
@@ -113,12 +113,12 @@
         self.compact_if_due(node)
 
     @staticmethod
-    def persist(disk: PersistedState, ready: Ready) -> None:
-        """Write what `ready` asks for to `disk`."""
+    def persist(disk: PersistedState, ready: Ready, log_entries: list[Entry]) -> None:
+        """Write what `ready` asks for, as `Member` does; `log_entries` are those after its snapshot."""
         if ready.snapshot:
             disk.snapshot = ready.snapshot
-            disk.entries = []
-        if ready.entries:
+            disk.entries = list(log_entries)
+        elif ready.entries:
             first = ready.entries[0].index
             disk.entries = [entry for entry in disk.entries if entry.index < first] + ready.entries
         disk.hard_state = ready.hard_state or disk.hard_state
--- a/tests/store/test_raft_mutations.py
+++ b/tests/store/test_raft_mutations.py
@@ -35,14 +35,14 @@
 original_install = RaftLog.install
 
 
-def persist_without_vote(disk: PersistedState, ready: Ready) -> None:
+def persist_without_vote(disk: PersistedState, ready: Ready, log_entries: list[Entry]) -> None:
     if ready.hard_state:
         ready = replace(ready, hard_state=msgspec.structs.replace(ready.hard_state, vote=None))
-    original_persist(disk, ready)
+    original_persist(disk, ready, log_entries)
 
 
-def persist_without_last_entry(disk: PersistedState, ready: Ready) -> None:
-    original_persist(disk, replace(ready, entries=ready.entries[:-1]))
+def persist_without_last_entry(disk: PersistedState, ready: Ready, log_entries: list[Entry]) -> None:
+    original_persist(disk, replace(ready, entries=ready.entries[:-1]), log_entries)
 
 
 def one_vote_is_a_quorum(configuration: Configuration, names: frozenset[str]) -> bool:
@@ -131,7 +131,7 @@
         node = make_node(hard_state=disk.hard_state)
         node.step(Message(MessageKind.VOTE, candidate, "a", 5))
         ready = node.ready()
-        SimulatedCluster.persist(disk, ready)
+        SimulatedCluster.persist(disk, ready, node.log.entries)
         if ready.messages[0].granted is not granted:
             raise InvariantError(f"{candidate}, asking in term 5, was answered {not granted}")
 
--- a/tests/store/test_raft_node.py
+++ b/tests/store/test_raft_node.py
@@ -52,3 +52,8 @@
     for _ in range(60):
         cluster.step()
     assert follower.commit_age_ticks >= before + 50, "without a leader's message its age has to grow"
+
+
+def test_a_restart_after_installing_a_snapshot_continues_the_log() -> None:
+    """In this history a node keeps entries after an installed snapshot, and restarts with them."""
+    run_history(1105)
--- a/wheatstile/store/raft/messages.py
+++ b/wheatstile/store/raft/messages.py
@@ -164,9 +164,12 @@
 
     hard_state: HardState | None = None
     snapshot: Snapshot | None = None
-    """To be persisted in place of the log, and to replace the state machine's state."""
+    """To be persisted with the log's entries after it, and to replace the state machine's state."""
     entries: list[Entry] = field(default_factory=list)
-    """To be persisted; they replace whatever stands at the first one's index and after it."""
+    """To be persisted, unless that was done with `snapshot`.
+
+    They replace whatever stands at the first one's index and after it.
+    """
     messages: list[Message] = field(default_factory=list)
     """To be sent once the fields above are on disk."""
     committed_entries: list[Entry] = field(default_factory=list)
