Reject an AsyncAPI operation by reference that has no channel

Cause: the schema does not follow an operation that is a reference, so that one without a channel ended the reader by an AssertionError: a traceback in place of a reason.

Operations, messages and settings are built by keyword.

--- a/tests/descriptions/test_compile.py
+++ b/tests/descriptions/test_compile.py
@@ -42,12 +42,14 @@
         window_us = WINDOW_US if idempotency is Idempotency.IDEMPOTENCY_KEY else 0
         operations.append(
             Operation(
-                OperationKind.HTTP,
-                "GET",
-                f"/{file}/{name}",
-                "",
-                location,
-                RetrySafety(idempotency, "told", location, DeduplicationScope.ALL, window_us),
+                kind=OperationKind.HTTP,
+                action="GET",
+                route=f"/{file}/{name}",
+                id="",
+                location=location,
+                retry_safety=RetrySafety(
+                    idempotency, "declared", location, DeduplicationScope.ALL, window_us
+                ),
                 service_class=service_class,
                 class_location=location,
             )
--- a/tests/descriptions/test_tightening.py
+++ b/tests/descriptions/test_tightening.py
@@ -20,7 +20,15 @@
 def settings_of(policy: Policy) -> Settings:
     """Settings with one class, `web`."""
     service_class = ServiceClass("web", 300_000, *policy)
-    return Settings(1, "here", {"web": service_class}, 5, 0.2, 20_000_000, 3.0)
+    return Settings(
+        fleet_size=1,
+        zone="here",
+        classes={"web": service_class},
+        max_attempts=5,
+        slow_start_initial_capacity=0.2,
+        slow_start_duration_us=20_000_000,
+        slow_start_overload_factor=3.0,
+    )
 
 
 @pytest.mark.parametrize(
--- a/wheatstile/descriptions/asyncapi.py
+++ b/wheatstile/descriptions/asyncapi.py
@@ -72,8 +72,14 @@
     for address, channel in _members(root, "channels"):
         for key, action in ACTIONS_OF_VERSION_2.items():
             if (node := channel.get(key)) is not None:
-                messages = _messages_of_version_2(node)
-                yield _OperationSource(action, address, node.get_text("operationId"), channel, node, messages)
+                yield _OperationSource(
+                    action=action,
+                    address=address,
+                    name=node.get_text("operationId"),
+                    channel=channel,
+                    operation=node,
+                    messages=_messages_of_version_2(node),
+                )
 
 
 def _messages_of_version_2(operation: DocumentNode) -> list[DocumentNode]:
@@ -87,18 +93,19 @@
 def _operations_of_version_3(root: DocumentNode) -> Iterator[_OperationSource]:
     for name, node in _members(root, "operations"):
         channel = node.get("channel")
-        assert channel  # the schema requires it
+        if channel is None:  # the schema does not follow an operation that is a reference
+            raise InvalidDescriptionError.at(node.location, "has no channel")
         messages = node.get("messages") or channel.get("messages")
         reply = node.get("reply")
         reply_channel = reply.get("channel") if reply else None
         yield _OperationSource(
-            node.get_text("action"),
-            _address(channel),
-            name,
-            channel,
-            node,
-            [message for _, message in messages.items()] if messages else [],
-            _address(reply_channel) if reply_channel else "",
+            action=node.get_text("action"),
+            address=_address(channel),
+            name=name,
+            channel=channel,
+            operation=node,
+            messages=[message for _, message in messages.items()] if messages else [],
+            reply=_address(reply_channel) if reply_channel else "",
         )
 
 
@@ -115,13 +122,13 @@
     bindings = node.get("bindings")
     nats = bindings.get("nats") if bindings else None
     return Operation(
-        OperationKind.MESSAGE,
-        source.action,
-        subject_of(source.address, source.channel.location),
-        source.name,
-        node.location,
-        _retry_safety(source, root),
-        tuple(tag for tag in tags if tag),
+        kind=OperationKind.MESSAGE,
+        action=source.action,
+        route=subject_of(source.address, source.channel.location),
+        id=source.name,
+        location=node.location,
+        retry_safety=_retry_safety(source, root),
+        tags=tuple(tag for tag in tags if tag),
         channel=source.address,
         servers=tuple(_servers(root, source.channel)),
         queue_group=nats.get_text("queue") if nats else "",
@@ -161,11 +168,11 @@
     if schema and isinstance(schema.value, dict) and "schemaFormat" in schema.value:
         schema = schema.get("schema")
     return Message(
-        node.get_text("name") or node.pointer.rpartition("/")[2],
-        node.location,
-        discriminator_of(schema),
-        max_json_bytes(schema),
-        node.get_text("contentType"),
+        name=node.get_text("name") or node.pointer.rpartition("/")[2],
+        location=node.location,
+        discriminator=discriminator_of(schema),
+        max_bytes=max_json_bytes(schema),
+        content_type=node.get_text("contentType"),
     )
 
 
--- a/wheatstile/descriptions/openapi.py
+++ b/wheatstile/descriptions/openapi.py
@@ -65,13 +65,13 @@
     service_class, class_location = service_class_of(node, path_item, root)
     timeout_us, timeout_location = timeout_of(node, path_item, root)
     return Operation(
-        OperationKind.HTTP,
-        method,
-        path,
-        node.get_text("operationId"),
-        node.location,
-        _retry_safety(method, path_item, node, root),
-        _tags(node),
+        kind=OperationKind.HTTP,
+        action=method,
+        route=path,
+        id=node.get_text("operationId"),
+        location=node.location,
+        retry_safety=_retry_safety(method, path_item, node, root),
+        tags=_tags(node),
         servers=tuple(server.get_text("url") for _, server in servers.items()) if servers else (),
         messages=tuple(_request_bodies(node)),
         service_class=service_class,
--- a/wheatstile/descriptions/reader.py
+++ b/wheatstile/descriptions/reader.py
@@ -44,7 +44,7 @@
 
 
 def read_descriptions(paths: Iterable[str | Path]) -> DescriptionSet:
-    """Every description at these paths: a file, or all below a folder.
+    """Read every description at these paths: a file, or all below a folder.
 
     Raises InvalidDescriptionError with every finding.
     """
@@ -119,11 +119,11 @@
     """Return the policies of the platform's classes, before anything is said of them here."""
     return {
         name: ClassPolicy(
-            name,
-            service_class.idempotency,
-            service_class.deduplication_scope,
-            service_class.deduplication_window_us,
-            service_class.client_deadline_us,
+            name=name,
+            idempotency=service_class.idempotency,
+            deduplication_scope=service_class.deduplication_scope,
+            deduplication_window_us=service_class.deduplication_window_us,
+            client_deadline_us=service_class.client_deadline_us,
         )
         for name, service_class in settings.items()
     }
