--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,10 @@
 
 import pytest
 from support.balancer import Balancer
+from support.command_line_folder import folder, live_file
+from support.served_balancer_factory import make_balancer
+
+__all__ = ["balancer", "folder", "live_file", "make_balancer", "settings"]
 
 
 @pytest.fixture
