--- a/tests/resolvers/test_atomic_write.py
+++ b/tests/resolvers/test_atomic_write.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 import pytest
-from peers import ROOT
+from support.balancer import ROOT
 
 from wheatstile.resolvers.atomic_write import write_atomic
 
--- a/tests/resolvers/test_section.py
+++ b/tests/resolvers/test_section.py
@@ -6,11 +6,12 @@
 import signal
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack
 from pathlib import Path
 
 import pytest
-from peers import PATIENCE
+from support.peer import TIMEOUT_S
 from support.served_balancer import ServedBalancer
 
 from wheatstile.resolvers.atomic_write import write_atomic
@@ -22,6 +23,19 @@
 LAST_GENERATION = 9999
 
 
+@pytest.fixture
+def make_balancer() -> Iterator[MakeBalancer]:
+    """Prepare balancers that end with the test: `known` servers, and changes to the `servers` section."""
+    with ExitStack() as balancers:
+
+        def make(known: tuple[str, ...] = ("s1", "s2"), **section: object) -> ServedBalancer:
+            balancer = ServedBalancer(known, **section)
+            balancers.callback(balancer.close)
+            return balancer
+
+        yield make
+
+
 def rewrite_in_place(path: Path, documents: list[bytes], times: int) -> None:
     """Write the documents in turn, in pieces of random sizes with short pauses, now and then cut short."""
     chance = random.Random(7)
@@ -149,20 +163,19 @@
     balancer.file.write_bytes(balancer.document("s1", "s2"))
     balancer.begin()
     balancer.wait_accepted()
-    assert balancer.node
     for generation in range(2, 12):
         names = ("s1", "s3") if generation % 2 else ("s2", "s3")
         balancer.write_operator(recheck_s=0.3 + generation / 100)
         write_atomic(balancer.file, balancer.document(*names, generation=generation))
-        balancer.node.send_signal(signal.SIGHUP)
+        balancer.process.send_signal(signal.SIGHUP)
         balancer.wait_generation(generation)
         assert balancer.served_by(20) == set(names)
     balancer.operator.write_text('{"servers": {"mode": "overide"}}')
-    balancer.node.send_signal(signal.SIGHUP)
+    balancer.process.send_signal(signal.SIGHUP)
     assert "did you mean" in balancer.logged("operator_file_reload_rejected")["reasons"][0]
     assert balancer.served_by(20) == {"s1", "s3"}
     balancer.operator.write_text("{}")  # switched off: discovery's list alone
-    balancer.node.send_signal(signal.SIGHUP)
+    balancer.process.send_signal(signal.SIGHUP)
     balancer.logged("operator_file_reloaded")
     assert balancer.served_by(20) == {"s1", "s2"}
 
@@ -206,7 +219,7 @@
     balancer.begin()
     balancer.wait_accepted()
     stored_copy = balancer.state_folder / "servers-last-good.json"
-    deadline_s = time.monotonic() + PATIENCE
+    deadline_s = time.monotonic() + TIMEOUT_S
     while not stored_copy.exists():
         assert time.monotonic() < deadline_s
         time.sleep(0.01)
--- a/tests/support/served_balancer.py
+++ b/tests/support/served_balancer.py
@@ -3,13 +3,13 @@
 import itertools
 import json
 import time
-from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
 
 from fleet import Fleet
-from peers import PATIENCE, NodeTest
 
+from support.balancer import Balancer
+from support.peer import TIMEOUT_S, Peer
 from wheatstile.resolvers.canonical_json import digest_of
 
 ACCEPTED_EVENT = "endpoint_file_accepted"
@@ -17,26 +17,21 @@
 CLIENT_DEADLINE_MS = 9000
 
 
-class ServedBalancer(NodeTest):
+class ServedBalancer(Balancer):
     """A balancer whose operator's file names an endpoint file, in mode override unless the section says else.
 
+    It is prepared, and started by `begin`.
+
     Args:
         known: the servers that the platform's file lists as discovery's.
         section: changes to the `servers` section of the operator's file.
     """
 
-    __test__ = False  # a helper: pytest does not collect it
-
-    def __init__(self, known: tuple[str, ...], section: Mapping[str, object]) -> None:
-        super().__init__()
+    def __init__(self, known: tuple[str, ...] = ("s1", "s2"), **section: object) -> None:
+        super().__init__(settings={})
         self.known = known
-        self.section = dict(section)
-
-    def setUp(self) -> None:
-        """Start the fleet and write the operator's file; the balancer itself is started by `begin`."""
-        super().setUp()
+        self.section = section
         self.fleet = Fleet(SERVERS)
-        self.addCleanup(self.fleet.close)
         self.here = Path(self.folder.name)
         self.file = self.here / "servers.json"
         self.operator = self.here / "operator.json"
@@ -46,6 +41,11 @@
         self.write_operator()
         self._ids = itertools.count(1)
 
+    def close(self) -> None:
+        """End the program and the fleet, and remove the files."""
+        super().close()
+        self.fleet.close()
+
     def write_operator(self, **changes: object) -> None:
         """Write the operator's file with these changes to its section."""
         defaults = {"file": "servers.json", "mode": "override", "settle_s": 0.05, "recheck_s": 0.3}
@@ -83,7 +83,7 @@
         source: str = self.logged("endpoint_source_selected")["source"]
         return source
 
-    def open_client(self, group: str | None = None) -> Any:
+    def open_client(self, group: str | None = None) -> Peer:
         """A new client that has sent its first line."""
         number = next(self._ids)
         return self.open(number, CLIENT_DEADLINE_MS, group=group or f"g{next(self._ids)}")
@@ -105,6 +105,6 @@
 
     def wait_served_by(self, names: set[str]) -> None:
         """Wait until new clients are sent to these servers alone."""
-        deadline_s = time.monotonic() + PATIENCE
+        deadline_s = time.monotonic() + TIMEOUT_S
         while self.served_by(6) != names:
             assert time.monotonic() < deadline_s
--- a/tests/support/servers_section.py
+++ b/tests/support/servers_section.py
@@ -4,9 +4,8 @@
 import json
 from pathlib import Path
 
-from peers import PATIENCE
-
 from support.balancer_harness import settings
+from support.peer import TIMEOUT_S
 from wheatstile.config.operator import OperatorFile, parse
 from wheatstile.config.platform import UpstreamLimits
 from wheatstile.net.decision_loop import DecisionLoop
@@ -36,7 +35,7 @@
         return {server.endpoint.name for server in self.decisions.balancer.state.ready}
 
     async def wait_until_ready(self, *names: str) -> None:
-        """Wait until these servers and no others are ready. Raises TimeoutError after PATIENCE."""
-        async with asyncio.timeout(PATIENCE):
+        """Wait until these servers and no others are ready. Raises TimeoutError after TIMEOUT_S."""
+        async with asyncio.timeout(TIMEOUT_S):
             while self.ready() != set(names):
                 await asyncio.sleep(0.01)
