--- a/tests/cli/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of the command line."""
--- a/tests/net/test_client_connection.py
+++ b/tests/net/test_client_connection.py
@@ -21,7 +21,8 @@
 def test_client_without_a_complete_first_line_is_closed_in_time(balancer: Balancer) -> None:
     balancer.start()
     begun = time.monotonic()
-    silent, half = balancer.client(), balancer.client()
+    silent = balancer.client()
+    half = balancer.client()
     half.sock.sendall(b"OPEN 00000000000")
     for client in (silent, half):
         assert client.line() in ("ERR", "")
@@ -33,7 +34,8 @@
     balancer.start()
     client = balancer.client()
     client.sock.setblocking(False)
-    sent, answer = 0, b""
+    sent = 0
+    answer = b""
     while True:
         ready, free, _ = select.select([client.sock], [client.sock], [], TIMEOUT_S)
         try:
@@ -84,13 +86,14 @@
     client = balancer.open(1, wait=200)
     assert re.search("^BUSY", client.line())
     client.close(reset)
-    assert "client_connection_failed" not in balancer.wait_for_counter("session_rejected", 1)
+    assert "client_connections_failed" not in balancer.wait_for_counter("sessions_rejected", 1)
 
 
 def test_request_after_pong_is_served_as_the_timeout_expires(balancer: Balancer) -> None:
     """Before, a balancer that ended it closed over the unread request: a reset, and no answer."""
     balancer.start()
-    resting, silent = balancer.pinged_client(), balancer.pinged_client()
+    resting = balancer.pinged_client()
+    silent = balancer.pinged_client()
     with balancer.paused():
         time.sleep(2.1)  # more than FIRST_LINE_TIMEOUT_S, which is up before it goes on
         balancer.open(1, client=resting)
--- a/tests/resolvers/test_section.py
+++ b/tests/resolvers/test_section.py
@@ -6,36 +6,19 @@
 import signal
 import threading
 import time
-from collections.abc import Callable, Iterator
-from contextlib import ExitStack
 from pathlib import Path
 
 import pytest
 from support.peer import TIMEOUT_S
-from support.served_balancer import ServedBalancer
+from support.served_balancer_factory import MakeBalancer
 
 from wheatstile.resolvers.atomic_write import write_atomic
 from wheatstile.resolvers.canonical_json import digest_of
 
-MakeBalancer = Callable[..., ServedBalancer]
-
 REWRITES = 5000
 LAST_GENERATION = 9999
 
 
-@pytest.fixture
-def make_balancer() -> Iterator[MakeBalancer]:
-    """Prepare balancers that end with the test: `known` servers, and changes to the `servers` section."""
-    with ExitStack() as balancers:
-
-        def make(known: tuple[str, ...] = ("s1", "s2"), **section: object) -> ServedBalancer:
-            balancer = ServedBalancer(known, **section)
-            balancers.callback(balancer.close)
-            return balancer
-
-        yield make
-
-
 def rewrite_in_place(path: Path, documents: list[bytes], times: int) -> None:
     """Write the documents in turn, in pieces of random sizes with short pauses, now and then cut short."""
     chance = random.Random(7)
--- a/tests/cli/conftest.py
+++ b/tests/support/command_line_folder.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import pytest
+
 from support.command_line import run_command
 
 SERVERS = [
@@ -15,7 +16,7 @@
 ]
 
 
-@pytest.fixture(autouse=True)
+@pytest.fixture
 def folder(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Path:
     """The working directory: `new.json`, `few.json` with one server of three, `bad.json`, and `op.json`."""
     monkeypatch.chdir(tmp_path)
--- a/wheatstile/net/session_relay.py
+++ b/wheatstile/net/session_relay.py
@@ -75,7 +75,7 @@
             self._end = RelayEnd(api.AttemptOutcome.RESET)
         line = await self._end_client_lines(MIGRATE_LINE)
         if line:
-            self._decisions.counters[f"session_migrated_{reason}"] += 1
+            self._decisions.counters[f"sessions_migrated_{reason}"] += 1
         return line
 
     async def _end_client_lines(self, last_line: bytes) -> bytes:
@@ -93,7 +93,7 @@
 
     def _dispatch_end(self, server: str, elapsed_us: int) -> None:
         end = self._end
-        self._decisions.counters[f"session_ended_{end.outcome}"] += 1
+        self._decisions.counters[f"sessions_ended_{end.outcome}"] += 1
         self._decisions.dispatch(
             api.AttemptEnded(
                 self._session.id,
