--- a/tests/cli/test_descriptions_command.py
+++ b/tests/cli/test_descriptions_command.py
@@ -21,12 +21,12 @@
 
 
 @pytest.fixture(autouse=True)
-def descriptions(folder: Path) -> None:
+def descriptions(command_folder: Path) -> None:
     """`new.yaml`; `old.yaml` with an unsafe operation and another path; `typo.yaml` with an unknown class."""
     old = SHOP.replace("tags: [t]", "x-wheatstile-repeat: unsafe").replace("/mine:", "/x:")
-    (folder / "old.yaml").write_text(old)
-    (folder / "new.yaml").write_text(SHOP)
-    (folder / "typo.yaml").write_text(SHOP.replace("class: chat, tags", "class: caht, tags"))
+    (command_folder / "old.yaml").write_text(old)
+    (command_folder / "new.yaml").write_text(SHOP)
+    (command_folder / "typo.yaml").write_text(SHOP.replace("class: chat, tags", "class: caht, tags"))
 
 
 def test_check_reports_how_far_each_class_may_be_repeated() -> None:
@@ -59,10 +59,10 @@
 
 
 @pytest.fixture
-def override(folder: Path) -> tuple[str, ...]:
+def override(command_folder: Path) -> tuple[str, ...]:
     """Options with an operator's file that makes the class unsafe."""
     section = {"classes": {"chat": {"repeat": "unsafe"}}}
-    (folder / "op.json").write_text(json.dumps({"descriptions": section}))
+    (command_folder / "op.json").write_text(json.dumps({"descriptions": section}))
     return ("--file", "op.json", *CONFIG)
 
 
@@ -79,11 +79,11 @@
     assert "/orders/mine: removed" in result.output
 
 
-def test_graph_draws_every_route(folder: Path) -> None:
+def test_graph_draws_every_route(command_folder: Path) -> None:
     assert run_command("descriptions", "graph", "new.yaml", "--out", "g.svg").status == 0
-    assert "/orders/{id}" in (folder / "g.svg").read_text()
+    assert "/orders/{id}" in (command_folder / "g.svg").read_text()
 
 
-def test_check_of_the_operator_file_reads_its_descriptions(folder: Path) -> None:
-    (folder / "op.json").write_text(json.dumps({"descriptions": {"paths": ["typo.yaml"]}}))
+def test_check_of_the_operator_file_reads_its_descriptions(command_folder: Path) -> None:
+    (command_folder / "op.json").write_text(json.dumps({"descriptions": {"paths": ["typo.yaml"]}}))
     assert run_command("check", "op.json", *CONFIG).status == 1
--- a/tests/cli/conftest.py
+++ b/tests/support/command_folder.py
@@ -1,4 +1,4 @@
-"""The folder that each test's commands run in, with files of servers and an operator's file."""
+"""Fixtures: the folder that commands run in, with files of servers and an operator's file."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import pytest
+
 from support.command_line import run_command
 
 SERVERS = [
@@ -15,8 +16,8 @@
 ]
 
 
-@pytest.fixture(autouse=True)
-def folder(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Path:
+@pytest.fixture
+def command_folder(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Path:
     """The working directory: `new.json`, `few.json` with one server of three, `bad.json`, and `op.json`."""
     monkeypatch.chdir(tmp_path)
     (tmp_path / "new.json").write_text(json.dumps({"servers": SERVERS, "generation": 1}, indent=1))
@@ -28,7 +29,7 @@
 
 
 @pytest.fixture
-def live_file(folder: Path) -> Path:
+def live_file(command_folder: Path) -> Path:
     """`live.json`, published from `new.json`."""
     assert run_command("servers", "publish", "new.json", "live.json").status == 0
-    return folder / "live.json"
+    return command_folder / "live.json"
