Rewrite the benchmarks in named steps, with what they share in one module

A benchmark was two or three functions of up to 57 lines over tuples and short names; two of them drove a balancer through a class of unittest that stood in one of them.

`running_balancer` holds the balancer that is measured, the loop of PINGs and the histogram; each table has a function that prints it and one that measures a row; costs, plans and throughputs are dataclasses.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -10,7 +10,8 @@
 import sys
 import time
 import tracemalloc
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from dataclasses import astuple, dataclass
 from pathlib import Path
 from statistics import median
 
@@ -23,67 +24,115 @@
 
 from wheatstile import interface as api  # noqa: E402
 
-SERVERS, CONNECTIONS = (10, 90, 1_000), (100, 1_000, 10_000)
+SERVER_COUNTS = (10, 90, 1_000)
+FEW_CONNECTIONS = 100
+CONNECTION_COUNTS = (100, 1_000, 10_000)
+MEDIUM_SERVERS = 60
+REPETITIONS = 400
+QUICK_REPETITIONS = 50
+COLUMNS = ("", "decision", "report", "list", "memory", "decision, us", "memory, KiB")
 
 
-def seconds(work: Callable[[int], object], times: int) -> float:
-    """The median time of one call."""
-    taken = []
-    for index in range(times):
-        begin = time.perf_counter()
+@dataclass(frozen=True, slots=True)
+class Costs:
+    """What one size costs: the median time of each kind of event, and the memory of the whole."""
+
+    decision_s: float
+    report_s: float
+    update_s: float
+    memory_bytes: float
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One line of a table."""
+
+    title: str
+    costs: Costs
+
+
+def median_s(work: Callable[[int], object], repetitions: int) -> float:
+    """The median time of one call, in seconds; `work` gets the call's number."""
+    durations_s = []
+    for index in range(repetitions):
+        started_s = time.perf_counter()
         work(index)
-        taken.append(time.perf_counter() - begin)
-    return median(taken)
-
-
-def measured(servers: int, connections: int, times: int) -> tuple[float, float, float, float]:
-    """Seconds for a decision, a report and a list's change; bytes that this balancer holds."""
-    names = [f"s{number}" for number in range(servers)]
-    tracemalloc.start()
-    harness = BalancerHarness(*names, reports_message_latency=False)
-    for index in range(connections):
-        harness.connect(f"c{index}", names[index % servers], f"k{index}")
-    held = tracemalloc.get_traced_memory()[0]
-    tracemalloc.stop()
-
-    def decide(index: int) -> None:
-        harness.log.clear()
-        harness.request(f"r{index}", key=f"r{index}", affinity_group=f"r{index}")
-        assert any(isinstance(action, api.StartAttempt) for action in harness.log)
-        harness.dispatch(api.ClientDisconnected(f"r{index}"))
-
-    def report(index: int) -> None:
-        server = names[index % servers]
-        harness.balancer.servers[server].is_being_checked = True  # as if it had been asked
-        harness.dispatch(api.HealthCheckResult(server, api.AttemptOutcome.OK, 1000, {"load": 0.4}))
-
-    def change(index: int) -> None:
-        state = (api.EndpointState.DRAINING, api.EndpointState.READY)[index % 2]
-        harness.dispatch(
-            api.EndpointUpdate(api.EndpointUpdateKind.DELTA, [api.Endpoint(names[0], state, "here")])
+        durations_s.append(time.perf_counter() - started_s)
+    return median(durations_s)
+
+
+class Measurement:
+    """One decision module with so many servers and connections, and what its events cost."""
+
+    def __init__(self, server_count: int, connection_count: int) -> None:
+        self._names = [f"s{number}" for number in range(server_count)]
+        tracemalloc.start()
+        self._harness = BalancerHarness(*self._names, reports_message_latency=False)
+        for index in range(connection_count):
+            self._harness.connect(f"c{index}", self._names[index % server_count], f"k{index}")
+        self._memory_bytes, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+
+    def costs(self, repetitions: int) -> Costs:
+        """The costs, each over so many repetitions."""
+        return Costs(
+            decision_s=median_s(self._decide, repetitions),
+            report_s=median_s(self._report_load, repetitions),
+            update_s=median_s(self._update_endpoint, repetitions),
+            memory_bytes=self._memory_bytes,
         )
 
-    return seconds(decide, times), seconds(report, times), seconds(change, times), held
+    def _decide(self, index: int) -> None:
+        """One request from its arrival to its attempt, and its end."""
+        request_id = f"r{index}"
+        self._harness.log.clear()
+        self._harness.request(request_id, key=request_id, affinity_group=request_id)
+        assert any(isinstance(action, api.StartAttempt) for action in self._harness.log)
+        self._harness.dispatch(api.ClientDisconnected(request_id))
+
+    def _report_load(self, index: int) -> None:
+        """The answer to one health check."""
+        server = self._names[index % len(self._names)]
+        self._harness.balancer.servers[server].is_being_checked = True  # as if it had been requested
+        self._harness.dispatch(api.HealthCheckResult(server, api.AttemptOutcome.OK, 1000, {"load": 0.4}))
+
+    def _update_endpoint(self, index: int) -> None:
+        """One update of discovery, which changes one server."""
+        state = (api.EndpointState.DRAINING, api.EndpointState.READY)[index % 2]
+        endpoint = api.Endpoint(self._names[0], state, "here")
+        self._harness.dispatch(api.EndpointUpdate(api.EndpointUpdateKind.DELTA, [endpoint]))
 
 
-def table(rows: list[tuple[str, tuple[float, float, float, float]]]) -> str:
-    first = rows[0][1]
-    head = ["", "decision", "report", "list", "memory", "decision, us", "memory, KiB"]
+def table(rows: Sequence[Row]) -> str:
+    """The rows with each cost as a ratio to the first row's, then two costs as they are."""
+    base = astuple(rows[0].costs)
     lines = []
-    for name, row in rows:
-        ratios = [f"{value / base:.1f}" for value, base in zip(row, first, strict=True)]
-        lines.append([name, *ratios, f"{row[0] * 1e6:.0f}", f"{row[3] / 1024:.0f}"])
-    return tabulate(lines, head, tablefmt="github", disable_numparse=True)
+    for row in rows:
+        ratios = [cost / base_cost for cost, base_cost in zip(astuple(row.costs), base, strict=True)]
+        decision_us = row.costs.decision_s * 1e6
+        memory_kib = row.costs.memory_bytes / 1024
+        lines.append(
+            [row.title, *(f"{ratio:.1f}" for ratio in ratios), f"{decision_us:.0f}", f"{memory_kib:.0f}"]
+        )
+    return tabulate(lines, COLUMNS, tablefmt="github", disable_numparse=True)
 
 
 def main() -> None:
+    """Print both tables: by servers, and by connections."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--quick", action="store_true", help="fewer repetitions")
-    times = 50 if parser.parse_args().quick else 400
-    print(table([(f"{count:,} servers, 100 connections", measured(count, 100, times)) for count in SERVERS]))
+    repetitions = QUICK_REPETITIONS if parser.parse_args().quick else REPETITIONS
+    by_servers = [
+        Row(f"{count:,} servers, 100 connections", Measurement(count, FEW_CONNECTIONS).costs(repetitions))
+        for count in SERVER_COUNTS
+    ]
+    print(table(by_servers))
     print()
-    rows = [(f"60 servers, {count:,} connections", measured(60, count, times)) for count in CONNECTIONS]
-    print(table(rows))
+    by_connections = [
+        Row(f"60 servers, {count:,} connections", Measurement(MEDIUM_SERVERS, count).costs(repetitions))
+        for count in CONNECTION_COUNTS
+    ]
+    print(table(by_connections))
 
 
 if __name__ == "__main__":
--- a/benchmarks/descriptions.py
+++ b/benchmarks/descriptions.py
@@ -5,7 +5,6 @@
 """
 
 import argparse
-import json
 import os
 import re
 import resource
@@ -13,145 +12,165 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 
 from tabulate import tabulate
-from werkzeug.routing import Map, Rule
+from werkzeug.routing import Map, MapAdapter, Rule
 
 ROOT = Path(__file__).parents[1]
 sys.path[:0] = [str(ROOT), str(ROOT / "tests"), str(ROOT / "benchmarks")]
 
-from servers_file import Balancer, Pings, ms  # noqa: E402
+from running_balancer import MeasuredBalancer, PingLoop  # noqa: E402
 
 from wheatstile.descriptions.route_matcher import Matcher  # noqa: E402
 from wheatstile.descriptions.routes import path_tokens, split_path  # noqa: E402
 
-WORKER = "import sys; from wheatstile.descriptions import reader; reader.compile_paths([sys.argv[1]])"
-
-
-def template(number: int) -> str:
+COMPILE_PROGRAM = (
+    "import sys; from wheatstile.descriptions import reader; reader.compile_paths([sys.argv[1]])"
+)
+DESCRIPTIONS_APPLIED = "descriptions_applied"
+MAX_PROCESSOR_S = 1800
+MATCHED_PATHS = 97
+"""About how many paths of a size are matched, spread over its routes."""
+ANSWER = "{'200': {description: ok, content: {application/json: {schema: {$ref: '#/components/schemas/t'}}}}}"
+PARAMETERS = "parameters: [{name: id, in: path, required: true, schema: {type: string}}]"
+
+LOADING_SIZES = (10, 1_000, 10_000)
+QUICK_LOADING_SIZES = (10, 1_000)
+MATCHING_SIZES = (10, 1_000, 10_000)
+MATCHING_COLUMNS = (
+    "routes",
+    "matcher us",
+    "linear scan us",
+    "Werkzeug us",
+    "scan / matcher",
+    "Werkzeug / matcher",
+)
+
+
+def path_template(number: int) -> str:
+    """The path of one operation."""
     return f"/area{number % 50}/thing{number}/{{id}}/part"
 
 
-def write(path: Path, operations: int) -> None:
-    """A description with this many operations, of which each refers to a schema."""
-    answer = (
-        "{'200': {description: ok, content: {application/json: {schema: {$ref: '#/components/schemas/t'}}}}}"
-    )
-    identity = "parameters: [{name: id, in: path, required: true, schema: {type: string}}]"
+def write_description(path: Path, operations: int) -> None:
+    """Write a description with so many operations, each of which refers to a schema."""
     lines = ["openapi: 3.1.0", "info: {title: big, version: '1'}", "paths:"]
     for number in range(operations):
-        lines.append(f"  {template(number)}:")
+        lines.append(f"  {path_template(number)}:")
         lines.append(
-            f"    get: {{tags: [t{number % 7}], x-wheatstile-class: web, {identity}, responses: {answer}}}"
+            f"    get: {{tags: [t{number % 7}], x-wheatstile-class: web, {PARAMETERS}, responses: {ANSWER}}}"
         )
     lines.append("components: {schemas: {t: {type: object, properties: {a: {type: string}}}}}")
     path.write_text("\n".join(lines))
 
 
-def loading(folder: Path, sizes: list[int]) -> None:
-    table = []
-    for size in sizes:
-        path = folder / f"{size}.yaml"
-        write(path, size)
-        begin = time.monotonic()
-        done = subprocess.Popen([sys.executable, "-c", WORKER, str(path)], cwd=ROOT)
-        _, status, usage = os.wait4(done.pid, 0)
-        assert status == 0
-        table.append(
-            [size, path.stat().st_size // 1024, f"{time.monotonic() - begin:.2f}", usage.ru_maxrss // 1024]
-        )
+def print_loading(folder: Path, sizes: Iterable[int]) -> None:
+    """Print what loading costs, in time and in memory."""
+    rows = [measure_loading(folder / f"{size}.yaml", size) for size in sizes]
     print("\nLoading, the interpreter's start with it\n")
-    print(tabulate(table, ["operations", "kB", "s", "peak MB"], "github"))
+    print(tabulate(rows, ["operations", "kB", "s", "peak MB"], "github"))
+
+
+def measure_loading(path: Path, operations: int) -> list[object]:
+    """One row: a description of so many operations, compiled by a process of its own."""
+    write_description(path, operations)
+    started_s = time.monotonic()
+    process = subprocess.Popen([sys.executable, "-c", COMPILE_PROGRAM, str(path)], cwd=ROOT)
+    _, status, usage = os.wait4(process.pid, 0)
+    duration_s = time.monotonic() - started_s
+    assert status == 0
+    return [operations, path.stat().st_size // 1024, f"{duration_s:.2f}", usage.ru_maxrss // 1024]
 
 
-def microseconds(work: Callable[[], object], seconds: float) -> float:
-    """Of one call, over about this time."""
-    calls, begin = 0, time.perf_counter()
-    while (passed := time.perf_counter() - begin) < seconds:
+def mean_us(work: Callable[[], object], duration_s: float) -> float:
+    """The mean time of one call in microseconds, over about this duration."""
+    calls = 0
+    started_s = time.perf_counter()
+    while (elapsed_s := time.perf_counter() - started_s) < duration_s:
         work()
         calls += 1
-    return passed / calls * 1e6
-
-
-def matching(sizes: list[int], seconds: float) -> None:
-    table = []
-    for size in sizes:
-        matcher: Matcher[int] = Matcher()
-        scan, rules = [], []
-        for number in range(size):
-            matcher.add(path_tokens(template(number)), number)
-            scan.append((re.compile(template(number).replace("{id}", "[^/]+")), number))
-            rules.append(Rule(template(number).replace("{id}", "<id>"), endpoint=number))
-        router = Map(rules).bind("host")
-        paths = [template(number).replace("{id}", "17") for number in range(0, size, max(1, size // 97))]
-
-        def ours(paths: list[str] = paths, matcher: Matcher[int] = matcher) -> None:
-            for path in paths:
-                assert matcher.matches(split_path(path))
-
-        def linear(paths: list[str] = paths, scan: list[tuple[re.Pattern[str], int]] = scan) -> None:
-            for path in paths:
-                assert any(pattern.fullmatch(path) for pattern, _ in scan)
-
-        def theirs(paths: list[str] = paths, router: object = router) -> None:
-            for path in paths:
-                router.match(path)  # type: ignore[attr-defined]
-
-        theirs()  # it sorts its rules the first time
-        costs = [microseconds(work, seconds) / len(paths) for work in (ours, linear, theirs)]
-        table.append(
-            [
-                size,
-                *(f"{cost:.1f}" for cost in costs),
-                f"{costs[1] / costs[0]:.0f}",
-                f"{costs[2] / costs[0]:.1f}",
-            ]
-        )
-    heads = ["routes", "matcher us", "linear scan us", "Werkzeug us", "scan / matcher", "Werkzeug / matcher"]
+    return elapsed_s / calls * 1e6
+
+
+class Routers:
+    """The same routes in our matcher, as a list of regular expressions, and in Werkzeug's router."""
+
+    def __init__(self, size: int) -> None:
+        numbers = range(size)
+        self._paths = [
+            path_template(number).replace("{id}", "17")
+            for number in range(0, size, max(1, size // MATCHED_PATHS))
+        ]
+        self._matcher: Matcher[int] = Matcher()
+        for number in numbers:
+            self._matcher.add(path_tokens(path_template(number)), number)
+        self._patterns = [re.compile(path_template(number).replace("{id}", "[^/]+")) for number in numbers]
+        rules = [Rule(path_template(number).replace("{id}", "<id>"), endpoint=number) for number in numbers]
+        self._werkzeug: MapAdapter = Map(rules).bind("host")
+
+    def costs_us(self, duration_s: float) -> list[float]:
+        """Microseconds of one match: matcher, linear scan, Werkzeug; each measured for so long."""
+        self._match_by_werkzeug()  # it sorts its rules the first time
+        works = (self._match, self._scan, self._match_by_werkzeug)
+        return [mean_us(work, duration_s) / len(self._paths) for work in works]
+
+    def _match(self) -> None:
+        for path in self._paths:
+            assert self._matcher.matches(split_path(path))
+
+    def _scan(self) -> None:
+        for path in self._paths:
+            assert any(pattern.fullmatch(path) for pattern in self._patterns)
+
+    def _match_by_werkzeug(self) -> None:
+        for path in self._paths:
+            self._werkzeug.match(path)
+
+
+def print_matching(duration_s: float) -> None:
+    """Print what one match costs, by the number of routes."""
+    rows = []
+    for size in MATCHING_SIZES:
+        matcher_us, scan_us, werkzeug_us = Routers(size).costs_us(duration_s)
+        costs = [f"{cost_us:.1f}" for cost_us in (matcher_us, scan_us, werkzeug_us)]
+        rows.append([size, *costs, f"{scan_us / matcher_us:.0f}", f"{werkzeug_us / matcher_us:.1f}"])
     print("\nOne match\n")
-    print(tabulate(table, heads, "github"))
-
-
-def reload(operations: int, rounds: int) -> None:
-    """PING while the running balancer has the descriptions compiled anew."""
-    balancer = Balancer()
-    balancer.setUp()
-    folder = Path(balancer.folder.name)
-    write(folder / "api.yaml", operations)
-    (folder / "operator.json").write_text(
-        json.dumps({"descriptions": {"paths": ["api.yaml"], "settle_s": 0.1}})
-    )
-    balancer.arguments = ("serve", "--file", str(folder / "operator.json"))
-    balancer.start([])
-    balancer.logged("descriptions_applied")
-    found = []
-    for changing in (False, True):
-        pings = Pings(balancer.listen)
-        pings.start()
-        for number in range(rounds):
-            if changing:
-                write(folder / "api.yaml", operations + number + 1)
-                balancer.logged("descriptions_applied")
-            else:
-                time.sleep(2.0)
-        one = pings.stop()
-        found.append(["compiling" if changing else "idle", *(ms(one, share) for share in (50, 99, 100))])
+    print(tabulate(rows, MATCHING_COLUMNS, "github"))
+
+
+def print_reload(operations: int, rounds: int) -> None:
+    """Print what PING takes while the running balancer has its descriptions compiled anew."""
+    rows = []
+    with tempfile.TemporaryDirectory() as folder:
+        description = Path(folder) / "api.yaml"
+        write_description(description, operations)
+        section = {"paths": [str(description)], "settle_s": 0.1}
+        with MeasuredBalancer({"descriptions": section}) as balancer:
+            balancer.logged(DESCRIPTIONS_APPLIED)
+            idle_pings = PingLoop(balancer.listen)
+            time.sleep(2.0 * rounds)
+            rows.append(["idle", *idle_pings.stop().summary_ms()])
+            pings = PingLoop(balancer.listen)
+            for number in range(rounds):
+                write_description(description, operations + number + 1)
+                balancer.logged(DESCRIPTIONS_APPLIED)
+            rows.append(["compiling", *pings.stop().summary_ms()])
     print(f"\nPING of a running balancer, {operations} operations compiled anew {rounds} times\n")
-    print(tabulate(found, ["", "p50 ms", "p99 ms", "max ms"], "github", disable_numparse=True))
-    balancer.end()
+    print(tabulate(rows, ["", "p50 ms", "p99 ms", "max ms"], "github", disable_numparse=True))
 
 
 def main() -> None:
+    """Print the tables."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--quick", action="store_true", help="smaller, for a look")
     quick = parser.parse_args().quick
-    resource.setrlimit(resource.RLIMIT_CPU, (1800, 1800))
+    resource.setrlimit(resource.RLIMIT_CPU, (MAX_PROCESSOR_S, MAX_PROCESSOR_S))
     with tempfile.TemporaryDirectory() as folder:
-        loading(Path(folder), [10, 1000] if quick else [10, 1000, 10_000])
-    matching([10, 1000, 10_000], 0.5 if quick else 2.0)
-    reload(100 if quick else 1000, 3 if quick else 5)
+        print_loading(Path(folder), QUICK_LOADING_SIZES if quick else LOADING_SIZES)
+    print_matching(0.5 if quick else 2.0)
+    print_reload(100 if quick else 1000, 3 if quick else 5)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/benchmarks/running_balancer.py
@@ -0,0 +1,109 @@
+"""A running balancer to be measured: its memory, its processor time, and the longest stall of its loop."""
+
+import json
+import os
+import socket
+import sys
+import threading
+import time
+from pathlib import Path
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+ROOT = Path(__file__).parents[1]
+sys.path[:0] = [str(ROOT), str(ROOT / "tests")]
+
+from support.balancer import Balancer  # noqa: E402
+
+MAX_DURATION_US = 60_000_000
+SIGNIFICANT_DIGITS = 3
+PING_PAUSE_S = 0.001
+UPDATE_DISPATCHED = "endpoint_update_dispatched"
+"""The event that is logged once the decision module has been notified of a list."""
+PERCENTILES = (50.0, 99.0, 100.0)
+
+JsonObject = dict[str, Any]
+"""A JSON object, as the program's files hold it."""
+
+
+class Durations:
+    """A histogram of durations."""
+
+    def __init__(self) -> None:
+        self._histogram = HdrHistogram(1, MAX_DURATION_US, SIGNIFICANT_DIGITS)
+
+    @property
+    def count(self) -> int:
+        """How many durations were recorded."""
+        return int(self._histogram.total_count)
+
+    def record_since(self, started_ns: int) -> None:
+        """Record the time since `started_ns` of the monotonic clock."""
+        self._histogram.record_value(max(1, (time.monotonic_ns() - started_ns) // 1000))
+
+    def percentile_ms(self, percentile: float) -> str:
+        """The duration at this percentile (100: the longest), in milliseconds, as text."""
+        return f"{self._histogram.get_value_at_percentile(percentile) / 1000:.1f}"
+
+    def summary_ms(self) -> list[str]:
+        """The median, the 99th percentile and the longest, as `percentile_ms` gives them."""
+        return [self.percentile_ms(percentile) for percentile in PERCENTILES]
+
+
+class MeasuredBalancer(Balancer):
+    """One running balancer with an operator's file; `with` ends it."""
+
+    def __init__(self, operator_settings: JsonObject, servers_file: bytes = b"") -> None:
+        """`servers_file`: the first content of `servers.json` beside the operator's file."""
+        super().__init__({})
+        folder = Path(self.folder.name)
+        self.servers_file = folder / "servers.json"
+        self.servers_file.write_bytes(servers_file)
+        operator_file = folder / "operator.json"
+        operator_file.write_text(json.dumps(operator_settings))
+        self.arguments = ("serve", "--file", str(operator_file), "--log-level", "debug")
+
+    def __enter__(self) -> "MeasuredBalancer":
+        self.start([])
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self.close()
+
+    def resident_kb(self) -> int:
+        """Resident memory, in kB."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        return next(int(line.split()[1]) for line in status.splitlines() if line.startswith("VmRSS"))
+
+    def processor_s(self) -> float:
+        """Processor time so far, user's and system's, in seconds (proc(5): fields 14 and 15 of stat)."""
+        fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
+        user_ticks, system_ticks = (int(field) for field in fields[11:13])
+        return (user_ticks + system_ticks) / os.sysconf("SC_CLK_TCK")
+
+
+class PingLoop(threading.Thread):
+    """Sends PING over and over on one connection: an answer takes as long as the loop stands still."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        super().__init__(daemon=True)
+        self._durations = Durations()
+        self._ended = threading.Event()
+        self._sock = socket.create_connection(address)
+        self.start()
+
+    def run(self) -> None:
+        """Send until `stop`."""
+        while not self._ended.wait(PING_PAUSE_S):
+            started_ns = time.monotonic_ns()
+            self._sock.sendall(b"PING\r\n")
+            self._sock.recv(16)
+            self._durations.record_since(started_ns)
+
+    def stop(self) -> Durations:
+        """End; how long the answers took."""
+        self._ended.set()
+        self.join()
+        self._sock.close()
+        return self._durations
--- a/benchmarks/servers_file.py
+++ b/benchmarks/servers_file.py
@@ -6,81 +6,67 @@
 """
 
 import argparse
+import enum
 import json
 import multiprocessing
 import random
-import socket
 import sys
 import threading
 import time
+from dataclasses import dataclass, field
+from multiprocessing.synchronize import Event
 from pathlib import Path
-from typing import Any
 
-from hdrh.histogram import HdrHistogram
 from tabulate import tabulate
 
 ROOT = Path(__file__).parents[1]
 sys.path[:0] = [str(ROOT), str(ROOT / "tests")]
 
 from fleet import Fleet  # noqa: E402
-from peers import NodeTest  # noqa: E402
+from running_balancer import (  # noqa: E402
+    UPDATE_DISPATCHED,
+    Durations,
+    JsonObject,
+    MeasuredBalancer,
+    PingLoop,
+)
 
 from wheatstile.resolvers.atomic_write import write_atomic  # noqa: E402
 from wheatstile.resolvers.canonical_json import digest_of  # noqa: E402
 
 FORK = multiprocessing.get_context("fork")  # a writer that takes no time of this process's
-TAKEN = "endpoint_file_accepted"
-TOLD = "endpoint_update_dispatched"
+FILE_ACCEPTED = "endpoint_file_accepted"
+SECTION = {"file": "servers.json", "mode": "override", "most_removed": 1.0, "most_bytes": 1 << 24}
 
+RENAME_SIZES = (10, 1_000, 20_000)
+LARGE_SIZE = 20_000
+SET_UP_SIZES = (10, 1_000)
+SET_UP_PHASES = 8
+REWRITE_INTERVAL_S = 0.02
+GENERATION_GAP = 1_000_000
+"""Added after each phase: the writer has counted on its own meanwhile."""
+IN_PLACE_SERVERS = 20
+FIRST_GENERATION = 999
+LAST_GENERATION = 99_999
+CARELESS_PAUSE_S = 0.3
+CARELESS_REWRITES = 40
 
-def histogram() -> HdrHistogram:
-    """Of microseconds, up to a minute."""
-    return HdrHistogram(1, 60_000_000, 3)
 
+class TableName(enum.StrEnum):
+    """The tables, as `--only` names them."""
 
-def ms(found: HdrHistogram, share: float) -> str:
-    return f"{found.get_value_at_percentile(share) / 1000:.1f}"
+    RENAMES = "renames"
+    SET_UPS = "set-ups"
+    IN_PLACE = "in-place"
 
 
-class Balancer(NodeTest):
-    """One running balancer with an operator's file, driven from here."""
+def running_balancer(servers_file: bytes) -> MeasuredBalancer:
+    """A balancer whose servers come from a watched file with this content; `with` starts it."""
+    return MeasuredBalancer({"servers": SECTION}, servers_file)
 
-    def runTest(self) -> None:
-        """Nothing: it is driven from outside."""
 
-    def begin(self, section: dict[str, Any] | None, first: bytes = b"") -> None:
-        self.setUp()
-        folder = Path(self.folder.name)
-        self.file = folder / "servers.json"
-        operator = folder / "operator.json"
-        self.file.write_bytes(first)
-        operator.write_text(json.dumps({"servers": section or {}}))
-        self.arguments = ("serve", "--file", str(operator), "--log-level", "debug")
-        self.start([])
-        if section:
-            self.logged(TOLD)
-
-    def memory(self) -> int:
-        """Resident, in kB."""
-        assert self.node
-        status = Path(f"/proc/{self.node.pid}/status").read_text()
-        return next(int(line.split()[1]) for line in status.splitlines() if line.startswith("VmRSS"))
-
-    def processor(self) -> float:
-        """Seconds of processor time so far."""
-        assert self.node
-        parts = Path(f"/proc/{self.node.pid}/stat").read_text().rpartition(")")[2].split()
-        return (int(parts[11]) + int(parts[12])) / 100
-
-    def end(self) -> None:
-        self.doCleanups()
-
-
-def section(**changes: Any) -> dict[str, Any]:
-    return {"file": "servers.json", "mode": "override", "most_removed": 1.0, "most_bytes": 1 << 24} | changes
-
-
-def document(servers: int, generation: int, seal: bool = True) -> bytes:
+def servers_document(servers: int, generation: int, *, sealed: bool = True) -> bytes:
+    """A file of so many servers; each generation gives every one of them another weight."""
     rows = [
         {
             "id": f"link-{number}",
@@ -90,191 +76,218 @@
         }
         for number in range(servers)
     ]
-    value: dict[str, Any] = {"servers": rows, "generation": generation}
-    return json.dumps(value | ({"seal": digest_of(value)} if seal else {})).encode()
-
-
-class Pings(threading.Thread):
-    """Asks PING over and over on one connection: an answer takes as long as the loop stands still."""
-
-    def __init__(self, address: tuple[str, int]) -> None:
-        super().__init__(daemon=True)
-        self.found, self.over = histogram(), False
-        self.sock = socket.create_connection(address)
-
-    def run(self) -> None:
-        while not self.over:
-            begin = time.monotonic_ns()
-            self.sock.sendall(b"PING\r\n")
-            self.sock.recv(16)
-            self.found.record_value(max(1, (time.monotonic_ns() - begin) // 1000))
-            time.sleep(0.001)
-
-    def stop(self) -> HdrHistogram:
-        self.over = True
-        self.join()
-        self.sock.close()
-        return self.found
-
-
-def renames(rounds: int) -> None:
-    """Every weight changes each time: the whole list is told anew."""
-    table = []
-    for servers in (10, 1000, 20_000):
-        for seal in (True, False):
-            balancer = Balancer()
-            balancer.begin(section(), document(servers, 1, seal))
-            memory, taken, idle = balancer.memory(), histogram(), Pings(balancer.listen)
-            idle.start()
-            time.sleep(1.0)
-            quiet = idle.stop()
-            pings = Pings(balancer.listen)
-            pings.start()
-            count = rounds if servers < 20_000 else max(5, rounds // 10)
-            for generation in range(2, 2 + count):
-                data = document(servers, generation, seal)
-                begin = time.monotonic_ns()
-                write_atomic(balancer.file, data)
-                balancer.logged(TOLD)
-                taken.record_value((time.monotonic_ns() - begin) // 1000)
-                time.sleep(0.02 + servers * 1e-4)  # the reader rests for three times what a look has cost it
-            stall = pings.stop()
-            row = [servers, "yes" if seal else "no", count, *(ms(taken, share) for share in (50, 99, 100))]
-            table.append([*row, ms(quiet, 100), ms(stall, 99), ms(stall, 100), memory])
-            balancer.end()
-    heads = ["servers", "sealed", "renames", "p50 ms", "p99 ms", "max ms"]
-    heads += ["PING idle max ms", "PING p99 ms", "PING max ms", "resident kB"]
-    print("\nFrom the write before a rename to the module's being told of every server; PING meanwhile\n")
-    print(tabulate(table, heads, tablefmt="github", disable_numparse=True))
+    value: JsonObject = {"servers": rows, "generation": generation}
+    return sealed_document(value) if sealed else json.dumps(value).encode()
+
+
+def sealed_document(value: JsonObject) -> bytes:
+    """The document with its seal."""
+    return json.dumps(value | {"seal": digest_of(value)}).encode()
+
 
+def yes_or_no(value: bool) -> str:
+    """The word that stands in a table."""
+    return "yes" if value else "no"
 
-def memory() -> None:
-    balancer = Balancer()
-    balancer.begin(None)
-    print(f"\nResident with the operator's file and nothing on: {balancer.memory()} kB")
-    balancer.end()
 
+def print_memory() -> None:
+    """Print what a balancer takes whose operator's file switches nothing on."""
+    with MeasuredBalancer({"servers": {}}) as balancer:
+        print(f"\nResident with the operator's file and nothing on: {balancer.resident_kb()} kB")
 
-def rewrite(file: Path, value: dict[str, Any], over: Any) -> None:
-    """A new generation 50 times a second, sealed and renamed into place."""
-    while not over.wait(0.02):
+
+def print_renames(rounds: int) -> None:
+    """Print what renames of new files into place cost; every weight changes each time."""
+    rows = []
+    for servers in RENAME_SIZES:
+        for sealed in (True, False):
+            count = rounds if servers < LARGE_SIZE else max(5, rounds // 10)
+            rows.append(measure_renames(servers, count, sealed=sealed))
+    headers = ["servers", "sealed", "renames", "p50 ms", "p99 ms", "max ms"]
+    headers += ["PING idle max ms", "PING p99 ms", "PING max ms", "resident kB"]
+    print("\nFrom the write before a rename to the module's being told of every server; PING meanwhile\n")
+    print(tabulate(rows, headers, tablefmt="github", disable_numparse=True))
+
+
+def measure_renames(servers: int, count: int, *, sealed: bool) -> list[object]:
+    """One row: renames, PING while nothing happens, PING meanwhile, and memory."""
+    with running_balancer(servers_document(servers, 1, sealed=sealed)) as balancer:
+        balancer.logged(UPDATE_DISPATCHED)
+        resident_kb = balancer.resident_kb()
+        idle_pings = PingLoop(balancer.listen)
+        time.sleep(1.0)
+        idle = idle_pings.stop()
+        pings = PingLoop(balancer.listen)
+        renames = Durations()
+        for generation in range(2, 2 + count):
+            data = servers_document(servers, generation, sealed=sealed)
+            started_ns = time.monotonic_ns()
+            write_atomic(balancer.servers_file, data)
+            balancer.logged(UPDATE_DISPATCHED)
+            renames.record_since(started_ns)
+            time.sleep(0.02 + servers * 1e-4)  # the reader rests for three times what a poll has cost it
+        busy = pings.stop()
+    return [
+        servers,
+        yes_or_no(sealed),
+        count,
+        *renames.summary_ms(),
+        idle.percentile_ms(100),
+        busy.percentile_ms(99),
+        busy.percentile_ms(100),
+        resident_kb,
+    ]
+
+
+def rewrite_until(file: Path, value: JsonObject, ended: Event) -> None:
+    """Rename a new, sealed generation into place 50 times a second."""
+    while not ended.wait(REWRITE_INTERVAL_S):
         value["generation"] += 1
-        write_atomic(file, json.dumps(value | {"seal": digest_of(value)}).encode())
+        write_atomic(file, sealed_document(value))
 
 
-def set_ups(seconds: float) -> None:
-    """Phases with and without rewriting take turns in one run."""
+@dataclass
+class SetUpCosts:
+    """Clients' set-ups, and the share of a core that the balancer has used meanwhile."""
+
+    durations: Durations = field(default_factory=Durations)
+    core_share: float = 0.0
+
+
+def print_set_ups(phase_s: float) -> None:
+    """Print what set-ups cost; phases with and without rewriting take turns in one run."""
     fleet = Fleet([f"link-{number}" for number in range(10)])
-    table = []
-    for servers in (10, 1000):
-        rows = json.loads(document(servers, 1))["servers"]
-        for row in rows[:10]:
-            row["address"] = fleet.addresses[row["id"]]
-        for row in rows[10:]:
-            row["state"] = "draining"
-        value: dict[str, Any] = {"servers": rows, "generation": 1}
-        balancer = Balancer()
-        balancer.begin(section(), json.dumps(value | {"seal": digest_of(value)}).encode())
-        assert balancer.node and balancer.node.stderr
+    rows = []
+    for servers in SET_UP_SIZES:
+        costs = measure_set_ups(fleet, servers, phase_s)
+        for rewriting in (False, True):
+            one = costs[rewriting]
+            title = "50 a second" if rewriting else "none"
+            durations = one.durations
+            rows.append([servers, title, durations.count, *durations.summary_ms(), f"{one.core_share:.2f}"])
+    fleet.close()
+    headers = ["servers", "rewriting", "set-ups", "p50 ms", "p99 ms", "max ms", "core used"]
+    print("\nA client's set-up, phases with and without rewriting in turn\n")
+    print(tabulate(rows, headers, tablefmt="github", disable_numparse=True))
+
+
+def measure_set_ups(fleet: Fleet, servers: int, phase_s: float) -> dict[bool, SetUpCosts]:
+    """The costs while nobody rewrites the file (False), and while somebody does (True)."""
+    value = fleet_document(fleet, servers)
+    costs = {False: SetUpCosts(), True: SetUpCosts()}
+    with running_balancer(sealed_document(value)) as balancer:
+        balancer.logged(UPDATE_DISPATCHED)
+        assert balancer.process.stderr
         # A log that nobody reads stops its writer once the pipe is full.
-        threading.Thread(target=balancer.node.stderr.read, daemon=True).start()
-        found = {False: histogram(), True: histogram()}
-        used = {False: 0.0, True: 0.0}
-        for phase in range(8):
-            rewriting, over = phase % 2 == 1, FORK.Event()
-
-            writer = FORK.Process(target=rewrite, args=(balancer.file, value, over))
-            begin_used = balancer.processor()
+        threading.Thread(target=balancer.process.stderr.read, daemon=True).start()
+        for phase in range(SET_UP_PHASES):
+            rewriting = phase % 2 == 1
+            ended = FORK.Event()
+            writer = FORK.Process(target=rewrite_until, args=(balancer.servers_file, value, ended))
+            used_before_s = balancer.processor_s()
             if rewriting:
                 writer.start()
-            end = time.monotonic() + seconds
-            number = 0
-            while time.monotonic() < end:
-                number += 1
-                begin = time.monotonic_ns()
-                client = balancer.open(phase * 100_000 + number, group=f"g{number}")
-                assert client.line().startswith("UP")
-                found[rewriting].record_value((time.monotonic_ns() - begin) // 1000)
-                client.close()
-                time.sleep(0.002)
-            over.set()
+            set_up_clients(balancer, phase, phase_s, costs[rewriting].durations)
+            ended.set()
             if rewriting:
                 writer.join()
-                value["generation"] += 1_000_000  # past the writer's, which has counted on its own
-            used[rewriting] += (balancer.processor() - begin_used) / (4 * seconds)
-        for rewriting in (False, True):
-            one = found[rewriting]
-            shares = [ms(one, share) for share in (50, 99, 100)]
-            table.append(
-                [
-                    servers,
-                    "50 a second" if rewriting else "none",
-                    one.total_count,
-                    *shares,
-                    f"{used[rewriting]:.2f}",
-                ]
-            )
-        balancer.end()
-    fleet.close()
-    heads = ["servers", "rewriting", "set-ups", "p50 ms", "p99 ms", "max ms", "core used"]
-    print("\nA client's set-up, phases with and without rewriting in turn\n")
-    print(tabulate(table, heads, tablefmt="github", disable_numparse=True))
-
-
-def in_place(times: int) -> None:
-    """One writer rewrites the file in pieces, in place; a careless one rests in the middle."""
-    table = []
-    for seal in (True, False):
-        for rest in (0.0, 0.3):
-            count = times if rest == 0 else 40
-            balancer = Balancer()
-            # All of one length, so that where two are mixed the mixture parses.
-            whole = [document(20, 1000 + number, seal) for number in range(count)]
-            balancer.begin(section(), document(20, 999, seal))
-            digests = {
-                digest_of({k: v for k, v in json.loads(data).items() if k != "seal"}) for data in whole
-            }
-            chance = random.Random(3)
-            with open(balancer.file, "r+b", buffering=0) as file:
-                for data in whole:
-                    file.seek(0)
-                    cut = chance.randint(1, len(data) - 1)
-                    file.write(data[:cut])
-                    if rest:
-                        time.sleep(rest)
-                    file.write(data[cut:])
-                    file.truncate(len(data))
-            last = document(30, 99_999, seal)
-            write_atomic(balancer.file, last)
-            taken: list[dict[str, Any]] = []
-            while not taken or taken[-1]["generation"] != 99_999:
-                taken.append(balancer.logged(TAKEN))
-            mixed = sum(entry["digest"] not in digests for entry in taken[:-1] if entry["generation"] != 999)
-            table.append(["yes" if seal else "no", f"{rest:g}", count, len(taken) - 1, mixed])
-            balancer.end()
+                value["generation"] += GENERATION_GAP
+            used_s = balancer.processor_s() - used_before_s
+            costs[rewriting].core_share += used_s / (SET_UP_PHASES / 2 * phase_s)
+    return costs
+
+
+def fleet_document(fleet: Fleet, servers: int) -> JsonObject:
+    """A document whose first servers are the fleet's and ready; all others are draining."""
+    rows = json.loads(servers_document(servers, 1))["servers"]
+    for row in rows:
+        if row["id"] in fleet.addresses:
+            row["address"] = fleet.addresses[row["id"]]
+        else:
+            row["state"] = "draining"
+    return {"servers": rows, "generation": 1}
+
+
+def set_up_clients(balancer: MeasuredBalancer, phase: int, duration_s: float, durations: Durations) -> None:
+    """Have one client after another set up a connection and leave, for so long."""
+    end_s = time.monotonic() + duration_s
+    number = 0
+    while time.monotonic() < end_s:
+        number += 1
+        started_ns = time.monotonic_ns()
+        client = balancer.open(phase * 100_000 + number, group=f"g{number}")
+        assert client.line().startswith("UP")
+        durations.record_since(started_ns)
+        client.close()
+        time.sleep(0.002)
+
+
+def print_in_place(rewrites: int) -> None:
+    """Print what becomes of a file that one writer rewrites in pieces, in place; a careless one rests."""
+    rows = []
+    for sealed in (True, False):
+        rows.append(measure_in_place(rewrites, 0.0, sealed=sealed))
+        rows.append(measure_in_place(CARELESS_REWRITES, CARELESS_PAUSE_S, sealed=sealed))
+    headers = ["sealed", "rest in the middle s", "rewritings", "lists taken", "of them mixtures"]
     print("\nA writer in place (settle time 0.2 s); a mixture of two files is a wrong one\n")
-    print(
-        tabulate(
-            table,
-            ["sealed", "rest in the middle s", "rewritings", "lists taken", "of them mixtures"],
-            "github",
-        )
-    )
+    print(tabulate(rows, headers, "github"))
+
+
+def measure_in_place(rewrites: int, pause_s: float, *, sealed: bool) -> list[object]:
+    """One row: so many rewrites with a pause in the middle of each."""
+    # All of one length, so that where two are mixed the mixture parses.
+    documents = [
+        servers_document(IN_PLACE_SERVERS, 1000 + number, sealed=sealed) for number in range(rewrites)
+    ]
+    digests = {document_digest(data) for data in documents}
+    with running_balancer(servers_document(IN_PLACE_SERVERS, FIRST_GENERATION, sealed=sealed)) as balancer:
+        balancer.logged(UPDATE_DISPATCHED)
+        rewrite_in_pieces(balancer.servers_file, documents, pause_s)
+        write_atomic(balancer.servers_file, servers_document(30, LAST_GENERATION, sealed=sealed))
+        accepted = [balancer.logged(FILE_ACCEPTED)]
+        while accepted[-1]["generation"] != LAST_GENERATION:
+            accepted.append(balancer.logged(FILE_ACCEPTED))
+    mixtures = [
+        entry
+        for entry in accepted[:-1]
+        if entry["generation"] != FIRST_GENERATION and entry["digest"] not in digests
+    ]
+    return [yes_or_no(sealed), f"{pause_s:g}", rewrites, len(accepted) - 1, len(mixtures)]
+
+
+def document_digest(data: bytes) -> str:
+    """The digest of a document, which its seal is no part of."""
+    return digest_of({key: value for key, value in json.loads(data).items() if key != "seal"})
+
+
+def rewrite_in_pieces(path: Path, documents: list[bytes], pause_s: float) -> None:
+    """Write each document over the last in two pieces, with a pause between them."""
+    chance = random.Random(3)
+    with open(path, "r+b", buffering=0) as file:
+        for data in documents:
+            file.seek(0)
+            cut = chance.randint(1, len(data) - 1)
+            file.write(data[:cut])
+            if pause_s:
+                time.sleep(pause_s)
+            file.write(data[cut:])
+            file.truncate(len(data))
 
 
 def main() -> None:
+    """Print the tables."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--quick", action="store_true", help="fewer rounds, for a look")
-    parser.add_argument("--only", choices=("renames", "set-ups", "in-place"), help="one of the tables")
+    parser.add_argument("--only", choices=tuple(TableName), help="one of the tables")
     options = parser.parse_args()
-    quick = options.quick
-    if options.only in (None, "renames"):
-        memory()
-        renames(20 if quick else 100)
-    if options.only in (None, "set-ups"):
-        set_ups(1.0 if quick else 5.0)
-    if options.only in (None, "in-place"):
-        in_place(200 if quick else 2000)
+    wanted = {TableName(options.only)} if options.only else set(TableName)
+    if TableName.RENAMES in wanted:
+        print_memory()
+        print_renames(20 if options.quick else 100)
+    if TableName.SET_UPS in wanted:
+        print_set_ups(1.0 if options.quick else 5.0)
+    if TableName.IN_PLACE in wanted:
+        print_in_place(200 if options.quick else 2000)
 
 
 if __name__ == "__main__":
--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -11,6 +11,9 @@
 import sys
 import tempfile
 import time
+from collections.abc import Mapping, Sequence
+from contextlib import closing
+from dataclasses import dataclass, field
 from pathlib import Path
 
 from hdrh.histogram import HdrHistogram
@@ -23,97 +26,192 @@
 
 from wheatstile.store.client import StoreClient  # noqa: E402
 
-
-def fsyncs(folder: Path, seconds: float) -> float:
-    """Appends of 256 bytes, each synced, a second."""
-    count, end = 0, time.perf_counter() + seconds
+CLUSTERS = ("a", "abc", "abcde")
+"""The members of each cluster that is measured, a letter each."""
+CLIENT_TIMEOUT_S = 60
+VALUE_BYTES = 100
+FSYNC_BYTES = 256
+COMPACT_EVERY = 5000
+MAX_DURATION_US = 60_000_000
+COLUMNS = (
+    "members",
+    "clients",
+    "",
+    "a second",
+    "p50 ms",
+    "p99 ms",
+    "an fsync",
+    "of this disk's rate",
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """How long a measurement takes, with how many clients, and how often a leader is killed."""
+
+    duration_s: float
+    client_counts: Sequence[int]
+    kills: int
+
+
+FULL = Plan(duration_s=5.0, client_counts=(1, 16, 256), kills=40)
+QUICK = Plan(duration_s=2.0, client_counts=(1, 16, 64), kills=8)
+
+
+@dataclass(frozen=True, slots=True)
+class Throughput:
+    """What so many clients got of one cluster. `writes_per_fsync`: None for reads, or without an fsync."""
+
+    members: int
+    clients: int
+    reading: bool
+    rate_per_s: float
+    p50_ms: float
+    p99_ms: float
+    writes_per_fsync: float | None
+
+    def row(self, fsyncs_per_s: float) -> list[str]:
+        """The cells of COLUMNS, with the rate of writes as a ratio to the disk's."""
+        writes_per_fsync = "" if self.writes_per_fsync is None else f"{self.writes_per_fsync:.1f}"
+        return [
+            str(self.members),
+            str(self.clients),
+            "read" if self.reading else "write",
+            f"{self.rate_per_s:.0f}",
+            f"{self.p50_ms:.1f}",
+            f"{self.p99_ms:.1f}",
+            writes_per_fsync,
+            "" if self.reading else f"{self.rate_per_s / fsyncs_per_s:.2f}",
+        ]
+
+
+def measure_fsyncs(folder: Path, duration_s: float) -> float:
+    """Appends to one file, each synced, a second."""
+    count = 0
     descriptor = os.open(folder / "probe", os.O_WRONLY | os.O_CREAT | os.O_APPEND)
-    begin = time.perf_counter()
-    while time.perf_counter() < end:
-        os.write(descriptor, bytes(256))
+    started_s = time.perf_counter()
+    while time.perf_counter() < started_s + duration_s:
+        os.write(descriptor, bytes(FSYNC_BYTES))
         os.fsync(descriptor)
         count += 1
     os.close(descriptor)
-    return count / (time.perf_counter() - begin)
+    return count / (time.perf_counter() - started_s)
+
+
+@dataclass
+class Load:
+    """Clients that read or write, each its own key, one request after the other."""
 
+    clients: Sequence[StoreClient]
+    reading: bool
+    times_us: HdrHistogram = field(default_factory=lambda: HdrHistogram(1, MAX_DURATION_US, 3))
 
-async def load(clients: list[StoreClient], seconds: float, read: bool) -> tuple[float, HdrHistogram]:
-    """Requests a second, and their times in microseconds."""
-    times, end = HdrHistogram(1, 60_000_000, 3), time.perf_counter() + seconds
+    async def run(self, duration_s: float) -> float:
+        """Run for so long; requests a second."""
+        started_s = time.perf_counter()
+        async with asyncio.TaskGroup() as tasks:
+            for number, client in enumerate(self.clients):
+                tasks.create_task(self._use(client, f"b/{number}", started_s + duration_s))
+        return float(self.times_us.get_total_count() / (time.perf_counter() - started_s))
 
-    async def use(number: int, client: StoreClient) -> None:
-        while (begin := time.perf_counter()) < end:
-            if read:
-                await client.get(f"b/{number}")
+    async def _use(self, client: StoreClient, key: str, end_s: float) -> None:
+        while (started_s := time.perf_counter()) < end_s:
+            if self.reading:
+                await client.get(key)
             else:
-                await client.put(f"b/{number}", bytes(100))
-            times.record_value(int((time.perf_counter() - begin) * 1e6))
+                await client.put(key, bytes(VALUE_BYTES))
+            self.times_us.record_value(int((time.perf_counter() - started_s) * 1e6))
 
-    begin = time.perf_counter()
-    await asyncio.gather(*(use(n, c) for n, c in enumerate(clients)))
-    return times.get_total_count() / (time.perf_counter() - begin), times
+    def percentile_ms(self, percentile: float) -> float:
+        """The time of a request at this percentile, in milliseconds."""
+        return float(self.times_us.get_value_at_percentile(percentile) / 1000)
 
 
-async def throughput(cluster: ProcessCluster, counts: tuple[int, ...], seconds: float) -> list[list[str]]:
-    rows = []
+async def measure_throughputs(cluster: ProcessCluster, plan: Plan) -> list[Throughput]:
+    """Writes and reads, by the number of clients."""
     leader = await cluster.leader()
-    for count in counts:
-        for read in (False, True):
-            ports = cluster.client_ports
-            if read:  # on followers, where there are any
-                ports = {n: p for n, p in ports.items() if n != leader and n in cluster.processes} or ports
-            clients = [StoreClient(ports, 60) for _ in range(count)]
-            await asyncio.gather(*(c.get("b/0") for c in clients))
-            syncs = (await clients[0].status(leader if not read else next(iter(ports)))).fsync_count
-            rate, times = await load(clients, seconds, read)
-            syncs = (await clients[0].status(leader if not read else next(iter(ports)))).fsync_count - syncs
-            p50, p99 = (times.get_value_at_percentile(p) / 1000 for p in (50, 99))
-            per = f"{rate * seconds / syncs:.1f}" if syncs and not read else ""
-            rows.append([str(len(cluster.processes)), str(count), "read" if read else "write", f"{rate:.0f}",
-                         f"{p50:.1f}", f"{p99:.1f}", per])
-            for client in clients:
-                client.close()
-    return rows
-
-
-async def elections(cluster: ProcessCluster, times: int) -> list[float]:
-    """Seconds from SIGKILL of the leader to the next write that is acknowledged."""
-    taken = []
-    for number in range(times):
-        leader = await cluster.leader()
-        client = StoreClient({n: p for n, p in cluster.client_ports.items() if n != leader}, 60)
-        await client.get("e")  # its connection stands
-        cluster.kill(leader)
-        begin = time.perf_counter()
-        await client.put("e", str(number).encode())
-        taken.append(time.perf_counter() - begin)
-        cluster.start(leader)
+    return [
+        await measure_throughput(cluster, leader, count, plan.duration_s, reading=reading)
+        for count in plan.client_counts
+        for reading in (False, True)
+    ]
+
+
+async def measure_throughput(
+    cluster: ProcessCluster, leader: str, client_count: int, duration_s: float, *, reading: bool
+) -> Throughput:
+    """What so many clients get, of the followers where they read and there are any."""
+    ports = follower_ports(cluster, leader) if reading else cluster.client_ports
+    observed = next(iter(ports)) if reading else leader
+    clients = [StoreClient(ports, CLIENT_TIMEOUT_S) for _ in range(client_count)]
+    await asyncio.gather(*(client.get("b/0") for client in clients))  # their connections stand
+    fsyncs_before = (await clients[0].status(observed)).fsync_count
+    load = Load(clients, reading)
+    rate_per_s = await load.run(duration_s)
+    fsyncs = (await clients[0].status(observed)).fsync_count - fsyncs_before
+    for client in clients:
         client.close()
-    return taken
+    return Throughput(
+        members=len(cluster.processes),
+        clients=client_count,
+        reading=reading,
+        rate_per_s=rate_per_s,
+        p50_ms=load.percentile_ms(50),
+        p99_ms=load.percentile_ms(99),
+        writes_per_fsync=rate_per_s * duration_s / fsyncs if fsyncs and not reading else None,
+    )
+
+
+def follower_ports(cluster: ProcessCluster, leader: str) -> Mapping[str, int]:
+    """The ports for clients of the followers; of all members where the leader is alone."""
+    followers = {
+        name: port
+        for name, port in cluster.client_ports.items()
+        if name != leader and name in cluster.processes
+    }
+    return followers or cluster.client_ports
+
+
+async def measure_elections(cluster: ProcessCluster, kills: int) -> list[float]:
+    """Seconds from SIGKILL of the leader to the next write that is acknowledged, in their order."""
+    durations_s = []
+    for number in range(kills):
+        leader = await cluster.leader()
+        others = {name: port for name, port in cluster.client_ports.items() if name != leader}
+        with closing(StoreClient(others, CLIENT_TIMEOUT_S)) as client:
+            await client.get("e")  # its connection stands
+            cluster.kill(leader)
+            started_s = time.perf_counter()
+            await client.put("e", str(number).encode())
+            durations_s.append(time.perf_counter() - started_s)
+            cluster.start(leader)
+    return sorted(durations_s)
 
 
 def main() -> None:
+    """Print the tables."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--quick", action="store_true", help="shorter")
-    quick = parser.parse_args().quick
-    seconds, counts, kills = (2.0, (1, 16, 64), 8) if quick else (5.0, (1, 16, 256), 40)
-    rows, base = [], 0.0
-    for names in ("a", "abc", "abcde"):
+    plan = QUICK if parser.parse_args().quick else FULL
+    rows: list[list[str]] = []
+    fsyncs_per_s = 0.0
+    elections_s: list[float] = []
+    for names in CLUSTERS:
         with tempfile.TemporaryDirectory(dir=ROOT / "benchmarks") as folder:
-            base = fsyncs(Path(folder), seconds / 2)
-            cluster = ProcessCluster(Path(folder), 1, names if len(names) > 1 else "ab", 5000, direct=True)
-            try:
+            fsyncs_per_s = measure_fsyncs(Path(folder), plan.duration_s / 2)
+            known_names = names if len(names) > 1 else "ab"  # the cluster's helper has no links of one member
+            with closing(ProcessCluster(Path(folder), 1, known_names, COMPACT_EVERY, direct=True)) as cluster:
                 cluster.start(*names, voters=names)
-                made = asyncio.run(throughput(cluster, counts, seconds))
-                rows += [[*row, f"{float(row[3]) / base:.2f}" if row[2] == "write" else ""] for row in made]
-                if names == "abcde":
-                    taken = sorted(asyncio.run(elections(cluster, kills)))
-            finally:
-                cluster.close()
-    head = ["members", "clients", "", "a second", "p50 ms", "p99 ms", "an fsync", "of this disk's rate"]
-    print(tabulate(rows, head, tablefmt="github", disable_numparse=True))
-    print(f"\nfsyncs alone: {base:.0f} a second. Leader killed to next write, 5 members, {kills} times: "
-          f"median {statistics.median(taken):.2f} s, p99 {taken[int(len(taken) * 0.99)]:.2f} s")
+                throughputs = asyncio.run(measure_throughputs(cluster, plan))
+                rows += [throughput.row(fsyncs_per_s) for throughput in throughputs]
+                if names == CLUSTERS[-1]:
+                    elections_s = asyncio.run(measure_elections(cluster, plan.kills))
+    print(tabulate(rows, COLUMNS, tablefmt="github", disable_numparse=True))
+    print(
+        f"\nfsyncs alone: {fsyncs_per_s:.0f} a second. Leader killed to next write, 5 members, "
+        f"{plan.kills} times: median {statistics.median(elections_s):.2f} s, "
+        f"p99 {elections_s[int(len(elections_s) * 0.99)]:.2f} s"
+    )
 
 
 if __name__ == "__main__":
