--- a/tests/cli/test_servers_command.py
+++ b/tests/cli/test_servers_command.py
@@ -9,7 +9,7 @@
 import pytest
 from support.command_line import run_command
 
-pytestmark = pytest.mark.usefixtures("command_folder")
+pytestmark = pytest.mark.usefixtures("folder")
 
 
 @pytest.mark.usefixtures("live_file")
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,13 +1,14 @@
-"""Fixtures for the tests that start the balancer, or call the command line, as a process."""
+"""Fixtures for the tests that start the balancer as a process."""
 
 from collections.abc import Iterator
 from typing import Any
 
 import pytest
 from support.balancer import Balancer
-from support.command_folder import command_folder, live_file
+from support.command_line_folder import folder, live_file
+from support.served_balancer_factory import make_balancer
 
-__all__ = ["balancer", "command_folder", "live_file", "settings"]
+__all__ = ["balancer", "folder", "live_file", "make_balancer", "settings"]
 
 
 @pytest.fixture
--- a/tests/net/test_client_listener.py
+++ b/tests/net/test_client_listener.py
@@ -69,7 +69,7 @@
 
 @pytest.mark.parametrize("settings", [SHORT_DEADLINE])
 def test_old_session_is_not_lost_to_whoever_repeats_its_id(balancer: Balancer) -> None:
-    balancer.start([balancer.member("s1"), balancer.member("s2", phase="shutdown_started")])
+    balancer.start([balancer.member("s1"), balancer.member("s2", phase="draining")])
     client, server = balancer.establish(0)
     for number in range(1, 4200):  # more than are kept of ids that are over
         balancer.open(number, 0).line()
