Say in the imperative what functions return, and give the route rows a module

Docstrings of the command line, the fault proxy, the benchmarks and the example described the value; they say what the function does now, as in the other packages. Help texts of commands, which are docstrings too, stay.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -52,7 +52,7 @@
 
 
 def median_s(work: Callable[[int], object], repetitions: int) -> float:
-    """The median time of one call, in seconds; `work` gets the call's number."""
+    """Return the median time of one call, in seconds; `work` gets the call's number."""
     durations_s = []
     for index in range(repetitions):
         started_s = time.perf_counter()
@@ -74,7 +74,7 @@
         tracemalloc.stop()
 
     def costs(self, repetitions: int) -> Costs:
-        """The costs, each over so many repetitions."""
+        """Return the costs, each over so many repetitions."""
         return Costs(
             decision_s=median_s(self._decide, repetitions),
             report_s=median_s(self._report_load, repetitions),
@@ -91,7 +91,7 @@
         self._harness.dispatch(api.ClientDisconnected(request_id))
 
     def _report_load(self, index: int) -> None:
-        """The answer to one health check."""
+        """Return the answer to one health check."""
         server = self._names[index % len(self._names)]
         self._harness.balancer.servers[server].is_being_checked = True  # as if it had been requested
         self._harness.dispatch(api.HealthCheckResult(server, api.AttemptOutcome.OK, 1000, {"load": 0.4}))
@@ -104,7 +104,7 @@
 
 
 def table(rows: Sequence[Row]) -> str:
-    """The rows with each cost as a ratio to the first row's, then two costs as they are."""
+    """Return the rows with each cost as a ratio to the first row's, then two costs as they are."""
     base = astuple(rows[0].costs)
     lines = []
     for row in rows:
--- a/benchmarks/descriptions.py
+++ b/benchmarks/descriptions.py
@@ -50,7 +50,7 @@
 
 
 def path_template(number: int) -> str:
-    """The path of one operation."""
+    """Return the path of one operation."""
     return f"/area{number % 50}/thing{number}/{{id}}/part"
 
 
@@ -85,7 +85,7 @@
 
 
 def mean_us(work: Callable[[], object], duration_s: float) -> float:
-    """The mean time of one call in microseconds, over about this duration."""
+    """Return the mean time of one call in microseconds, over about this duration."""
     calls = 0
     started_s = time.perf_counter()
     while (elapsed_s := time.perf_counter() - started_s) < duration_s:
--- a/benchmarks/running_balancer.py
+++ b/benchmarks/running_balancer.py
@@ -43,11 +43,11 @@
         self._histogram.record_value(max(1, (time.monotonic_ns() - started_ns) // 1000))
 
     def percentile_ms(self, percentile: float) -> str:
-        """The duration at this percentile (100: the longest), in milliseconds, as text."""
+        """Return the duration at this percentile (100: the longest), in milliseconds, as text."""
         return f"{self._histogram.get_value_at_percentile(percentile) / 1000:.1f}"
 
     def summary_ms(self) -> list[str]:
-        """The median, the 99th percentile and the longest, as `percentile_ms` gives them."""
+        """Return the median, the 99th percentile and the longest, as `percentile_ms` gives them."""
         return [self.percentile_ms(percentile) for percentile in PERCENTILES]
 
 
--- a/benchmarks/servers_file.py
+++ b/benchmarks/servers_file.py
@@ -61,12 +61,12 @@
 
 
 def running_balancer(servers_file: bytes) -> MeasuredBalancer:
-    """A balancer whose servers come from a watched file with this content; `with` starts it."""
+    """Return a balancer whose servers come from a watched file with this content; `with` starts it."""
     return MeasuredBalancer({"servers": SECTION}, servers_file)
 
 
 def servers_document(servers: int, generation: int, *, sealed: bool = True) -> bytes:
-    """A file of so many servers; each generation gives every one of them another weight."""
+    """Return a file of so many servers; each generation gives every one of them another weight."""
     rows = [
         {
             "id": f"link-{number}",
@@ -81,12 +81,12 @@
 
 
 def sealed_document(value: JsonObject) -> bytes:
-    """The document with its seal."""
+    """Return the document with its seal."""
     return json.dumps(value | {"seal": digest_of(value)}).encode()
 
 
 def yes_or_no(value: bool) -> str:
-    """The word that stands in a table."""
+    """Return the word that stands in a table."""
     return "yes" if value else "no"
 
 
@@ -172,7 +172,7 @@
 
 
 def measure_set_ups(fleet: Fleet, servers: int, phase_s: float) -> dict[bool, SetUpCosts]:
-    """The costs while nobody rewrites the file (False), and while somebody does (True)."""
+    """Return the costs while nobody rewrites the file (False), and while somebody does (True)."""
     value = fleet_document(fleet, servers)
     costs = {False: SetUpCosts(), True: SetUpCosts()}
     with running_balancer(sealed_document(value)) as balancer:
@@ -198,7 +198,7 @@
 
 
 def fleet_document(fleet: Fleet, servers: int) -> JsonObject:
-    """A document whose first servers are the fleet's and ready; all others are draining."""
+    """Return a document whose first servers are the fleet's and ready; all others are draining."""
     rows = json.loads(servers_document(servers, 1))["servers"]
     for row in rows:
         if row["id"] in fleet.addresses:
@@ -256,7 +256,7 @@
 
 
 def document_digest(data: bytes) -> str:
-    """The digest of a document, which its seal is no part of."""
+    """Return the digest of a document, which its seal is no part of."""
     return digest_of({key: value for key, value in json.loads(data).items() if key != "seal"})
 
 
--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -71,7 +71,7 @@
     writes_per_fsync: float | None
 
     def row(self, fsyncs_per_s: float) -> list[str]:
-        """The cells of COLUMNS, with the rate of writes as a ratio to the disk's."""
+        """Return the cells of COLUMNS, with the rate of writes as a ratio to the disk's."""
         writes_per_fsync = "" if self.writes_per_fsync is None else f"{self.writes_per_fsync:.1f}"
         return [
             str(self.members),
@@ -86,7 +86,7 @@
 
 
 def measure_fsyncs(folder: Path, duration_s: float) -> float:
-    """Appends to one file, each synced, a second."""
+    """Return how many appends to one file, each synced, are done a second."""
     count = 0
     descriptor = os.open(folder / "probe", os.O_WRONLY | os.O_CREAT | os.O_APPEND)
     started_s = time.perf_counter()
@@ -123,12 +123,12 @@
             self.times_us.record_value(int((time.perf_counter() - started_s) * 1e6))
 
     def percentile_ms(self, percentile: float) -> float:
-        """The time of a request at this percentile, in milliseconds."""
+        """Return the time of a request at this percentile, in milliseconds."""
         return float(self.times_us.get_value_at_percentile(percentile) / 1000)
 
 
 async def measure_throughputs(cluster: ProcessCluster, plan: Plan) -> list[Throughput]:
-    """Writes and reads, by the number of clients."""
+    """Measure writes and reads, by the number of clients."""
     leader = await cluster.leader()
     return [
         await measure_throughput(cluster, leader, count, plan.duration_s, reading=reading)
@@ -140,7 +140,7 @@
 async def measure_throughput(
     cluster: ProcessCluster, leader: str, client_count: int, duration_s: float, *, reading: bool
 ) -> Throughput:
-    """What so many clients get, of the followers where they read and there are any."""
+    """Measure what so many clients get; of the followers where they read and there are any."""
     ports = follower_ports(cluster, leader) if reading else cluster.client_ports
     observed = next(iter(ports)) if reading else leader
     clients = [StoreClient(ports, CLIENT_TIMEOUT_S) for _ in range(client_count)]
@@ -163,7 +163,7 @@
 
 
 def follower_ports(cluster: ProcessCluster, leader: str) -> Mapping[str, int]:
-    """The ports for clients of the followers; of all members where the leader is alone."""
+    """Return the ports for clients of the followers; of all members where the leader is alone."""
     followers = {
         name: port
         for name, port in cluster.client_ports.items()
--- a/example/client.py
+++ b/example/client.py
@@ -9,7 +9,7 @@
 
 
 def open_line() -> str:
-    """The first line of a connection: a request's id, the client's name, its class, deadline and group."""
+    """Return a connection's first line: the request's id, the client's name, class, deadline and group."""
     request_id = secrets.token_hex(8)
     group = secrets.token_hex(4)
     return f"OPEN {request_id} me c=chat,d=2000,g={group}"
--- a/example/toy_server.py
+++ b/example/toy_server.py
@@ -1,9 +1,9 @@
-"""Two toy servers and a toy discovery for the example's balancer, all on loopback.
+r"""Two toy servers and a toy discovery for the example's balancer, all on loopback.
 
 Each server answers PING and STATS, gives every OPEN its UP, and returns each line that comes after it. Start
 this, then the balancer (make run), then be a client:
 
-    printf 'OPEN 9b1f03aa5c7e2d41 me c=chat,d=2000,g=us\\r\\nhello\\r\\n' with a pause between the two lines
+    printf 'OPEN 9b1f03aa5c7e2d41 me c=chat,d=2000,g=us\r\nhello\r\n' with a pause between the two lines
 """
 
 import asyncio
@@ -39,7 +39,7 @@
             writer.close()
 
     def _control_answer(self, line: str) -> str:
-        """The answer to a line outside a session."""
+        """Return the answer to a line outside a session."""
         match line:
             case "PING":
                 return "PONG"
@@ -66,7 +66,7 @@
 
 
 def endpoint_snapshot() -> bytes:
-    """The complete list of servers, in discovery's JSON."""
+    """Return the complete list of servers, in discovery's JSON."""
     members = [
         {
             "id": name,
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -44,7 +44,7 @@
 
 
 def logged_events() -> Iterator[str]:
-    """The name of every event that a module of the program logs, as its source says."""
+    """Yield the name of every event that a module of the program logs, as its source says."""
     for path in (ROOT / "wheatstile").rglob("*.py"):
         for node in ast.walk(ast.parse(path.read_text())):
             if isinstance(node, ast.Call) and isinstance(node.func, ast.Attribute) and node.args:
@@ -52,7 +52,7 @@
 
 
 def event_of_call(call: ast.Call, function: ast.Attribute) -> Iterator[str]:
-    """The event that this call logs, if it does; its name has to be a constant."""
+    """Yield the event that this call logs, if it does; its name has to be a constant."""
     is_logger = isinstance(function.value, ast.Name) and function.value.id == LOGGER_NAME
     if is_logger and function.attr in LOG_METHODS:
         event = ast.literal_eval(call.args[0])
--- a/tests/fault_proxy/test_fault_proxy.py
+++ b/tests/fault_proxy/test_fault_proxy.py
@@ -70,13 +70,13 @@
     port: int
 
     def connect(self) -> socket.socket:
-        """A client's connection."""
+        """Connect a client."""
         return socket.create_connection((LOOPBACK, self.port))
 
 
 @pytest.fixture
 def link() -> Iterator[Link]:
-    """A running fault proxy; it ends with status 0 once its input is closed."""
+    """Run a fault proxy; it ends with status 0 once its input is closed."""
     with closing(EchoServer()) as echo:
         proxy = Program("link", f"a:b:0:{echo.port}")
         port = int(proxy.expect("listening a->b").split()[-1])
@@ -145,7 +145,7 @@
 
 
 def frames_through_a_lossy_proxy(script: Path) -> list[bytes]:
-    """What is left of FRAMES behind a proxy that plays `script`; its control port sets a delay and a rate."""
+    """Return what a proxy that plays `script` lets through of FRAMES, at a delay and a rate."""
     with closing(EchoServer()) as echo:
         proxy = Program(
             "link", f"a:b:0:{echo.port}", "--frames", "--control", "0", "--seed", "5", "--script", str(script)
--- a/tests/fault_proxy/test_fault_table.py
+++ b/tests/fault_proxy/test_fault_table.py
@@ -24,7 +24,7 @@
 
 
 def after_last(lines: list[str], line: str) -> list[str]:
-    """The lines behind the last one that equals `line`; all of them where none does."""
+    """Return the lines behind the last one that equals `line`; all of them where none does."""
     return lines[max((index + 1 for index, one in enumerate(lines) if one == line), default=0) :]
 
 
--- a/wheatstile/cli/check.py
+++ b/wheatstile/cli/check.py
@@ -124,7 +124,7 @@
 
 
 def _located(operator_file: OperatorFile, pointer: str, reason: str) -> str:
-    """A violation of the operator's file that only its surroundings show, with its line."""
+    """Return a violation of the operator's file that only its surroundings show, with its line."""
     data = Path(operator_file.path).read_bytes()
     text, _ = load(str(operator_file.path), data, len(data))
     violations = locate(text, [Violation(pointer, reason)])
--- a/wheatstile/cli/configuration.py
+++ b/wheatstile/cli/configuration.py
@@ -10,12 +10,12 @@
 
 
 def read_operator_file(path: str | None) -> OperatorFile | None:
-    """The operator's file at `path`; None without one. Raises ConfigurationError."""
+    """Return the operator's file at `path`; None without one. Raises ConfigurationError."""
     return operator.read(path) if path else None
 
 
 def read_servers_section(path: str | None) -> Servers:
-    """The `servers` section of the operator's file at `path`, or its defaults without one.
+    """Return the `servers` section of the operator's file at `path`, or its defaults without one.
 
     Raises ConfigurationError.
     """
@@ -24,7 +24,7 @@
 
 
 def read_platform_config(path: str | None) -> Config | None:
-    """The platform's configuration at `path`, else at what RELAY_CONFIG names; None where neither does.
+    """Return the platform's configuration at `path`, else where RELAY_CONFIG says; None without both.
 
     Raises ConfigError.
     """
--- a/wheatstile/cli/description_changes.py
+++ b/wheatstile/cli/description_changes.py
@@ -72,5 +72,5 @@
 
 
 def seconds_text(duration_us: int) -> str:
-    """A duration as commands print it, in seconds."""
+    """Return a duration as commands print it, in seconds."""
     return f"{duration_us / MICROSECONDS_PER_SECOND:g} s"
--- a/wheatstile/cli/description_sets.py
+++ b/wheatstile/cli/description_sets.py
@@ -18,7 +18,7 @@
     *,
     strict: bool = False,
 ) -> tuple[CompiledDescriptions, DescriptionSet]:
-    """The descriptions at these paths, compiled and as read.
+    """Return the descriptions at these paths, compiled and as read.
 
     `strict`: warnings are conflicts. Raises InvalidDescriptionError with every conflict, ConfigurationError.
     """
--- a/wheatstile/cli/descriptions.py
+++ b/wheatstile/cli/descriptions.py
@@ -8,12 +8,13 @@
 
 from wheatstile.cli.configuration import read_operator_file, read_platform_config
 from wheatstile.cli.description_changes import description_changes, seconds_text
+from wheatstile.cli.description_rows import RouteRow
 from wheatstile.cli.description_sets import compile_descriptions
 from wheatstile.cli.exit_status import ExitStatus, reject
 from wheatstile.cli.groups import ConfigurationGroup
 from wheatstile.cli.options import json_option, platform_config_option
 from wheatstile.cli.output import print_json, print_table
-from wheatstile.descriptions.compile_types import ClassPolicy, CompiledDescriptions, Route
+from wheatstile.descriptions.compile_types import ClassPolicy, CompiledDescriptions
 from wheatstile.descriptions.findings import InvalidDescriptionError
 from wheatstile.descriptions.model import MessageAction
 from wheatstile.descriptions.reader import DescriptionSet
@@ -98,57 +99,6 @@
     return f"{policy.idempotency}, known for {window}, scope {policy.deduplication_scope}"
 
 
-class MessageRow(msgspec.Struct):
-    """One message of an operation, as JSON shows it."""
-
-    name: str
-    discriminator: str
-    max_bytes: int | None = msgspec.field(name="most_bytes")
-
-
-class RouteRow(msgspec.Struct, rename={"service_class": "class", "location": "place"}):
-    """One route, as tables and JSON show it."""
-
-    action: str
-    route: str
-    service_class: str
-    repeat: str
-    why: str
-    location: str
-    operation: str
-    description: str
-    queue: str
-    reply: str
-    messages: list[MessageRow]
-
-    @classmethod
-    def from_route(cls, route: Route) -> "RouteRow":
-        """The row of a compiled route."""
-        operation = route.operation
-        safety = route.retry_safety
-        return cls(
-            action=operation.action,
-            route=route.template,
-            service_class=route.service_class,
-            repeat=safety.idempotency,
-            why=f"{safety.reason} ({safety.location.short()})",
-            location=operation.location.short(),
-            operation=operation.id,
-            description=operation.location.file,
-            queue=operation.queue_group,
-            reply=operation.reply,
-            messages=[
-                MessageRow(message.name, message.discriminator, message.max_bytes)
-                for message in operation.messages
-            ],
-        )
-
-    def cells(self, columns: Iterable[str]) -> list[str]:
-        """The values of these columns."""
-        values = msgspec.to_builtins(self)
-        return [values[column] for column in columns]
-
-
 @command.command()
 @_paths_argument
 @_context_options
--- a/wheatstile/cli/endpoint_changes.py
+++ b/wheatstile/cli/endpoint_changes.py
@@ -23,7 +23,7 @@
 
     @classmethod
     def from_endpoint(cls, resolved: ResolvedEndpoint) -> "ServerRow":
-        """The row of a server; its address is empty where it has none."""
+        """Return the row of a server; its address is empty where it has none."""
         endpoint, address = resolved
         return cls(
             address=f"{address[0]}:{address[1]}" if address else "",
@@ -79,6 +79,6 @@
 
 
 def values_text(values: dict[str, object] | None) -> str:
-    """The values as `key=value`, without those that are empty."""
+    """Return the values as `key=value`, without those that are empty."""
     shown = [f"{key}={value}" for key, value in (values or {}).items() if value not in EMPTY_VALUES]
     return " ".join(shown)
--- a/wheatstile/cli/endpoint_explanation.py
+++ b/wheatstile/cli/endpoint_explanation.py
@@ -35,7 +35,7 @@
         self._merged = merge_endpoints(now_us, self.selection, discovery, file.servers, {})
 
     def rows(self) -> Iterator[list[str]]:
-        """A row of EXPLANATION_COLUMNS for each server of the list, then those that discovery took away."""
+        """Yield EXPLANATION_COLUMNS for each server of the list, then for those that discovery took away."""
         for name, merged in sorted(self._merged.items()):
             values = msgspec.structs.astuple(ServerRow.from_endpoint(merged.resolved))[:SHOWN_VALUES]
             yield [name, *map(str, values), merged.reason]
@@ -45,7 +45,7 @@
 
 
 def read_discovery_answer(path: str, max_bytes: int) -> DiscoveryState:
-    """What discovery knows once it has answered with the JSON in this file. Raises ConfigurationError."""
+    """Return discovery's state once it has answered with this file's JSON. Raises ConfigurationError."""
     data = read_all(Path(path), max_bytes)
     _, value = load(path, data, max_bytes)
     try:
--- a/wheatstile/cli/endpoint_files.py
+++ b/wheatstile/cli/endpoint_files.py
@@ -20,12 +20,12 @@
 
 
 def read_endpoint_file(path: str, rules: EndpointFileRules) -> EndpointFile:
-    """The file of servers at `path`. Raises ConfigurationError."""
+    """Return the file of servers at `path`. Raises ConfigurationError."""
     return parse_endpoint_file(path, read_all(Path(path), rules.max_bytes), rules)
 
 
 def read_unsealed(path: str, rules: EndpointFileRules) -> JsonObject:
-    """The file's JSON without its seal, once it has been found valid. Raises ConfigurationError."""
+    """Return the file's JSON without its seal, once it has been found valid. Raises ConfigurationError."""
     data = read_all(Path(path), rules.max_bytes)
     parse_endpoint_file(path, data, rules, check_seal=False)
     _, value = load(path, data, rules.max_bytes)
@@ -44,7 +44,7 @@
 
 
 def sealed_text(value: JsonObject) -> bytes:
-    """The document with its seal, a line for each server, so that a comparison of lines tells something."""
+    """Return the sealed document with a line for each server, so that a diff of two files is readable."""
     rows = ",\n  ".join(json.dumps(row, ensure_ascii=False) for row in value[SERVERS_KEY])
     members = [f'"{SERVERS_KEY}": [\n  {rows}\n ]']
     for key, element in value.items():
--- a/wheatstile/cli/groups.py
+++ b/wheatstile/cli/groups.py
@@ -17,11 +17,11 @@
         self._modules = modules
 
     def list_commands(self, ctx: click.Context) -> list[str]:
-        """The commands' names, sorted."""
+        """Return the commands' names, sorted."""
         return sorted(self._modules)
 
     def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
-        """The command of this name; None where there is none."""
+        """Return the command of this name; None where there is none."""
         if cmd_name not in self._modules:
             return None
         module, _, attribute = self._modules[cmd_name].partition(":")
--- a/wheatstile/cli/store_members.py
+++ b/wheatstile/cli/store_members.py
@@ -36,7 +36,7 @@
 
 
 def _status_row(name: str, found: MemberStatus | str) -> dict[str, object]:
-    """A member's status by column, or why it was not reached."""
+    """Return a member's status by column, or why it was not reached."""
     if isinstance(found, str):
         return {"name": name, "role": f"not reached: {found}"}
     return dict(msgspec.to_builtins(found))
--- a/wheatstile/fault_proxy/commands.py
+++ b/wheatstile/fault_proxy/commands.py
@@ -81,7 +81,7 @@
         return self.lowest <= value <= self.highest
 
     def __str__(self) -> str:
-        """The range as error messages give it."""
+        """Return the range as error messages give it."""
         return f"{self.lowest:g} to {self.highest:g}"
 
 
@@ -194,7 +194,7 @@
 
 
 def _parse_script_time(tokens: Sequence[str]) -> float:
-    """The seconds behind `at`; -1 where the line does not begin with it."""
+    """Return the seconds behind `at`; -1 where the line does not begin with it."""
     if tokens[0] != SCRIPT_TIME_KEYWORD or len(tokens) < 2:
         return -1.0
     try:
--- a/wheatstile/fault_proxy/delivery.py
+++ b/wheatstile/fault_proxy/delivery.py
@@ -14,7 +14,7 @@
     """The part of `random.Random` that is used here."""
 
     def random(self) -> float:
-        """The next draw, from 0 up to but not including 1."""
+        """Return the next draw, from 0 up to but not including 1."""
         ...
 
 
@@ -40,7 +40,7 @@
         self._last_due_s = 0.0
 
     def split(self, data: bytes) -> list[bytes]:
-        """The pieces that `data` completes. Raises FrameTooLongError."""
+        """Return the pieces that `data` completes. Raises FrameTooLongError."""
         return [data] if self._splitter is None else self._splitter.feed(data)
 
     def add(self, piece: bytes, conditions: LinkConditions, now_s: float) -> Iterator[ScheduledPiece]:
@@ -53,7 +53,7 @@
             yield ScheduledPiece(self._last_due_s, piece)
 
     def end(self) -> ScheduledPiece:
-        """The end of the stream, which comes after every piece."""
+        """Return the end of the stream, which comes after every piece."""
         return ScheduledPiece(self._last_due_s, b"")
 
     def _copies(self, conditions: LinkConditions) -> int:
--- a/wheatstile/fault_proxy/fault_table.py
+++ b/wheatstile/fault_proxy/fault_table.py
@@ -71,7 +71,7 @@
                 del self._faults[name, pattern]
 
     def conditions(self, source: str, destination: str) -> LinkConditions:
-        """The conditions from `source` to `destination`: of several faults that match, the worst counts."""
+        """Return the conditions from `source` to `destination`; the worst of the matching faults counts."""
         delays = self._matching(CommandName.DELAY, source, destination)
         rates = self._matching(CommandName.RATE, source, destination)
         losses = self._matching(CommandName.LOSE, source, destination)
--- a/wheatstile/fault_proxy/live_faults.py
+++ b/wheatstile/fault_proxy/live_faults.py
@@ -23,7 +23,7 @@
         return reset
 
     def conditions(self, source: str, destination: str) -> LinkConditions:
-        """The conditions from `source` to `destination` at this moment."""
+        """Return the conditions from `source` to `destination` at this moment."""
         return self._table.conditions(source, destination)
 
     async def wait_until_unblocked(self, source: str, destination: str) -> None:
