--- a/tests/net/test_graceful_shutdown.py
+++ b/tests/net/test_graceful_shutdown.py
@@ -74,7 +74,8 @@
 
 def test_client_that_has_sent_nothing_is_rejected(balancer: Balancer) -> None:
     balancer.start()
-    silent, half = balancer.client(), balancer.client()
+    silent = balancer.client()
+    half = balancer.client()
     half.sock.sendall(b"OPEN 00000000000")
     pinging = balancer.pinged_client()
     balancer.terminate()
--- a/tests/net/test_session_setup.py
+++ b/tests/net/test_session_setup.py
@@ -103,7 +103,7 @@
     with balancer.paused():
         health_check.send("PONG x0=0.3")  # first the answer that sends it on, then its end
         client.close()
-    assert balancer.check_serving(3)["attempt_established"] == 2
+    assert balancer.check_serving(3)["attempts_established"] == 2
 
 
 @pytest.mark.parametrize("settings", [SLOW_HEALTH_CHECKS])
--- a/wheatstile/net/client_listener.py
+++ b/wheatstile/net/client_listener.py
@@ -92,9 +92,9 @@
         max_pending = max(self._free_descriptors(), self._min_pending())
         if self._pending and len(self._pending) >= max_pending:
             oldest = next(iter(self._pending))
-            evicted = next((pending for pending in self._pending if not pending.has_unread()), oldest)
+            evicted = next((pending for pending in self._pending if not pending.has_pending_input()), oldest)
             self._pending.pop(evicted).cancel()
-            self.decisions.counters["client_connection_evicted"] += 1
+            self.decisions.counters["client_connections_evicted"] += 1
 
     def rejection_line(self, retry_after_ms: int) -> bytes:
         """Return the line that rejects a client, with the time to retry after if the settings allow it."""
@@ -135,7 +135,7 @@
         return True
 
     def _on_accept_error(self, listener: socket.socket, error: OSError) -> None:
-        self.decisions.counters[f"accept_failed_{errno.errorcode.get(error.errno or 0, '?')}"] += 1
+        self.decisions.counters[f"accepts_failed_{errno.errorcode.get(error.errno or 0, '?')}"] += 1
         if error.errno in OUT_OF_DESCRIPTORS:
             self._reject_on_spare_descriptor(listener)
 
@@ -153,7 +153,7 @@
             self._spare_descriptor = os.open(os.devnull, os.O_RDONLY)
 
     def _reject(self, sock: socket.socket) -> None:
-        self.decisions.counters["client_rejected_out_of_descriptors"] += 1
+        self.decisions.counters["clients_rejected_out_of_descriptors"] += 1
         with sock, suppress(OSError):
             sock.setblocking(False)
             sock.send(self.rejection_line(RETRY_AFTER_MS))
@@ -163,6 +163,6 @@
         connection = self.connections.pop(task)
         self._pending.pop(connection, None)
         if not task.cancelled() and (error := task.exception()):
-            self.decisions.counters["client_connection_failed"] += 1
+            self.decisions.counters["client_connections_failed"] += 1
             session_id = connection.session.id if connection.session else ""
             log.error("client_connection_failed", session_id=session_id, exc_info=error)
--- a/wheatstile/net/first_line_reader.py
+++ b/wheatstile/net/first_line_reader.py
@@ -62,7 +62,7 @@
                 self._timeout = None
             if line != PING_LINE or self._stream.pending:
                 break
-            self._counters["ping_answered"] += 1
+            self._counters["pings_answered"] += 1
             await self._stream.send(PONG_LINE)
             line = b""
             await self._wait_after_pong()
--- a/wheatstile/net/graceful_shutdown.py
+++ b/wheatstile/net/graceful_shutdown.py
@@ -1,4 +1,4 @@
-"""The end of serving: clients with a session are migrated, and all others get an answer."""
+"""The end of clients' connections: sessions are migrated, and all others get an answer."""
 
 import asyncio
 import socket
--- a/wheatstile/net/session_setup.py
+++ b/wheatstile/net/session_setup.py
@@ -12,11 +12,6 @@
 from wheatstile.net.upstream_pool import UpstreamPool
 
 REOPEN_TIMEOUT_S = 40.0  # in which a session from before this process has to be established again
-NEVER_RAN = (  # what proves that an attempt has not run
-    api.AttemptOutcome.OVERLOADED,
-    api.AttemptOutcome.CONNECT_FAILED,
-    api.AttemptOutcome.NOT_SENT,
-)
 ANSWER_GRACE_S = 0.02  # past its client's time, after which a request that nobody answered is failed here
 
 
@@ -50,18 +45,18 @@
         Raises ClientDisconnectedError and ProtocolError as the client's side ends.
         """
         request = self._session.request
-        self._decisions.counters["session_requested"] += 1
+        self._decisions.counters["sessions_requested"] += 1
         longest_s = REOPEN_TIMEOUT_S if request.reopen_at else self._max_wait_ms / 1000
         try:
             async with asyncio.timeout(min(request.wait_ms / 1000, longest_s) + ANSWER_GRACE_S):
                 return await (self._reopen(request.reopen_at) if request.reopen_at else self._run_attempts())
         except TimeoutError:
             # The module answers before a client's time is up; should it not, nobody is left without answer.
-            self._decisions.counters["session_overdue"] += 1
+            self._decisions.counters["sessions_overdue"] += 1
             self._decisions.dispatch(api.ClientDisconnected(self._session.id))
             return ERROR_LINE
         except (ClientDisconnectedError, ProtocolError):
-            self._decisions.counters["client_disconnected_early"] += 1
+            self._decisions.counters["clients_disconnected_early"] += 1
             self._decisions.dispatch(api.ClientDisconnected(self._session.id))
             raise
 
@@ -72,10 +67,10 @@
         while True:
             action = await session.unless_client_ends(session.actions.get())
             if isinstance(action, api.Reject):
-                self._decisions.counters["session_rejected"] += 1
+                self._decisions.counters["sessions_rejected"] += 1
                 return self._context.rejection_line(-(-action.retry_after_us // 1000))
             if isinstance(action, api.Fail):
-                self._decisions.counters["session_failed"] += 1
+                self._decisions.counters["sessions_failed"] += 1
                 return ERROR_LINE
             if session.answer_decided.is_set():
                 continue  # given up on before it was sent: the answer is the next action
@@ -105,7 +100,7 @@
         """Bound the time of further attempts, once one may have run that servers forget after a while."""
         if self._repeat_window_us is None or self._repeat_until_us is not None:
             return
-        if outcome not in NEVER_RAN:
+        if outcome.may_have_run:
             self._repeat_until_us = start_us + self._repeat_window_us
 
     def _on_attempt_ended(self, server: str, result: AttemptResult, elapsed_us: int) -> None:
@@ -132,7 +127,7 @@
             self._dispatch_existing(server)
             return None
         # No log line for each: any client can write at=.
-        self._decisions.counters[f"session_reopen_failed_{result.outcome}"] += 1
+        self._decisions.counters[f"session_reopens_failed_{result.outcome}"] += 1
         return ERROR_LINE
 
     def _dispatch_existing(self, server: str) -> None:
@@ -164,7 +159,7 @@
             session.attempt.connect_and_open(line_if_still_wanted, timeout_s, reopening)
         )
         result = await self._unless_answered(attempt)
-        self._decisions.counters[f"attempt_{result.label}"] += 1
+        self._decisions.counters[f"attempts_{result.label}"] += 1
         return result
 
     def _repeat_window_is_over(self) -> bool:
