--- a/wheatstile/cli/groups.py
+++ b/wheatstile/cli/groups.py
@@ -16,12 +16,12 @@
         super().__init__(name, **options)  # type: ignore[arg-type]
         self._modules = modules
 
-    def list_commands(self, ctx: click.Context) -> list[str]:  # noqa: ARG002  click\'s signature
-        """The commands' names, sorted."""
+    def list_commands(self, ctx: click.Context) -> list[str]:  # noqa: ARG002  the signature of click
+        """Return the commands' names, sorted."""
         return sorted(self._modules)
 
     def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:  # noqa: ARG002
-        """The command of this name; None where there is none."""
+        """Return the command of this name; None where there is none."""
         if cmd_name not in self._modules:
             return None
         module, _, attribute = self._modules[cmd_name].partition(":")
