--- a/tests/resolvers/test_section.py
+++ b/tests/resolvers/test_section.py
@@ -10,6 +10,7 @@
 
 import pytest
 from support.peer import TIMEOUT_S
+from support.served_balancer import ServedBalancer
 from support.served_balancer_factory import MakeBalancer
 
 from wheatstile.resolvers.atomic_write import write_atomic
@@ -37,6 +38,17 @@
                 file.truncate(len(data))
 
 
+def answers_while_rewriting(balancer: ServedBalancer, documents: list[bytes]) -> set[str]:
+    """What new clients are answered while the file is rewritten in place."""
+    writer = threading.Thread(target=rewrite_in_place, args=(balancer.file, documents, REWRITES))
+    writer.start()
+    answers = set()
+    while writer.is_alive():
+        answers.add(balancer.connect())
+    writer.join()
+    return answers
+
+
 def digest_of_file(data: bytes) -> str:
     value = json.loads(data)
     value.pop("seal", None)
@@ -66,13 +78,7 @@
     balancer.begin()
     accepted = [balancer.wait_accepted()]
 
-    writer = threading.Thread(target=rewrite_in_place, args=(balancer.file, documents, REWRITES))
-    writer.start()
-    answers = set()
-    while writer.is_alive():
-        answers.add(balancer.connect())
-    writer.join()
-    assert answers == {"UP"}
+    assert answers_while_rewriting(balancer, documents) == {"UP"}
 
     last = balancer.document("s3", generation=LAST_GENERATION, seal=seal)
     write_atomic(balancer.file, last)
