Let a client's reset end the server's side as a reset in the test between two attempts

Cause: the server's ERR and the client's reset meet in one turn. If the balancer reads the reset first, it ends the server's side by a reset too; the test wanted an end without one. The twin test beside an answer has allowed this all along. Change: a reset is allowed where the client has reset, as there; that nothing is forwarded is asserted as before.

--- a/tests/net/test_session_setup.py
+++ b/tests/net/test_session_setup.py
@@ -74,7 +74,10 @@
     with balancer.paused():
         server.send("ERR")
         client.close(reset)
-    assert server.line() == ""
+    try:
+        assert server.line() == ""
+    except ConnectionResetError:
+        assert reset  # the balancer may read the client's reset first, and end the server's side alike
     balancer.check_serving(11)
 
 
