Look up the enumerations' members and the table's generator once on the busy paths

Change: is_ready, is_ok and two tables hold what is compared; the walk through the lookup table has local names.

--- a/wheatstile/decisions/balancer.py
+++ b/wheatstile/decisions/balancer.py
@@ -84,7 +84,7 @@
         health.on_result(self.state, server, event)
         for callback, connection in waiters:
             callback(self.state, connection)
-        if event.outcome == api.AttemptOutcome.OK:
+        if event.outcome.is_ok:
             rebalancing.on_server_read(self.state, server)
 
     def _on_message_latency(self, event: api.MessageLatencyChanged) -> None:
--- a/wheatstile/decisions/exploration.py
+++ b/wheatstile/decisions/exploration.py
@@ -6,7 +6,6 @@
 
 from math import log
 
-from wheatstile import interface as api
 from wheatstile.decisions import selection
 from wheatstile.decisions.load import load_of
 from wheatstile.decisions.state import BalancerState, Connection, Exploration, Timer
@@ -86,6 +85,6 @@
         return
     x_j = load_of(state, connection.server)
     probability = return_probability(move.x_i, x_j, len(state.ready), move.gamma)
-    if move.origin.endpoint.state == api.EndpointState.READY and state.random.random() < probability:
+    if move.origin.endpoint.is_ready and state.random.random() < probability:
         move.is_return = True
         state.migrate(connection, move, 2 * SLOT_US)
--- a/wheatstile/decisions/health.py
+++ b/wheatstile/decisions/health.py
@@ -18,7 +18,7 @@
 
 def on_result(state: BalancerState, server: Server, event: api.HealthCheckResult) -> None:
     """Take what a health check has found."""
-    if event.outcome == api.AttemptOutcome.OK:
+    if event.outcome.is_ok:
         server.record_load(load_in(event.report or {}), state.now_us)
     elif event.outcome != api.AttemptOutcome.NOT_SENT:
         # Many balancers that ask at once fill a healthy server: only the second time in a row counts.
--- a/wheatstile/decisions/lookup_table.py
+++ b/wheatstile/decisions/lookup_table.py
@@ -65,16 +65,19 @@
         weights (of 31 bits) favours some items by a few percent; that for unequal ones (of 64 bits, Knuth's
         MMIX) does not.
         """
-        generator = self._generator
-        modulus = generator.modulus
+        factor = self._generator.factor  # in local names: this loop is the module's busiest
+        step = self._generator.step
+        modulus = self._generator.modulus
+        low_bits = self._generator.low_bits
+        places = self._places
         value = seed
         for _ in range(draws):
-            value = (value * generator.factor + generator.step) % modulus
-            item = self._places[(value >> generator.low_bits) % len(self._places)]
+            value = (value * factor + step) % modulus
+            item = places[(value >> low_bits) % len(places)]
             if item is None or is_passed_over(item):
                 continue
             if item.acceptance_ratio < 1:
-                value = (value * generator.factor + generator.step) % modulus
+                value = (value * factor + step) % modulus
                 if value >= item.acceptance_ratio * modulus:
                     continue
             yield item
--- a/wheatstile/decisions/requests.py
+++ b/wheatstile/decisions/requests.py
@@ -135,7 +135,7 @@
         if event.outcome in OUTCOMES_THAT_SLOW_DOWN:
             state.setup_limiter.on_failure()
     move = connection.exploration
-    if is_established or event.closed or event.outcome == api.AttemptOutcome.OK:
+    if is_established or event.closed or event.outcome.is_ok:
         if move and has_failed and connection.key:  # a drop after a move reads as a load above X_i
             move.is_return = True
             state.pending_migrations[connection.key] = move
--- a/wheatstile/decisions/selection.py
+++ b/wheatstile/decisions/selection.py
@@ -24,7 +24,7 @@
 
 def is_eligible(state: BalancerState, server: Server, connection: Connection | None) -> bool:
     """Whether a connection may go to this server; None: any connection."""
-    if server.endpoint.state != api.EndpointState.READY:
+    if not server.endpoint.is_ready:
         return False
     if not slow_start.has_budget(state, server, bool(connection and connection.attempts)):
         return False
--- a/wheatstile/decisions/state.py
+++ b/wheatstile/decisions/state.py
@@ -22,6 +22,9 @@
     REBALANCE = "relief"
 
 
+_CANDIDATES = Timer.CANDIDATES  # looked up once, as each request sets this timer
+
+
 @dataclass(slots=True, eq=False)
 class Server:
     """What this balancer knows of one server."""
@@ -130,7 +133,7 @@
 
     def set_timer(self, delay_us: int, timer: Timer, suffix: str = "") -> None:
         """Ask for a timer; the suffix is `:DUE:CONNECTION` for those of one connection."""
-        self.actions.append(api.SetTimer(delay_us, timer.value + suffix))
+        self.actions.append(api.SetTimer(delay_us, timer + suffix))
 
     def set_jittered_timer(self, longest_us: float, timer: Timer, suffix: str = "") -> None:
         """A timer within this time, drawn evenly."""
@@ -149,8 +152,7 @@
             server.endpoint = endpoint
         if event.kind != api.EndpointUpdateKind.DELTA:
             self._mark_absent_as_gone(event.endpoints)
-        ready = api.EndpointState.READY
-        self.ready = [server for _, server in sorted(self.servers.items()) if server.endpoint.state == ready]
+        self.ready = [server for _, server in sorted(self.servers.items()) if server.endpoint.is_ready]
         self.table = WeightedLookupTable(self.ready, [server.endpoint.weight for server in self.ready])
 
     def _server_of(self, endpoint: api.Endpoint) -> Server:
@@ -224,7 +226,7 @@
         """
         delay_us = max(1, min(delay_us, connection.deadline_us - self.now_us))
         connection.next_decision_at_us = self.now_us + delay_us
-        self.set_timer(delay_us, Timer.CANDIDATES, f":{connection.next_decision_at_us}:{connection.id}")
+        self.set_timer(delay_us, _CANDIDATES, f":{connection.next_decision_at_us}:{connection.id}")
 
     def forget(self, id: str) -> None:
         """Drop a connection that is over, or whose client has left."""
--- a/wheatstile/interface/endpoint.py
+++ b/wheatstile/interface/endpoint.py
@@ -5,6 +5,7 @@
 
 from wheatstile.interface.enumerations import DeduplicationScope, EndpointState
 
+_READY = EndpointState.READY  # looked up once: the access to a member takes 0.25 us in Python 3.11
 LoadReport: TypeAlias = dict[str, float]
 """The figures of a server's load report by their names in `LoadMetric`; each is finite and 0 or more."""
 
@@ -20,6 +21,11 @@
     weight: float = 1.0
     started_at_us: int = 0  # when its process last started; 0: long ago
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether it may get something new."""
+        return self.state == _READY
+
     def shares_scope(self, other: "Endpoint", scope: DeduplicationScope) -> bool:
         """Whether these two servers discard each other's repeats."""
         match scope:
--- a/wheatstile/interface/enumerations.py
+++ b/wheatstile/interface/enumerations.py
@@ -63,13 +63,23 @@
     CANCELLED = "cancelled"
     NOT_SENT = "not_sent"  # given up before anything was sent; the server has not failed
 
+    @property
+    def is_ok(self) -> bool:
+        """Whether it is OK."""
+        return self is _OK
+
     @property
     def is_failure(self) -> bool:
         """Whether it speaks against the server."""
-        return self not in (AttemptOutcome.OK, AttemptOutcome.CANCELLED, AttemptOutcome.NOT_SENT)
+        return self not in _WITHOUT_FAULT
 
     @property
     def may_have_run(self) -> bool:
         """Whether the server may have acted on the request."""
-        without_effect = (AttemptOutcome.OVERLOADED, AttemptOutcome.CONNECT_FAILED, AttemptOutcome.NOT_SENT)
-        return self not in without_effect
+        return self not in _WITHOUT_EFFECT
+
+
+# Looked up once: the access to a member of an enumeration takes 0.25 us in Python 3.11.
+_OK = AttemptOutcome.OK
+_WITHOUT_FAULT = (AttemptOutcome.OK, AttemptOutcome.CANCELLED, AttemptOutcome.NOT_SENT)
+_WITHOUT_EFFECT = (AttemptOutcome.OVERLOADED, AttemptOutcome.CONNECT_FAILED, AttemptOutcome.NOT_SENT)
