Let a voter that is being removed campaign until the change is committed

Callers saw: after a voter was replaced, the store answered no write and no linearizable read any more, at no member, for good.

Cause: a leader that removes itself stores the final configuration first. If it loses its office before that entry is committed, its log is the longest: it denies every candidate its vote, and election.tick never let it campaign, because it is no elector of its own newest configuration.

Change: membership.may_campaign. A node that the newest configuration lacks, but the one before has as an elector, campaigns until it knows the change to be committed (dissertation 4.2.2). The quorum is that of the newest configuration, without its own vote, log and heartbeat. The one before is always committed, so no learner and no node of an earlier removal campaigns. Why it works: a candidate with the longest log wins with a majority of the new voters, commits its no-op with them, and with it the change; then it steps down.

--- a/tests/store/raft_nodes.py
+++ b/tests/store/raft_nodes.py
@@ -5,7 +5,15 @@
 import random
 from collections.abc import Iterable
 
-from wheatstile.store.raft.messages import Entry, HardState, Message, MessageKind, Role
+from wheatstile.store.raft.messages import (
+    Configuration,
+    Entry,
+    EntryKind,
+    HardState,
+    Message,
+    MessageKind,
+    Role,
+)
 from wheatstile.store.raft.node import RaftNode
 
 
@@ -64,3 +72,26 @@
                 context=leader.state.leadership.round,
             )
         )
+
+
+def configuration_entry(index: int, voters: str, outgoing_voters: str = "", learners: str = "") -> Entry:
+    """Return an entry of term 1 with a configuration."""
+    configuration = Configuration(frozenset(voters), frozenset(outgoing_voters), frozenset(learners))
+    return Entry(1, index, EntryKind.CONFIGURATION, configuration=configuration)
+
+
+def make_removed_voter(commit_index: int = 2) -> RaftNode:
+    """Return node `a`, restarted after the change from `abc` to `bcd`, whose entries are 2 and 3."""
+    entries = [
+        Entry(1, 1, EntryKind.NOOP),
+        configuration_entry(2, "bcd", "abc"),
+        configuration_entry(3, "bcd"),
+    ]
+    return make_node(hard_state=HardState(1, None, commit_index), entries=entries)
+
+
+def tick_until_campaign(node: RaftNode) -> list[Message]:
+    """Tick for two election time-outs, and return the pre-vote requests that the node has sent."""
+    for _ in range(2 * node.state.timing.election_ticks):
+        node.tick()
+    return [message for message in node.ready().messages if message.kind is MessageKind.PRE_VOTE]
--- a/tests/store/test_raft_membership.py
+++ b/tests/store/test_raft_membership.py
@@ -4,10 +4,27 @@
 
 import pytest
 from raft_cluster import SimulatedCluster
-from raft_nodes import elect, make_leader, make_node
+from raft_nodes import (
+    configuration_entry,
+    elect,
+    make_leader,
+    make_node,
+    make_removed_voter,
+    tick_until_campaign,
+)
 
 from wheatstile.store.errors import MembershipChangeRejectedError, NotLeaderError
-from wheatstile.store.raft.messages import Configuration
+from wheatstile.store.raft.messages import (
+    Configuration,
+    Entry,
+    EntryKind,
+    HardState,
+    Message,
+    MessageKind,
+    Role,
+    Snapshot,
+)
+from wheatstile.store.raft.node import RaftNode
 
 
 def test_a_change_needs_both_majorities_and_excludes_another_change() -> None:
@@ -51,3 +68,89 @@
 def test_only_the_leader_changes_members() -> None:
     with pytest.raises(NotLeaderError):
         make_node().change_members("abcd")
+
+
+def test_a_removed_voter_completes_the_change_that_it_alone_has_stored() -> None:
+    """Guards against a cluster that never has a leader again after a change of members."""
+    node = make_removed_voter()
+    assert {request.recipient for request in tick_until_campaign(node)} == set("bcd")
+    elect_as_removed_voter(node)
+    for follower in "bc":
+        acknowledge(node, follower)
+    assert node.log.is_configuration_committed
+    assert node.role is Role.FOLLOWER, "the removed voter still leads after the change was committed"
+    assert tick_until_campaign(node) == []
+
+
+def elect_as_removed_voter(node: RaftNode) -> None:
+    """Elect a pre-candidate that is not a voter, which takes two of the three voters, its own vote aside."""
+    for kind, role in ((MessageKind.PRE_VOTE_REPLY, Role.CANDIDATE), (MessageKind.VOTE_REPLY, Role.LEADER)):
+        node.step(Message(kind, "b", "a", 2, granted=True))
+        assert node.role is not role, "the vote of a node that is not a voter was counted"
+        node.step(Message(kind, "c", "a", 2, granted=True))
+        assert node.role is role
+    node.ready()
+
+
+def acknowledge(leader: RaftNode, follower: str) -> None:
+    """Send the leader a reply in which one follower acknowledges its complete log."""
+    last_index = leader.log.last_index
+    reply = Message(MessageKind.APPEND_REPLY, follower, "a", leader.term, index=last_index, granted=True)
+    leader.step(reply)
+
+
+def test_a_leader_that_is_removed_counts_neither_its_log_nor_its_heartbeat() -> None:
+    node = make_removed_voter()
+    tick_until_campaign(node)
+    elect_as_removed_voter(node)
+    node.read(7)
+    node.ready()
+    acknowledge(node, "b")
+    assert node.log.commit_index == 2, "an entry was committed by one voter of three"
+    assert node.ready().read_states == [], "a read was confirmed by one voter of three"
+    for _ in range(2 * node.state.timing.election_ticks):
+        node.tick()
+    assert node.role is Role.FOLLOWER, "a leader that one voter of three answers did not step down"
+
+
+@pytest.mark.parametrize("commit_index", [3, 0])
+def test_a_node_removed_by_a_committed_change_does_not_campaign(commit_index: int) -> None:
+    """At commit index 0 the log itself shows it: a later configuration follows the one without the node."""
+    node = make_removed_voter(commit_index)
+    if commit_index == 0:
+        entries = [*node.log.entries, configuration_entry(4, "bcd", learners="e")]
+        node = make_node(hard_state=HardState(1, None, 0), entries=entries)
+    assert tick_until_campaign(node) == []
+
+
+def test_a_learner_does_not_campaign() -> None:
+    entries = [Entry(1, 1, EntryKind.NOOP), configuration_entry(2, "bc", learners="a")]
+    node = make_node(voters="", hard_state=HardState(1, None, 1), entries=entries)
+    assert tick_until_campaign(node) == []
+
+
+def test_a_removed_voter_that_returns_does_not_disturb_the_leader() -> None:
+    """The removed voter was down while the change was committed, so that it still asks for votes."""
+    request = tick_until_campaign(make_removed_voter())[0]
+    follower = make_node("b", hard_state=HardState(1, None, 0))
+    follower.step(Message(MessageKind.APPEND, "c", "b", 1))
+    follower.ready()
+    follower.step(request)
+    assert [reply.granted for reply in follower.ready().messages] == [False]
+    assert (follower.term, follower.leader) == (1, "c")
+
+
+def test_a_removed_voter_ignores_a_late_transfer_of_leadership() -> None:
+    node = make_removed_voter()
+    node.step(Message(MessageKind.TIMEOUT_NOW, "b", "a", 1))
+    assert node.role is Role.FOLLOWER
+
+
+def test_a_snapshot_with_the_final_configuration_ends_the_campaigns_of_a_removed_voter() -> None:
+    node = make_removed_voter()
+    assert tick_until_campaign(node)
+    configuration = Configuration(frozenset("bcd"))
+    snapshot = Snapshot(3, 1, configuration, b"")
+    node.step(Message(MessageKind.SNAPSHOT, "b", "a", 2, snapshot=snapshot))
+    assert node.log.configuration == configuration
+    assert tick_until_campaign(node) == []
--- a/tests/store/test_raft_mutations.py
+++ b/tests/store/test_raft_mutations.py
@@ -10,9 +10,9 @@
 import pytest
 from raft_cluster import InvariantError, PersistedState, SimulatedCluster
 from raft_histories import run_history
-from raft_nodes import elect, make_node
+from raft_nodes import elect, make_node, make_removed_voter, tick_until_campaign
 
-from wheatstile.store.raft import election, follower, read_index, replication
+from wheatstile.store.raft import election, follower, membership, read_index, replication
 from wheatstile.store.raft.log import RaftLog
 from wheatstile.store.raft.messages import (
     Configuration,
@@ -96,6 +96,10 @@
     original_install(log, msgspec.structs.replace(snapshot, index=snapshot.index + 1))
 
 
+def only_voters_campaign(state: RaftState) -> bool:
+    return state.name in state.configuration.electors
+
+
 def check_histories() -> None:
     """Raise `InvariantError` if one of `HISTORIES` random histories violates an invariant."""
     for seed in range(HISTORIES):
@@ -138,8 +142,20 @@
             raise InvariantError(f"the vote of term 5 for {candidate} was {not granted}, not {granted}")
 
 
+def check_removed_voter_campaigns() -> None:
+    """Check that a removed voter campaigns until it knows that the change is committed."""
+    if not tick_until_campaign(make_removed_voter()):
+        raise InvariantError("no node campaigns with a log that has the uncommitted final configuration")
+
+
 @pytest.mark.parametrize(
-    "check", [check_vote_survives_crash, check_joint_quorum, check_earlier_terms_entry_is_not_counted]
+    "check",
+    [
+        check_vote_survives_crash,
+        check_joint_quorum,
+        check_earlier_terms_entry_is_not_counted,
+        check_removed_voter_campaigns,
+    ],
 )
 def test_a_rule_that_random_histories_rarely_exercise_holds(check: Callable[[], None]) -> None:
     check()
@@ -196,6 +212,13 @@
         append_without_comparing_previous_entry,
         check_histories,
     ),
+    Mutation(
+        "removed_voter_never_campaigns",
+        membership,
+        "may_campaign",
+        only_voters_campaign,
+        check_removed_voter_campaigns,
+    ),
     Mutation("snapshot_one_too_far", RaftLog, "install", install_snapshot_one_too_far, check_histories),
 ]
 
--- a/tests/store/test_raft_node.py
+++ b/tests/store/test_raft_node.py
@@ -8,11 +8,14 @@
 
 import os
 
+import pytest
 from raft_cluster import InvariantError, SimulatedCluster
 from raft_histories import run_history
 
 FIRST, _, LAST = os.environ.get("WHEATSTILE_SEEDS", "0-199").partition("-")
 SEEDS = range(int(FIRST), int(LAST or FIRST) + 1)
+SEEDS_THAT_NEED_A_REMOVED_VOTER = (290, 512, 641)
+"""In these histories only a voter that is being removed has stored the final configuration."""
 
 
 def check_all_members_caught_up(cluster: SimulatedCluster, seed: int) -> None:
@@ -39,6 +42,11 @@
     assert installed_snapshots > len(SEEDS) / 10, "too few snapshots were installed"
 
 
+@pytest.mark.parametrize("seed", SEEDS_THAT_NEED_A_REMOVED_VOTER)
+def test_a_membership_change_does_not_leave_the_cluster_without_a_leader(seed: int) -> None:
+    check_all_members_caught_up(run_history(seed), seed)
+
+
 def test_commit_age_of_a_partitioned_follower_grows() -> None:
     cluster = SimulatedCluster(3, voter_count=3)
     cluster.heal()
--- a/wheatstile/store/raft/election.py
+++ b/wheatstile/store/raft/election.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from wheatstile.store.raft import replication
+from wheatstile.store.raft import membership, replication
 from wheatstile.store.raft.messages import EntryKind, Message, MessageKind, Role
 from wheatstile.store.raft.progress import Progress
 from wheatstile.store.raft.state import Leadership, RaftState
@@ -10,7 +10,7 @@
 
 def tick(state: RaftState) -> None:
     """Start a pre-vote if there was no contact with a leader for an election time-out."""
-    if state.election_elapsed >= state.election_timeout and state.name in state.configuration.electors:
+    if state.election_elapsed >= state.election_timeout and membership.may_campaign(state):
         start_pre_vote(state)
 
 
@@ -128,6 +128,9 @@
 
 
 def on_timeout_now(state: RaftState, _message: Message) -> None:
-    """Start a campaign at once, because the leader transfers its leadership to this node (§3.10)."""
+    """Start a campaign at once, because the leader transfers its leadership to this node (§3.10).
+
+    A node that has been removed since then ignores the message, and the transfer ends after its time-out.
+    """
     if state.name in state.configuration.voters and state.role is Role.FOLLOWER:
         start_election(state, is_transfer=True)
--- a/wheatstile/store/raft/log.py
+++ b/wheatstile/store/raft/log.py
@@ -61,6 +61,14 @@
         """Whether the configuration in force is committed. Otherwise no further change may begin."""
         return self.configurations[-1].index <= self.commit_index
 
+    @property
+    def preceding_configuration(self) -> Configuration | None:
+        """The configuration before the one in force, or None if the log does not have it.
+
+        It is committed, because a leader appends a configuration only after the one before is committed.
+        """
+        return self.configurations[-2].configuration if len(self.configurations) > 1 else None
+
     @property
     def last_index(self) -> int:
         """The index of the last entry."""
--- a/wheatstile/store/raft/membership.py
+++ b/wheatstile/store/raft/membership.py
@@ -44,3 +44,18 @@
 def is_removed(state: RaftState) -> bool:
     """Return whether this leader is no longer a voter and has to step down (§4.2.2)."""
     return state.name not in state.configuration.voters
+
+
+def may_campaign(state: RaftState) -> bool:
+    """Return whether this node may start an election.
+
+    A voter may. So may a node that is no longer a voter in the configuration in force, but was one in the
+    configuration before, until it knows that the change is committed (§4.2.2): it may be the only node that
+    has stored the change, and then no other node can win an election without its vote. It needs a quorum of
+    the configuration in force, in which its own vote does not count.
+    """
+    log = state.log
+    if state.name in log.configuration.electors:
+        return True
+    preceding = log.preceding_configuration
+    return not log.is_configuration_committed and preceding is not None and state.name in preceding.electors
