Answer a membership change only when its last entry is committed

Callers saw: "store remove" reported the removal of a leader while only that leader had stored the final configuration. Stopped then, it could leave a store that has no leader for good (one voter replaced by another).

Cause: Member.change_members waited until the configuration in force had no outgoing voters, and the leader appends that one as soon as the joint one is committed.

Change: wait for a configuration that is final and committed.

--- /dev/null
+++ b/tests/store/test_member.py
@@ -0,0 +1,77 @@
+"""`Member`: members in one process, whose messages the test delivers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from contextlib import ExitStack, closing
+from pathlib import Path
+
+from wheatstile.store.member import Member
+from wheatstile.store.member_config import MemberConfig
+from wheatstile.store.raft.messages import Message, Role
+
+STEP_S = 0.01
+TIMEOUT_S = 10
+
+
+class ConnectedMembers:
+    """Member `a`, the only voter, and member `b`, which is to be added. A message may be held back."""
+
+    def __init__(self, directory: Path, is_held: Callable[[Message], bool]) -> None:
+        self._is_held = is_held
+        self._held: list[Message] = []
+        self.members = {
+            name: Member(MemberConfig(name, frozenset(voters), directory / name), self._send)
+            for name, voters in (("a", "a"), ("b", ""))
+        }
+
+    def _send(self, message: Message) -> None:
+        if self._is_held(message):
+            self._held.append(message)
+        else:
+            asyncio.get_running_loop().call_soon(self.members[message.recipient].on_message, message)
+
+    def release(self) -> None:
+        """Deliver the messages that were held back, and hold none from now on."""
+        self._is_held = lambda _message: False
+        for message in self._held:
+            self._send(message)
+
+    async def lead(self, name: str) -> Member:
+        """Wait until a member is the leader and has committed an entry, and return it."""
+        member = self.members[name]
+        while not (member.node.role is Role.LEADER and member.node.state.has_committed_in_term):
+            await asyncio.sleep(STEP_S)
+        return member
+
+
+def has_final_configuration(message: Message) -> bool:
+    """Return whether a message has an entry with the configuration that only `b` is in."""
+    configurations = [entry.configuration for entry in message.entries if entry.configuration]
+    return any(not each.outgoing_voters and each.members == frozenset("b") for each in configurations)
+
+
+def test_a_membership_change_is_answered_only_when_its_last_entry_is_committed(tmp_path: Path) -> None:
+    """Guards against a removed leader that is stopped, as it was reported removed, while it is still needed."""
+
+    async def scenario() -> None:
+        cluster = ConnectedMembers(tmp_path, has_final_configuration)
+        with ExitStack() as stack:
+            running = [asyncio.create_task(member.run()) for member in cluster.members.values()]
+            for member in cluster.members.values():
+                stack.enter_context(closing(member))
+            leader = await cluster.lead("a")
+            await leader.change_members(["a"], ["b"])
+            change = asyncio.create_task(leader.change_members(["b"], []))
+            while leader.node.log.configuration.members != {"b"}:
+                await asyncio.sleep(STEP_S)
+            await asyncio.wait([change], timeout=20 * STEP_S)
+            assert not change.done(), "answered while only the removed leader had the final configuration"
+            cluster.release()
+            await change
+            assert (await cluster.lead("b")).node.log.configuration.voters == {"b"}
+            for task in running:
+                task.cancel()
+
+    asyncio.run(asyncio.wait_for(scenario(), TIMEOUT_S))
--- a/wheatstile/store/member.py
+++ b/wheatstile/store/member.py
@@ -128,7 +128,7 @@
         index = self.node.change_members(voters, learners)
         self.schedule_flush()
         await self.applied.wait_for(index)
-        while self.node.log.configuration.outgoing_voters:
+        while not self.node.is_membership_change_complete:
             await self.applied.next_application.wait()
 
     def transfer_leadership(self, target: str) -> None:
--- a/wheatstile/store/raft/node.py
+++ b/wheatstile/store/raft/node.py
@@ -79,6 +79,11 @@
         """The current term's leader, or None if this node does not know it."""
         return self.state.leader
 
+    @property
+    def is_membership_change_complete(self) -> bool:
+        """Whether the configuration in force is final and known to be committed."""
+        return not self.log.configuration.outgoing_voters and self.log.is_configuration_committed
+
     @property
     def log(self) -> RaftLog:
         """The log, with the commit index and the applied index."""
