--- a/tests/store/test_member.py
+++ b/tests/store/test_member.py
@@ -53,7 +53,7 @@
 
 
 def test_a_membership_change_is_answered_only_when_its_last_entry_is_committed(tmp_path: Path) -> None:
-    """Guards against a removed leader that is stopped, as it was reported removed, while it is still needed."""
+    """Guards against the loss of the store when a leader that was reported removed is stopped too early."""
 
     async def scenario() -> None:
         cluster = ConnectedMembers(tmp_path, has_final_configuration)
