Keep a signal at the very end of a process from changing its exit status

Callers saw: a planned restart reported as a crash, with status -15, -10 or -1 in place of 0, when a second SIGTERM, a SIGUSR1 or a SIGHUP came at its end.

Cause: the event loop removes its signal handlers when it closes; a signal between that and the end of the process has its default action.

Evidence: first seen in the soak (signals in series after SIGTERM).

Change: Python's own handlers, which pass the call to the loop, and SIG_IGN in their place at the end of run. There is no moment with the default action in between.

--- a/wheatstile/process/balancer_process.py
+++ b/wheatstile/process/balancer_process.py
@@ -96,10 +96,16 @@
             self.sections.follow(self.operator, self.config)
 
     async def run(self) -> None:
-        """Serve until a shutdown is requested, then shut down gracefully.
+        """Serve until a shutdown is requested, then shut down gracefully. Later signals are ignored.
 
         Raises OSError if the listening socket cannot be bound.
         """
+        try:
+            await self._run()
+        finally:
+            signals.ignore_all()
+
+    async def _run(self) -> None:
         # A signal may arrive while the address is being bound, and its handler needs the started components.
         self._start_components()
         listener = await bind_listener(self.config.listen, self.shutdown_requested)
--- a/wheatstile/process/signals.py
+++ b/wheatstile/process/signals.py
@@ -1,9 +1,12 @@
 """The signals of the process: SIGTERM and SIGINT shut down, SIGHUP reloads, SIGUSR1 reports the counters."""
 
-import asyncio
 import signal
 from collections.abc import Callable
 
+from wheatstile import signal_handlers
+
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
+
 
 def block_reload_signal() -> None:
     """Block SIGHUP until its handler is installed.
@@ -16,10 +19,14 @@
 def install_handlers(
     on_shutdown: Callable[[], None], on_reload: Callable[[], None], on_report_counters: Callable[[], None]
 ) -> None:
-    """Install the handlers in the running event loop, then unblock SIGHUP, which delivers a pending one."""
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, on_shutdown)
-    loop.add_signal_handler(signal.SIGINT, on_shutdown)
-    loop.add_signal_handler(signal.SIGUSR1, on_report_counters)
-    loop.add_signal_handler(signal.SIGHUP, on_reload)
+    """Call these functions in the running event loop, then unblock SIGHUP, which delivers a pending one."""
+    signal_handlers.call_on_signal(signal.SIGTERM, on_shutdown)
+    signal_handlers.call_on_signal(signal.SIGINT, on_shutdown)
+    signal_handlers.call_on_signal(signal.SIGUSR1, on_report_counters)
+    signal_handlers.call_on_signal(signal.SIGHUP, on_reload)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+
+
+def ignore_all() -> None:
+    """Ignore all signals that `install_handlers` handles, until the process has ended."""
+    signal_handlers.ignore(HANDLED_SIGNALS)
--- a/wheatstile/store/server.py
+++ b/wheatstile/store/server.py
@@ -14,7 +14,7 @@
 import structlog
 import uvloop
 
-from wheatstile import logs
+from wheatstile import logs, signal_handlers
 from wheatstile.store.client_service import ClientService
 from wheatstile.store.errors import CorruptStorageError, StorageFailedError
 from wheatstile.store.framing import LOOPBACK
@@ -28,6 +28,8 @@
 ACCEPT_RETRY_DELAY_S = 0.1
 """Pause after a failed accept."""
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 EXIT_STOPPED = 0
 EXIT_CANNOT_START = 1
 EXIT_STORAGE_FAILED = 3
@@ -120,9 +122,12 @@
     server = StoreServer(config, ports)
     task = asyncio.current_task()
     assert task is not None
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(signal_number, task.cancel)
-    await server.serve()
+    for signal_number in STOP_SIGNALS:
+        signal_handlers.call_on_signal(signal_number, task.cancel)
+    try:
+        await server.serve()
+    finally:
+        signal_handlers.ignore(STOP_SIGNALS)
 
 
 def run_server(config: MemberConfig, ports: Ports) -> int:
