--- /dev/null
+++ b/benchmarks/soak/planted_faults.py
@@ -0,0 +1,54 @@
+"""The balancer with a fault that the soak has to find: `python benchmarks/soak/planted_faults.py NAME`."""
+
+import sys
+from collections.abc import Callable
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parents[2]))
+
+from wheatstile import interface as api
+from wheatstile.config import endpoints
+from wheatstile.net.client_connection import ClientConnection
+from wheatstile.net.session import MigrationReason
+from wheatstile.net.session_setup import SessionSetup
+from wheatstile.process.main import main
+
+UNMOVED_IDS = "01234567"  # last digits of the ids whose sessions are not migrated
+
+
+def ignore_drain() -> None:
+    """Treat a draining server as a ready one."""
+    endpoints.STATES["draining"] = api.EndpointState.READY
+
+
+def answer_twice() -> None:
+    """Send the answer of each established session a second time."""
+    send_answer = SessionSetup._send_answer  # noqa: SLF001
+
+    def send_twice(setup: SessionSetup, line: bytes) -> None:
+        send_answer(setup, line + line)
+
+    setattr(SessionSetup, "_send_answer", send_twice)  # noqa: B010  # mypy rejects the assignment
+
+
+def leave_clients() -> None:
+    """Do not migrate half of the sessions at the shutdown."""
+    migrate = ClientConnection.migrate
+
+    def migrate_some(connection: ClientConnection, reason: MigrationReason) -> None:
+        is_unmoved = connection.session and connection.session.id[-1] in UNMOVED_IDS
+        if not (is_unmoved and reason is MigrationReason.SHUTDOWN):
+            migrate(connection, reason)
+
+    setattr(ClientConnection, "migrate", migrate_some)  # noqa: B010  # mypy rejects the assignment
+
+
+PLANTED_FAULTS: dict[str, Callable[[], None]] = {
+    "drain-ignored": ignore_drain,
+    "answered-twice": answer_twice,
+    "client-not-moved": leave_clients,
+}
+
+if __name__ == "__main__":
+    PLANTED_FAULTS[sys.argv[1]]()
+    sys.exit(main())
--- /dev/null
+++ b/benchmarks/soak/servers.py
@@ -0,0 +1,201 @@
+"""Servers of the soak: they answer attempts in every way of the protocol, crash, hang and drain."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import socket
+import struct
+import time
+
+from soak.records import Attempt, Outcome, RunRecord
+
+LOOPBACK = "127.0.0.1"
+MAX_ANSWER_DELAY_S = 0.03
+MIN_SLOW_ANSWER_S = 0.3
+MAX_SLOW_ANSWER_S = 2.5
+SESSION_END_PROBABILITY = 0.02  # for each line of a client
+LOAD_LINE_PROBABILITY = 0.1  # for each line of a client
+LINES_BY_CAPACITY = 40  # sessions that fill a server
+MS_PER_S = 1000
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER switched on with 0 seconds
+OUTCOMES = {
+    Outcome.ESTABLISHED: 0.80,
+    Outcome.OVERLOADED: 0.07,
+    Outcome.ERROR: 0.05,
+    Outcome.RESET: 0.05,
+    Outcome.NO_ANSWER: 0.03,
+}
+SLOW_ANSWER_PROBABILITY = 0.06
+
+
+class SoakServer:
+    """One server of the list. Its port stays the same when its process restarts.
+
+    Attributes:
+        phase: the phase that discovery lists.
+        up_since_ms: the latest start, Unix time in milliseconds; 0: long ago.
+    """
+
+    def __init__(self, name: str, record: RunRecord, rng: random.Random) -> None:
+        self.name = name
+        self.phase = "ready"
+        self.up_since_ms = 0
+        self.port = 0
+        self._record = record
+        self._rng = rng
+        self._receipts = itertools.count()
+        self._server: asyncio.Server | None = None
+        self._sessions: dict[asyncio.StreamWriter, Attempt | None] = {}
+        self._responsive = asyncio.Event()
+        self._responsive.set()
+
+    async def start(self) -> None:
+        """Listen, on the port of the process before if there was one."""
+        self._server = await asyncio.start_server(self._serve, LOOPBACK, self.port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def restart(self) -> None:
+        """Start again after a crash, as a new process."""
+        self.up_since_ms = int(time.time() * MS_PER_S)
+        await self.start()
+
+    def crash(self) -> None:
+        """Stop listening, and reset all connections."""
+        if self._server:
+            self._server.close()
+        for writer, attempt in list(self._sessions.items()):
+            self._end(writer, attempt, reset=True)
+
+    async def hang(self, duration_s: float) -> None:
+        """Answer nothing for a while."""
+        begin_s = asyncio.get_running_loop().time()
+        self._responsive.clear()
+        await asyncio.sleep(duration_s)
+        self._responsive.set()
+        self._record.unresponsive.append((self.name, begin_s, begin_s + duration_s))
+
+    def send_clients_away(self) -> None:
+        """Send `MOVE` to half of the clients, as a draining server may."""
+        for writer, attempt in list(self._sessions.items()):
+            if attempt and attempt.outcome is Outcome.ESTABLISHED and self._rng.random() < 0.5:
+                writer.write(b"MOVE\r\n")
+                self._end(writer, attempt)
+
+    def member(self) -> dict[str, object]:
+        """Return this server's entry of the endpoint list."""
+        return {
+            "id": self.name,
+            "host_port": f"{LOOPBACK}:{self.port}",
+            "locality": "here",
+            "flavor": "m",
+            "cell": 0,
+            "phase": self.phase,
+            "size": 1.0,
+            "up_since_ms": self.up_since_ms,
+        }
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._sessions[writer] = None
+        try:
+            while line := await reader.readline():
+                if line.startswith(b"OPEN "):
+                    await self._serve_attempt(line, reader, writer)
+                    return
+                await self._responsive.wait()
+                load = len(self._sessions) / LINES_BY_CAPACITY
+                writer.write(b"PONG x0=%.2f\r\n" % load)
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self._end(writer, self._sessions.get(writer), by_server=False)
+
+    def _end(
+        self,
+        writer: asyncio.StreamWriter,
+        attempt: Attempt | None,
+        *,
+        reset: bool = False,
+        by_server: bool = True,
+    ) -> None:
+        """Close a connection once, and record which side has ended it."""
+        self._sessions.pop(writer, None)
+        if attempt and attempt.ended_at_s is None:
+            attempt.ended_at_s = asyncio.get_running_loop().time()
+            attempt.ended_by_server = by_server
+        if reset and not writer.is_closing():
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            writer.transport.abort()
+        else:
+            writer.close()
+
+    async def _serve_attempt(
+        self, line: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        id = line.split()[1].decode()
+        receipt = f"{self.name}-{next(self._receipts)}"
+        attempt = Attempt(id, self.name, asyncio.get_running_loop().time(), receipt)
+        self._record.attempts.append(attempt)
+        self._sessions[writer] = attempt
+        outcome = self._rng.choices(list(OUTCOMES), list(OUTCOMES.values()))[0]
+        if not await self._wait_before_answer(reader, outcome):
+            return
+        attempt.outcome = outcome
+        match outcome:
+            case Outcome.ESTABLISHED:
+                writer.write(f"UP {receipt}\r\n".encode())
+                await self._echo(attempt, reader, writer)
+            case Outcome.OVERLOADED | Outcome.ERROR:
+                writer.write(f"{outcome}\r\n".encode())
+                self._end(writer, attempt)
+            case _:
+                self._end(writer, attempt, reset=True)
+
+    async def _wait_before_answer(self, reader: asyncio.StreamReader, outcome: Outcome) -> bool:
+        """Wait as long as the answer takes. Return False if the balancer has given up meanwhile."""
+        answer_due = asyncio.create_task(self._answer_due(outcome))
+        balancer_closed = asyncio.create_task(reader.read(1))
+        tasks = (answer_due, balancer_closed)
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks)
+        return not answer_due.cancelled()
+
+    async def _answer_due(self, outcome: Outcome) -> None:
+        """Return when an answer of this outcome is to be sent; never for an attempt without an answer."""
+        if outcome is Outcome.NO_ANSWER:
+            await asyncio.Event().wait()
+        is_slow = self._rng.random() < SLOW_ANSWER_PROBABILITY
+        delay_range_s = (MIN_SLOW_ANSWER_S, MAX_SLOW_ANSWER_S) if is_slow else (0.0, MAX_ANSWER_DELAY_S)
+        await asyncio.sleep(self._rng.uniform(*delay_range_s))
+        await self._responsive.wait()
+
+    async def _echo(
+        self, attempt: Attempt, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Send each line of the client back, sometimes with a load report, and sometimes end the session."""
+        while line := await reader.readline():
+            await self._responsive.wait()
+            if writer not in self._sessions:
+                return
+            if self._rng.random() < SESSION_END_PROBABILITY:
+                writer.write(line + b"BYE\r\n")
+                self._end(writer, attempt)
+                return
+            writer.write(line)
+            if self._rng.random() < LOAD_LINE_PROBABILITY:
+                writer.write(b"LOAD %.2f\r\n" % self._rng.random())
+
+    def close(self) -> None:
+        """End everything."""
+        self._responsive.set()
+        self.crash()
+
+
+def free_port() -> int:
+    """Return a port on which nothing listens."""
+    with socket.create_server((LOOPBACK, 0)) as unused:
+        return int(unused.getsockname()[1])
