Compare the whole keyword of a server's line before taking it for its final one

Callers saw: a client whose server's last line began with BYE or MOVE, as in "MOVED 3", was cut off without MOVE at a migration or a restart.

Cause: relay_upstream used startswith on the line; with _final_line set, the end of the session sends no last line.

Evidence: the new test sends such a line and then SIGTERM.

Change: keyword_of(line) in FINAL_KEYWORDS. Looked for elsewhere: UP is compared with its space, all other places split at the space.

--- a/tests/net/test_session_relay.py
+++ b/tests/net/test_session_relay.py
@@ -82,3 +82,14 @@
     assert client.line() == final_line
     balancer.terminate()
     assert client.line() == ""
+
+
+@pytest.mark.parametrize("line", ["MOVEX", "BYEBYE 1", "MOVES 2"])
+def test_line_that_begins_with_a_final_keyword_does_not_end_the_session(balancer: Balancer, line: str) -> None:
+    """Guards against a client that is cut off without MOVE, since its server's last line was taken for it."""
+    balancer.start()
+    client, server = balancer.establish()
+    server.send(line)
+    assert client.line() == line
+    balancer.terminate()
+    assert (client.line(), client.line()) == ("MOVE", "")
--- a/wheatstile/net/session_relay.py
+++ b/wheatstile/net/session_relay.py
@@ -150,7 +150,7 @@
             try:
                 async with self._client_writes:
                     await session.client.send(lines)
-                    self._final_line = last_line if last_line.startswith(FINAL_KEYWORDS) else b""
+                    self._final_line = last_line if keyword_of(last_line) in FINAL_KEYWORDS else b""
             except OSError:
                 raise ClientDisconnectedError(reset=True) from None
             lines = b""
@@ -186,6 +186,11 @@
             self._decisions.dispatch(api.ConnectionLoadChanged(self._session.id, server, load))
 
 
+def keyword_of(line: bytes) -> bytes:
+    """Return the first word of a line, which gives its meaning."""
+    return line.partition(b" ")[0]
+
+
 async def relay_client(session: Session) -> None:
     """Relay the client's lines to the server once the session is established, until the client's side ends.
 
