--- a/tests/net/test_session_relay.py
+++ b/tests/net/test_session_relay.py
@@ -85,7 +85,9 @@
 
 
 @pytest.mark.parametrize("line", ["MOVEX", "BYEBYE 1", "MOVES 2"])
-def test_line_that_begins_with_a_final_keyword_does_not_end_the_session(balancer: Balancer, line: str) -> None:
+def test_line_that_begins_with_a_final_keyword_does_not_end_the_session(
+    balancer: Balancer, line: str
+) -> None:
     """Guards against a client that is cut off without MOVE, since its server's last line was taken for it."""
     balancer.start()
     client, server = balancer.establish()
