Drop a log line rather than stop the balancer while nobody reads the log

Callers saw: no answer, no line and no PONG from a balancer whose log's pipe was full, until somebody read it.

Cause: LossyStderr writes on the event loop, and a write to a full pipe blocks.

Evidence: SIGUSR1 in series filled the pipe in a test of the soak's, and the process hung. The new test fills it on purpose: on the text before, an established session got no line within 20 s (1 failed), now 1 passed, and the log goes on when it is read.

Change: poll before each write, in pieces of PIPE_BUF that a writable pipe takes whole; a line that does not fit is dropped and counted (log_lines_dropped).

--- a/tests/process/test_start.py
+++ b/tests/process/test_start.py
@@ -15,6 +15,7 @@
 from support.peer import Listener
 
 NO_SETTINGS = "a configuration without settings"
+COUNTER_REPORTS_THAT_FILL_A_PIPE = 600  # of more than 110 bytes each; a pipe takes 64 KiB
 
 
 @pytest.fixture
@@ -123,3 +124,15 @@
         balancer.terminate()  # the shutdown is logged, too
         assert client.line() == "MOVE"
         assert balancer.wait() == 0
+
+
+def test_balancer_serves_though_nobody_reads_its_log(balancer: Balancer) -> None:
+    """Guards against a balancer that stops for all its clients while the pipe of its log is full."""
+    balancer.start()
+    client, server = balancer.establish()
+    for _ in range(COUNTER_REPORTS_THAT_FILL_A_PIPE):
+        balancer.process.send_signal(signal.SIGUSR1)
+        balancer.pinged_client().close()  # the signal has been handled
+    client.send("still served")
+    assert server.line() == "still served"
+    balancer.counters()  # the log goes on once it is read again
--- a/wheatstile/logs.py
+++ b/wheatstile/logs.py
@@ -2,6 +2,7 @@
 
 import logging
 import os
+import select
 import sys
 from contextlib import suppress
 from enum import StrEnum
@@ -32,12 +33,19 @@
 class LossyStderr:
     """A text stream that writes complete lines to standard error, and drops a line that cannot be written.
 
-    Writing fails if the disk is full, the reader has closed the pipe, or a non-blocking pipe is full. The
-    process must not end because of its log.
+    Writing fails if the disk is full or the reader has closed the pipe. It would block if the reader of the
+    pipe or socket is too slow. The process must neither end nor stop because of its log.
+
+    Attributes:
+        dropped_lines: the number of lines that were dropped, or written in part.
     """
 
     def __init__(self) -> None:
+        self.dropped_lines = 0
         self._parts: list[str] = []
+        self._is_line_incomplete = False  # the last line was written in part
+        self._poll = select.poll()
+        self._poll.register(STDERR_DESCRIPTOR, select.POLLOUT)
 
     def write(self, text: str) -> int:
         """Buffer a part of a line, and return its length."""
@@ -45,12 +53,34 @@
         return len(text)
 
     def flush(self) -> None:
-        """Write the buffered line."""
+        """Write the buffered line, as far as that does not block."""
         line = "".join(self._parts).encode("utf-8", "replace")
         self._parts = []
+        if self._is_line_incomplete:
+            line = b"\n" + line
+        written = self._write_without_blocking(line)
+        if written:
+            self._is_line_incomplete = written < len(line)
+        if written < len(line):
+            self.dropped_lines += 1
+
+    def _write_without_blocking(self, data: bytes) -> int:
+        """Write in pieces that a writable pipe takes whole. Return the number of bytes written."""
+        written = 0
         with suppress(OSError):
-            # os.write bypasses the buffer of sys.stderr, which would keep the line and fail again on exit.
-            os.write(STDERR_DESCRIPTOR, line)
+            while written < len(data) and self._is_writable():
+                piece = data[written : written + select.PIPE_BUF]
+                # os.write bypasses the buffer of sys.stderr, which would keep the line and fail on exit.
+                written += os.write(STDERR_DESCRIPTOR, piece)
+        return written
+
+    def _is_writable(self) -> bool:
+        """Return whether a write of up to `select.PIPE_BUF` bytes does not block."""
+        return any(events & select.POLLOUT for _, events in self._poll.poll(0))
+
+
+STDERR = LossyStderr()
+"""The stream of the log."""
 
 
 def configure(log_format: str = LogFormat.JSON, level: str = LogLevel.INFO) -> None:
@@ -66,6 +96,6 @@
     structlog.configure(
         processors=processors,
         wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level.upper())),
-        logger_factory=structlog.PrintLoggerFactory(cast(TextIO, LossyStderr())),
+        logger_factory=structlog.PrintLoggerFactory(cast(TextIO, STDERR)),
         cache_logger_on_first_use=False,
     )
--- a/wheatstile/process/balancer_process.py
+++ b/wheatstile/process/balancer_process.py
@@ -7,6 +7,7 @@
 import structlog
 
 from wheatstile import interface as api
+from wheatstile import logs
 from wheatstile.config.platform import Config
 from wheatstile.net.client_listener import ClientListener
 from wheatstile.net.decision_loop import DecisionLoop
@@ -52,7 +53,8 @@
 
     def report_counters(self) -> None:
         """Log the value of every counter, each as a field with the counter's name."""
-        log.info("counters_reported", **self.decisions.counters)
+        self.decisions.counters["log_lines_dropped"] = logs.STDERR.dropped_lines
+        log.info("counters_reported", **+self.decisions.counters)
 
     def reload(self) -> None:
         """Read the operator's file and the platform's file again, and apply each one that is valid.
