Keep a member's refusal as the reason when the client's time runs out

Callers saw: a stale read at an isolated member that ended with "TimeoutError" as its reason, though the member had refused it as stale; with it the unchanged test of an isolated member failed at times ("b: TimeoutError", wanted "stale").

Cause: StoreClient asks again every 50 ms until its deadline. An attempt that begins within the last millisecond times out, and replaced the reason.

Change: an attempt cut short by the client's own deadline keeps the refusal before it. A member that answers 'stale' owes that reason, and the client now passes it on.

--- a/tests/store/test_store_client.py
+++ b/tests/store/test_store_client.py
@@ -52,12 +52,13 @@
 
 
 @asynccontextmanager
-async def serve_members(**members: ScriptedMember) -> AsyncIterator[StoreClient]:
+async def serve_members(timeout_s: float = 5.0, **members: ScriptedMember) -> AsyncIterator[StoreClient]:
     """Serve the members and yield a client, which asks them in the order of their names; close all."""
     servers = {
         name: await asyncio.start_server(member.serve, "127.0.0.1", 0) for name, member in members.items()
     }
-    client = StoreClient({name: server.sockets[0].getsockname()[1] for name, server in servers.items()}, 5.0)
+    ports = {name: server.sockets[0].getsockname()[1] for name, server in servers.items()}
+    client = StoreClient(ports, timeout_s)
     try:
         yield client
     finally:
@@ -155,3 +156,25 @@
         assert (request.kind, request.key, request.after_revision) == (RequestKind.WATCH, "k", 4)
 
     asyncio.run(scenario())
+
+
+class FallingSilentMember(ScriptedMember):
+    """Replies to the first request, and to no other."""
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.replies:
+            await super().serve(reader, writer)
+        else:
+            await reader.read()
+
+
+def test_the_reason_of_a_refusal_is_not_replaced_by_an_attempt_without_time() -> None:
+    """Guards against "TimeoutError" as the reason where a member has refused a read as stale."""
+
+    async def scenario() -> None:
+        member = FallingSilentMember(Reply(ErrorCode.STALE, "the state may be 900 ms old"))
+        async with serve_members(timeout_s=0.3, a=member) as client:  # less than one attempt
+            with pytest.raises(OutcomeUnknownError, match="the state may be 900 ms old"):
+                await client.get("k", max_staleness_ms=200)
+
+    asyncio.run(scenario())
--- a/wheatstile/store/client.py
+++ b/wheatstile/store/client.py
@@ -188,12 +188,15 @@
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + self._timeout_s
         last_failure = "no member was asked before the time-out"
+        has_refusal = False
         while (remaining_s := deadline_s - loop.time()) > 0:
             target = self._target
             try:
                 reply = await self._attempt(request, remaining_s)
             except CONNECTION_ERRORS as error:
-                last_failure = f"{target}: {str(error) or type(error).__name__}"
+                # An attempt that the deadline cuts short shows nothing about the member: a refusal stays.
+                if not (has_refusal and remaining_s < MAX_ATTEMPT_S):
+                    last_failure = f"{target}: {str(error) or type(error).__name__}"
                 self._connections.discard(target)
                 await self._try_next_member(deadline_s)
                 continue
@@ -202,6 +205,7 @@
             if reply.error not in RETRYABLE_ERRORS:
                 raise RequestRejectedError(reply.error, reply.reason)
             last_failure = f"{target}: {reply.error}: {reply.reason}"
+            has_refusal = True
             if reply.error is ErrorCode.NOT_LEADER and reply.leader in self._members:
                 self._target = reply.leader
             else:
