Replace voters of real store processes while leaders fail, round after round

The fault of a membership change that stops for good was shown in the simulation only.

benchmarks/store_replacement.py starts three or five voters and two standby members behind the fault proxy. Each round replaces one voter, and during the change kills the leader, or isolates it until it loses its office while another voter is down. A write must be acknowledged within 5 s of the fault's end, and the histories must agree.

On the way seen, not mended: until the log has a configuration, a member takes the voters from its options at each start (docs/store.md, 'Open').

--- /dev/null
+++ b/benchmarks/store_replacement.py
@@ -0,0 +1,58 @@
+"""Replaces voters of a store of real processes while leaders fail: `python benchmarks/store_replacement.py`.
+
+Each round replaces one voter, and kills the leader or isolates it during the change. The time to the next
+acknowledged write has a bound, and the members' histories must agree.
+"""
+
+import argparse
+import random
+import sys
+import tempfile
+from pathlib import Path
+from statistics import median
+
+from tabulate import tabulate
+
+ROOT = Path(__file__).parents[1]
+sys.path[:0] = [str(ROOT), str(ROOT / "tests"), str(ROOT / "tests" / "store")]
+
+from member_replacement import MAX_LEADERLESS_S, MemberReplacement, Round  # noqa: E402
+from process_cluster import ProcessCluster, check_applied, run_scenario  # noqa: E402
+
+STANDBY_MEMBERS = 2
+
+
+def play(voter_count: int, rounds: int, seed: int) -> list[Round]:
+    """Play the rounds on one cluster, check the histories, and return the rounds."""
+    names = "abcdefgh"[: voter_count + STANDBY_MEMBERS]
+    played: list[Round] = []
+
+    async def scenario(cluster: ProcessCluster) -> None:
+        replacement = MemberReplacement(cluster, random.Random(seed))
+        await replacement.start(names[:voter_count])
+        for number in range(rounds):
+            played.append(await replacement.play(number))
+            print(played[-1], flush=True)
+
+    with tempfile.TemporaryDirectory() as folder:
+        cluster = ProcessCluster(Path(folder), seed, names)
+        check_applied(run_scenario(cluster, scenario, voters=names[:voter_count]))
+    return played
+
+
+def main() -> int:
+    """Play the rounds. Return 1 if one of them had no acknowledged write in time, else 0."""
+    parser = argparse.ArgumentParser(description="Replaces voters of the store while leaders fail.")
+    parser.add_argument("--voters", type=int, default=3)
+    parser.add_argument("--rounds", type=int, default=50)
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    times_s = [played.leaderless_s for played in play(options.voters, options.rounds, options.seed)]
+    late = sum(time_s > MAX_LEADERLESS_S for time_s in times_s)
+    row = [options.voters, len(times_s), late, f"{median(times_s):.2f}", f"{max(times_s):.2f}"]
+    print(tabulate([row], ["voters", "rounds", f"over {MAX_LEADERLESS_S:g} s", "p50 s", "longest s"]))
+    return 1 if late else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
