--- a/tests/support/replay_state.py
+++ b/tests/support/replay_state.py
@@ -1,7 +1,8 @@
 """The state of a replay: the text of all actions so far, and the pending checks, attempts and timers."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
+from support.balancer_harness import PendingTimer
 from wheatstile import interface as api
 from wheatstile.simulator.wire import timer_text
 
@@ -17,15 +18,6 @@
     established: bool = False
 
 
-@dataclass(frozen=True, order=True)
-class ReplayTimer:
-    """A timer that has not fired; ordered by its due time."""
-
-    due_us: int
-    number: int
-    token: api.TimerToken = field(compare=False)
-
-
 class ReplayState:
     """The actions of one instance as text, its open sessions, pending health checks and timers."""
 
@@ -34,7 +26,7 @@
         self.sessions: dict[str, Session] = {}
         self.migrated_keys: list[str] = []
         self.pending_checks: list[str] = []
-        self._timers: list[ReplayTimer] = []
+        self._timers: list[PendingTimer] = []
 
     def record(self, now_us: int, actions: list[api.Action]) -> None:
         """Write the actions down, and keep what has to be followed up."""
@@ -42,7 +34,7 @@
             self.lines.append(f"{now_us} {self._text(action)}")
             self._remember(now_us, action)
 
-    def take_due_timers(self, now_us: int) -> list[ReplayTimer]:
+    def take_due_timers(self, now_us: int) -> list[PendingTimer]:
         """Remove and return the timers that are due, in the order of their due times."""
         due = sorted(timer for timer in self._timers if timer.due_us <= now_us)
         self._timers = [timer for timer in self._timers if timer.due_us > now_us]
@@ -68,7 +60,7 @@
                 self.pending_checks.append(action.server)
             case api.SetTimer():
                 due_us = now_us + action.delay_us
-                self._timers.append(ReplayTimer(due_us, len(self.lines), action.token))
+                self._timers.append(PendingTimer(due_us, len(self.lines), action.token))
 
     @staticmethod
     def _text(action: api.Action) -> str:
