--- a/benchmarks/soak/balancers.py
+++ b/benchmarks/soak/balancers.py
@@ -167,7 +167,8 @@
 
     async def wait_until_killed(self, longest_deadline_s: float) -> None:
         """Wait for the end of the process, and send SIGKILL at the earliest time that the platform allows."""
-        life, process = self.life, self.process
+        life = self.life
+        process = self.process
         loop = asyncio.get_running_loop()
         assert life.terminated_at_s is not None
         kill_at_s = life.terminated_at_s + min(longest_deadline_s, MAX_COUNTED_DEADLINE_S) + KILL_MARGIN_S
--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -11,7 +11,7 @@
 
 MAX_LATE_ANSWER_S = 0.5  # protocol: an answer after the deadline, and its half second, is lost
 SOCKET_TOLERANCE_S = 0.05  # protocol: every time limit is 50 ms longer on sockets
-MAX_HELD_BACK_S = 1.0  # protocol: a line that is held back for longer is lost
+MAX_LINE_DELAY_S = 1.0  # protocol: a line that is held back for longer is lost
 KEYED_CLASS = "keyed"
 UNSAFE_CLASS = "unsafe"
 
@@ -55,7 +55,7 @@
     if request.unexpected_lines:
         yield f"a line that nobody sent: {request.unexpected_lines[0].text!r}"
     if request.answer is None:
-        if request.left_at_s is None and not request.balancer.was_killed_outright:
+        if request.disconnected_at_s is None and not request.balancer.was_killed_outright:
             yield f"no answer; {request.ending}"
         return
     late_s = request.answer.at_s - request.sent_at_s - request.wait_s
@@ -81,37 +81,42 @@
 
 def check_effects(record: RunRecord, request: ClientRequest, attempts: list[Attempt]) -> Iterator[str]:
     """Check that a request that may have run is not repeated where a repeat may take effect."""
-    ran = [attempt for attempt in attempts if attempt.outcome.may_have_run]
-    if len(ran) < 2:
+    executed = [attempt for attempt in attempts if attempt.outcome.may_have_run]
+    if len(executed) < 2:
         return
     if request.service_class == UNSAFE_CLASS:
         yield "run more than once"
     window_s = record.deduplication_window_s + _tolerance_s(record)
-    if request.service_class == KEYED_CLASS and ran[-1].received_at_s - ran[0].received_at_s > window_s:
+    if (
+        request.service_class == KEYED_CLASS
+        and executed[-1].received_at_s - executed[0].received_at_s > window_s
+    ):
         yield "repeated after its deduplication window"
 
 
-def check_client_left(record: RunRecord, request: ClientRequest, attempts: list[Attempt]) -> Iterator[str]:
+def check_client_disconnected(
+    record: RunRecord, request: ClientRequest, attempts: list[Attempt]
+) -> Iterator[str]:
     """Check that nothing is forwarded for a client that has left."""
-    left_at_s = request.left_at_s
-    if left_at_s is None:
+    disconnected_at_s = request.disconnected_at_s
+    if disconnected_at_s is None:
         return
-    if any(attempt.received_at_s > left_at_s + _tolerance_s(record) for attempt in attempts):
+    if any(attempt.received_at_s > disconnected_at_s + _tolerance_s(record) for attempt in attempts):
         yield "forwarded after its client had left"
 
 
 def check_drain(record: RunRecord, request: ClientRequest, attempts: list[Attempt]) -> Iterator[str]:
     """Check that nothing new is sent to a server that is draining or gone, beyond the grace."""
     for attempt in attempts:
-        told = _told_leaving_at_s(request.balancer, attempt)
-        if told is None:
+        notified_at_s = _leaving_notified_at_s(request.balancer, attempt)
+        if notified_at_s is None:
             continue
-        late_s = attempt.received_at_s - told - record.drain_grace_s
+        late_s = attempt.received_at_s - notified_at_s - record.drain_grace_s
         if late_s > _tolerance_s(record):
             yield f"sent to {attempt.server} {late_s:.2f} s after the grace of its drain"
 
 
-def _told_leaving_at_s(life: BalancerLife, attempt: Attempt) -> float | None:
+def _leaving_notified_at_s(life: BalancerLife, attempt: Attempt) -> float | None:
     """Return since when a balancer knew that the server of an attempt was leaving, or None."""
     since_s: float | None = None
     for notification in life.notifications:
@@ -134,7 +139,7 @@
     if is_cut_off and not request.balancer.was_killed_outright:
         yield "cut off without MOVE"
     for echo in request.echoes:
-        if echo.delay_s > MAX_HELD_BACK_S + record.max_lag_s and not _was_unresponsive(
+        if echo.delay_s > MAX_LINE_DELAY_S + record.max_lag_s and not _was_unresponsive(
             record, server, echo.sent_at_s
         ):
             yield f"a line was held back for {echo.delay_s:.2f} s"
@@ -142,7 +147,7 @@
 
 def _was_unresponsive(record: RunRecord, server: str, sent_at_s: float) -> bool:
     return any(
-        name == server and begin_s - MAX_HELD_BACK_S < sent_at_s < end_s
+        name == server and begin_s - MAX_LINE_DELAY_S < sent_at_s < end_s
         for name, begin_s, end_s in record.unresponsive
     )
 
@@ -153,14 +158,14 @@
     if life.was_killed_outright:
         return
     if life.killed_at_s is not None:
-        held = [request for request in record.requests if _was_held_at_kill(request, life)]
-        if held:
-            yield f"held {len(held)} clients at SIGKILL"
+        open_requests = [request for request in record.requests if _was_open_at_kill(request, life)]
+        if open_requests:
+            yield f"had {len(open_requests)} clients at SIGKILL"
     elif life.exit_status != 0:
         yield f"ended with status {life.exit_status}"
 
 
-def _was_held_at_kill(request: ClientRequest, life: BalancerLife) -> bool:
+def _was_open_at_kill(request: ClientRequest, life: BalancerLife) -> bool:
     """Return whether a client lost its connection because its balancer was killed."""
     if request.balancer is not life or request.ending not in (Ending.OPEN, Ending.CLOSED):
         return False
@@ -174,7 +179,7 @@
     check_receipt,
     check_one_in_flight,
     check_effects,
-    check_client_left,
+    check_client_disconnected,
     check_drain,
     check_session,
 )
@@ -188,7 +193,10 @@
             events += _request_events(request)
     attempts = record.attempts_of(request_id)
     events += [
-        event for request in record.requests if request.id == request_id for event in _told(request, attempts)
+        event
+        for request in record.requests
+        if request.id == request_id
+        for event in _notification_events(request, attempts)
     ]
     for attempt in attempts:
         events.append((attempt.received_at_s, f"{attempt.server} received it and answers {attempt.outcome}"))
@@ -198,7 +206,7 @@
     return [f"{at_s:8.3f} s  {text}" for at_s, text in sorted(events)]
 
 
-def _told(request: ClientRequest, attempts: list[Attempt]) -> Iterator[tuple[float, str]]:
+def _notification_events(request: ClientRequest, attempts: list[Attempt]) -> Iterator[tuple[float, str]]:
     """Yield what the balancer had been told of the servers of a request's attempts."""
     servers = {attempt.server for attempt in attempts}
     for notification in request.balancer.notifications:
@@ -218,8 +226,8 @@
         yield line.at_s, f"line {line.text!r}"
     if request.ended_at_s is not None:
         yield request.ended_at_s, f"end: {request.ending}"
-    if request.left_at_s is not None:
-        yield request.left_at_s, "the client left"
+    if request.disconnected_at_s is not None:
+        yield request.disconnected_at_s, "the client left"
     if life.terminated_at_s is not None:
         yield life.terminated_at_s, f"SIGTERM to {life.name}; signals {' '.join(life.signals)}"
     if life.killed_at_s is not None:
--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -20,9 +20,9 @@
 MAX_LINE_INTERVAL_S = 0.5
 REST_PROBABILITY = 0.15  # a client that rests after PONG before it sends its request
 MAX_REST_S = 1.5
-LEAVE_EARLY_PROBABILITY = 0.08
-MAX_LEAVE_DELAY_S = 0.3
-SESSION_LEAVE_PROBABILITY = 0.05  # for each line
+EARLY_DISCONNECT_PROBABILITY = 0.08
+MAX_DISCONNECT_DELAY_S = 0.3
+SESSION_DISCONNECT_PROBABILITY = 0.05  # for each line
 MIN_RECONNECT_S = 0.02
 MAX_RECONNECT_S = 0.2
 RETRY_DELAY_S = 0.3
@@ -99,9 +99,9 @@
         request = ClientRequest(id, service_class, balancer.life, loop.time(), wait_s)
         self._record.requests.append(request)
         stream.send_now(line.encode())
-        if self._rng.random() < LEAVE_EARLY_PROBABILITY:
+        if self._rng.random() < EARLY_DISCONNECT_PROBABILITY:
             with recording_the_end(request):
-                await self._leave_early(stream, request)
+                await self._disconnect_early(stream, request)
             return
         with recording_the_end(request):
             async with asyncio.timeout(wait_s + ANSWER_MARGIN_S):
@@ -109,11 +109,11 @@
             if answer:
                 await self._on_answer(stream, request, ReceivedLine(loop.time(), text_of(answer)))
 
-    async def _leave_early(self, stream: LineStream, request: ClientRequest) -> None:
-        await asyncio.sleep(self._rng.uniform(0, MAX_LEAVE_DELAY_S))
+    async def _disconnect_early(self, stream: LineStream, request: ClientRequest) -> None:
+        await asyncio.sleep(self._rng.uniform(0, MAX_DISCONNECT_DELAY_S))
         stream.close(reset=self._rng.random() < 0.5)
-        request.left_at_s = asyncio.get_running_loop().time()
-        request.end(Ending.LEFT, request.left_at_s)
+        request.disconnected_at_s = asyncio.get_running_loop().time()
+        request.end(Ending.DISCONNECTED, request.disconnected_at_s)
 
     async def _on_answer(self, stream: LineStream, request: ClientRequest, answer: ReceivedLine) -> None:
         request.answer = answer
@@ -147,9 +147,9 @@
             if not await self._read_until(line):
                 return
             self._request.echoes.append(Echo(sent_at_s, self._loop.time() - sent_at_s))
-            if not self._is_closing() and self._rng.random() < SESSION_LEAVE_PROBABILITY:
-                self._request.left_at_s = self._loop.time()
-                self._request.end(Ending.LEFT, self._loop.time())
+            if not self._is_closing() and self._rng.random() < SESSION_DISCONNECT_PROBABILITY:
+                self._request.disconnected_at_s = self._loop.time()
+                self._request.end(Ending.DISCONNECTED, self._loop.time())
                 return
             if not await self._rest():
                 return
@@ -217,8 +217,8 @@
         pass
     except asyncio.CancelledError:
         if request.ending is Ending.OPEN:
-            request.left_at_s = loop.time()
-            request.end(Ending.LEFT, loop.time())
+            request.disconnected_at_s = loop.time()
+            request.end(Ending.DISCONNECTED, loop.time())
         raise
     if request.ending is Ending.OPEN:
         request.end(Ending.CLOSED, loop.time())
--- a/benchmarks/soak/planted_faults.py
+++ b/benchmarks/soak/planted_faults.py
@@ -31,7 +31,7 @@
     setattr(SessionSetup, "_send_answer", send_twice)  # noqa: B010  # mypy rejects the assignment
 
 
-def leave_clients() -> None:
+def skip_migrations() -> None:
     """Do not migrate half of the sessions at the shutdown."""
     migrate = ClientConnection.migrate
 
@@ -46,7 +46,7 @@
 PLANTED_FAULTS: dict[str, Callable[[], None]] = {
     "drain-ignored": ignore_drain,
     "answered-twice": answer_twice,
-    "client-not-moved": leave_clients,
+    "client-not-moved": skip_migrations,
 }
 
 if __name__ == "__main__":
--- a/benchmarks/soak/records.py
+++ b/benchmarks/soak/records.py
@@ -10,7 +10,7 @@
     """How a client's connection ended, as the client saw it."""
 
     OPEN = "still open"
-    LEFT = "the client left"
+    DISCONNECTED = "the client disconnected"
     MIGRATED = "MOVE"
     SERVED = "BYE"
     REJECTED = "BUSY"
@@ -61,7 +61,7 @@
     answer: ReceivedLine | None = None
     ending: Ending = Ending.OPEN
     ended_at_s: float | None = None
-    left_at_s: float | None = None
+    disconnected_at_s: float | None = None
     echoes: list[Echo] = field(default_factory=list)
     unexpected_lines: list[ReceivedLine] = field(default_factory=list)
 
--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -36,19 +36,8 @@
 
 def platform_settings(longest_deadline_s: float) -> dict[str, object]:
     """Return the platform's settings; the class that cannot be repeated has the longest deadline."""
-    deadlines_s = class_deadlines_s(longest_deadline_s)
     return {
-        "classes": [
-            {
-                "name": name,
-                "aimUs": 500_000,
-                "deadlineUs": int(deadlines_s[name] * US_PER_S),
-                "repeat": repeat,
-                "dedupScope": "all",
-                "dedupWindowUs": int(DEDUPLICATION_WINDOW_S * US_PER_S),
-            }
-            for name, repeat in REPEATS.items()
-        ],
+        "classes": service_classes(longest_deadline_s),
         "discovery": "on_request",
         "familyInfo": {"messageAimUs": [60_000.0] * len(REPEATS), "tellsLoad": True},
         "fleetSize": BALANCERS,
@@ -71,6 +60,22 @@
     }
 
 
+def service_classes(longest_deadline_s: float) -> list[dict[str, object]]:
+    """Return the classes of the platform's settings."""
+    deadlines_s = class_deadlines_s(longest_deadline_s)
+    return [
+        {
+            "name": name,
+            "aimUs": 500_000,
+            "deadlineUs": int(deadlines_s[name] * US_PER_S),
+            "repeat": repeat,
+            "dedupScope": "all",
+            "dedupWindowUs": int(DEDUPLICATION_WINDOW_S * US_PER_S),
+        }
+        for name, repeat in REPEATS.items()
+    ]
+
+
 def class_deadlines_s(longest_deadline_s: float) -> dict[str, float]:
     """Return the deadline of each class."""
     return {
@@ -234,7 +239,7 @@
         self.publish(server)
         await asyncio.sleep(rng.uniform(0.0, 1.0))
         if rng.random() < 0.5:
-            server.send_clients_away()
+            server.migrate_clients()
         successor = self._server(f"s{len(self.servers)}")
         await successor.restart()
         self.servers.append(successor)
--- a/benchmarks/soak/servers.py
+++ b/benchmarks/soak/servers.py
@@ -17,7 +17,7 @@
 MAX_SLOW_ANSWER_S = 2.5
 SESSION_END_PROBABILITY = 0.02  # for each line of a client
 LOAD_LINE_PROBABILITY = 0.1  # for each line of a client
-LINES_BY_CAPACITY = 40  # sessions that fill a server
+MAX_SESSIONS = 40  # sessions at which a server reports a load of 1
 MS_PER_S = 1000
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER switched on with 0 seconds
 OUTCOMES = {
@@ -76,7 +76,7 @@
         self._responsive.set()
         self._record.unresponsive.append((self.name, begin_s, begin_s + duration_s))
 
-    def send_clients_away(self) -> None:
+    def migrate_clients(self) -> None:
         """Send `MOVE` to half of the clients, as a draining server may."""
         for writer, attempt in list(self._sessions.items()):
             if attempt and attempt.outcome is Outcome.ESTABLISHED and self._rng.random() < 0.5:
@@ -104,7 +104,7 @@
                     await self._serve_attempt(line, reader, writer)
                     return
                 await self._responsive.wait()
-                load = len(self._sessions) / LINES_BY_CAPACITY
+                load = len(self._sessions) / MAX_SESSIONS
                 writer.write(b"PONG x0=%.2f\r\n" % load)
         except (ConnectionError, asyncio.CancelledError):
             pass
@@ -154,7 +154,7 @@
                 self._end(writer, attempt, reset=True)
 
     async def _wait_before_answer(self, reader: asyncio.StreamReader, outcome: Outcome) -> bool:
-        """Wait as long as the answer takes. Return False if the balancer has given up meanwhile."""
+        """Wait as long as the answer takes. Return False if the balancer has closed the connection."""
         answer_due = asyncio.create_task(self._answer_due(outcome))
         balancer_closed = asyncio.create_task(reader.read(1))
         tasks = (answer_due, balancer_closed)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -50,8 +50,8 @@
     def __init__(self) -> None:
         self.life = BalancerLife("n0", 0.0, exit_status=0)
         self.request = ClientRequest("r", SAFE_CLASS, self.life, 0.0, 1.0, ReceivedLine(0.1, "UP s0-0"))
-        self.request.end(Ending.LEFT, 2.0)
-        self.request.left_at_s = 2.0
+        self.request.end(Ending.DISCONNECTED, 2.0)
+        self.request.disconnected_at_s = 2.0
         self.first = Attempt("r", "s0", 0.05, "s0-0", Outcome.ESTABLISHED, ended_at_s=2.0)
         self.record = RunRecord(0, deduplication_window_s=1.0, drain_grace_s=1.0, has_crowd=False)
         self.record.requests.append(self.request)
@@ -72,7 +72,7 @@
 
 def answer_nothing(run: RecordedRun) -> None:
     run.request.answer = None
-    run.request.left_at_s = None
+    run.request.disconnected_at_s = None
 
 
 def invent_a_receipt(run: RecordedRun) -> None:
