--- a/benchmarks/soak/balancers.py
+++ b/benchmarks/soak/balancers.py
@@ -123,7 +123,6 @@
             while not await self._answers_ping():
                 await asyncio.sleep(POLL_INTERVAL_S)
         if life is self.life:
-            life.ready_at_s = asyncio.get_running_loop().time()
             self.is_admitted = True
             self._baseline = self._resources()
 
--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -188,16 +188,11 @@
 def story(record: RunRecord, request_id: str) -> list[str]:
     """Return what both sides saw of one request, in the order of time."""
     events: list[tuple[float, str]] = []
+    attempts = record.attempts_of(request_id)
     for request in record.requests:
         if request.id == request_id:
             events += _request_events(request)
-    attempts = record.attempts_of(request_id)
-    events += [
-        event
-        for request in record.requests
-        if request.id == request_id
-        for event in _notification_events(request, attempts)
-    ]
+            events += _notification_events(request, attempts)
     for attempt in attempts:
         events.append((attempt.received_at_s, f"{attempt.server} received it and answers {attempt.outcome}"))
         if attempt.ended_at_s is not None:
@@ -207,13 +202,13 @@
 
 
 def _notification_events(request: ClientRequest, attempts: list[Attempt]) -> Iterator[tuple[float, str]]:
-    """Yield what the balancer had been told of the servers of a request's attempts."""
+    """Yield what discovery notified the balancer of about the servers of a request's attempts."""
     servers = {attempt.server for attempt in attempts}
     for notification in request.balancer.notifications:
         if notification.server in servers:
             yield (
                 notification.at_s,
-                f"{request.balancer.name} is told: {notification.server} {notification.phase}",
+                f"{request.balancer.name} is notified: {notification.server} {notification.phase}",
             )
 
 
--- a/benchmarks/soak/records.py
+++ b/benchmarks/soak/records.py
@@ -104,7 +104,6 @@
 
     name: str
     launched_at_s: float
-    ready_at_s: float | None = None
     terminated_at_s: float | None = None
     """The time of the first SIGTERM."""
     killed_at_s: float | None = None
--- a/benchmarks/soak/servers.py
+++ b/benchmarks/soak/servers.py
@@ -6,10 +6,10 @@
 import itertools
 import random
 import socket
-import struct
 import time
 
 from soak.records import Attempt, Outcome, RunRecord
+from wheatstile.net.line_stream import RESET_ON_CLOSE
 
 LOOPBACK = "127.0.0.1"
 MAX_ANSWER_DELAY_S = 0.03
@@ -19,7 +19,6 @@
 LOAD_LINE_PROBABILITY = 0.1  # for each line of a client
 MAX_SESSIONS = 40  # sessions at which a server reports a load of 1
 MS_PER_S = 1000
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER switched on with 0 seconds
 OUTCOMES = {
     Outcome.ESTABLISHED: 0.80,
     Outcome.OVERLOADED: 0.07,
