Store: divide states and groups of commands that are larger than one record

Change: a state that does not fit into one record is stored in parts, the entries of a large Ready in several records, and a writer raises RecordTooLargeError for anything else. Readers have no limit: the length has a checksum of its own.

--- a/tests/store/test_record_file.py
+++ b/tests/store/test_record_file.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from wheatstile.store.errors import CorruptStorageError
-from wheatstile.store.record_file import encode_record, read_records
+from wheatstile.store.errors import CorruptStorageError, RecordTooLargeError
+from wheatstile.store.record_file import MAX_RECORD_BYTES, encode_record, read_records
 
 
 def test_records_are_read_back_in_order(tmp_path: Path) -> None:
@@ -30,3 +30,9 @@
     with pytest.raises(CorruptStorageError) as caught:
         record.decode(str)
     assert (caught.value.path, caught.value.offset) == (str(path), record.offset)
+
+
+def test_a_record_above_the_limit_is_not_written() -> None:
+    with pytest.raises(RecordTooLargeError) as caught:
+        encode_record(bytes(MAX_RECORD_BYTES))
+    assert caught.value.max_bytes == MAX_RECORD_BYTES
--- a/wheatstile/store/backup.py
+++ b/wheatstile/store/backup.py
@@ -1,23 +1,26 @@
 """Writes the complete state of a store to a backup file, and creates a member's directory from such a file.
 
-A backup has two records in the format of `record_file`: a `BackupHeader`, and the state machine's data.
+A backup has records in the format of `record_file`: a `BackupHeader`, and the state machine's data, which is
+divided into parts if it is too large for one record (`data_parts`).
 """
 
 from __future__ import annotations
 
 import os
 from dataclasses import dataclass
+from itertools import islice
 from pathlib import Path
 
 import msgspec
 
+from wheatstile.store.data_parts import decode_stored_data, load_data, parts_of, store_data
 from wheatstile.store.errors import CorruptStorageError, RestoreRejectedError
 from wheatstile.store.raft.messages import Configuration, HardState, Snapshot
 from wheatstile.store.record_file import read_records, replace_file
 from wheatstile.store.state_machine import SnapshotData
 from wheatstile.store.storage import FORMAT, Storage, check_format
 
-RECORD_COUNT = 2
+MIN_RECORD_COUNT = 2
 RESTORED_TERM = 1
 """The term of the first snapshot of a restored cluster."""
 
@@ -40,22 +43,23 @@
 
 def write_backup(path: Path, cluster: str, revision: int, data: bytes) -> None:
     """Write a backup atomically. Raises OSError."""
-    replace_file(path, [BackupHeader(FORMAT, cluster, revision), data], os.fsync)
+    header = BackupHeader(FORMAT, cluster, revision)
+    replace_file(path, [header, store_data(data), *parts_of(data)], os.fsync)
 
 
 def read_backup(path: Path) -> Backup:
     """Read a backup. Raises `CorruptStorageError`, OSError."""
     if not path.exists():
         raise CorruptStorageError(str(path), None, "the file does not exist")
-    records = list(read_records(path))
-    if len(records) != RECORD_COUNT:
-        raise CorruptStorageError(
-            str(path), 0, f"{len(records)} complete records; a backup has {RECORD_COUNT}"
-        )
-    header = records[0].decode(BackupHeader)
-    data = records[1].decode(bytes)
+    records = read_records(path)
+    first_records = list(islice(records, MIN_RECORD_COUNT))
+    if len(first_records) < MIN_RECORD_COUNT:
+        reason = f"{len(first_records)} complete records; a backup has at least {MIN_RECORD_COUNT}"
+        raise CorruptStorageError(str(path), 0, reason)
+    header_record, data_record = first_records
+    header = header_record.decode(BackupHeader)
     check_format(path, header.format)
-    return Backup(header, data)
+    return Backup(header, load_data(str(path), decode_stored_data(data_record), records))
 
 
 def restore_backup(path: Path, directory: Path, cluster: str, name: str) -> BackupHeader:
--- a/wheatstile/store/errors.py
+++ b/wheatstile/store/errors.py
@@ -69,6 +69,15 @@
         self.reason = reason
 
 
+class RecordTooLargeError(StoreError):
+    """A value is not written to a file, because its record would exceed the limit."""
+
+    def __init__(self, size_bytes: int, max_bytes: int) -> None:
+        super().__init__(f"record of {size_bytes} bytes; the limit is {max_bytes} bytes")
+        self.size_bytes = size_bytes
+        self.max_bytes = max_bytes
+
+
 class WatchCompactedError(StoreError):
     """A watch requires events that were discarded. The client has to read the keys again.
 
--- a/wheatstile/store/record_file.py
+++ b/wheatstile/store/record_file.py
@@ -13,18 +13,18 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from pathlib import Path
-from typing import TypeVar
+from typing import BinaryIO, TypeVar
 
 import msgspec
 
-from wheatstile.store.errors import CorruptStorageError
+from wheatstile.store.errors import CorruptStorageError, RecordTooLargeError
 
 Decoded = TypeVar("Decoded")
 
 HEADER = struct.Struct(">III")
 LENGTH_BYTES = 4
 MAX_RECORD_BYTES = 256 * 1024 * 1024
-"""Maximum size of the body of one record. A larger length is treated as corrupt."""
+"""Maximum size of the body of a record that is written. Larger records of earlier versions are read."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,9 +49,20 @@
 
 
 def encode_record(value: object) -> bytes:
-    """Return `value` as one record."""
+    """Return `value` as one record. Raises `RecordTooLargeError`."""
+    body = _encode_body(value)
+    return _encode_header(body) + body
+
+
+def _encode_body(value: object) -> bytes:
     body = msgspec.msgpack.encode(value)
-    return HEADER.pack(len(body), _length_checksum(len(body)), zlib.crc32(body)) + body
+    if len(body) > MAX_RECORD_BYTES:
+        raise RecordTooLargeError(len(body), MAX_RECORD_BYTES)
+    return body
+
+
+def _encode_header(body: bytes) -> bytes:
+    return HEADER.pack(len(body), _length_checksum(len(body)), zlib.crc32(body))
 
 
 def _length_checksum(length: int) -> int:
@@ -59,16 +70,20 @@
 
 
 def replace_file(path: Path, values: Iterable[object], fsync: Callable[[int], None]) -> None:
-    """Replace a file atomically with one that has `values` as its records. Raises OSError.
+    """Replace a file atomically with one that has `values` as its records.
 
-    `fsync` is called with the descriptor of the new file. The directory is not synced.
+    `fsync` is called with the descriptor of the new file. The directory is not synced. Raises OSError,
+    `RecordTooLargeError`.
     """
     temporary = path.with_name(f".{path.name}.new")
-    with open(temporary, "wb") as file:
-        file.write(b"".join(map(encode_record, values)))
+    with temporary.open("wb") as file:
+        for value in values:
+            body = _encode_body(value)
+            file.write(_encode_header(body))
+            file.write(body)
         file.flush()
         fsync(file.fileno())
-    os.replace(temporary, path)
+    temporary.replace(path)
 
 
 def read_records(path: Path) -> Iterator[FileRecord]:
@@ -77,20 +92,29 @@
     An incomplete record at the end is omitted; it starts at the `end_offset` of the last complete record.
     Raises `CorruptStorageError` for a record whose checksums do not match.
     """
-    data = path.read_bytes() if path.exists() else b""
-    offset = 0
-    while offset + HEADER.size <= len(data):
-        length, length_checksum, checksum = HEADER.unpack_from(data, offset)
-        if _length_checksum(length) != length_checksum or length > MAX_RECORD_BYTES:
-            raise CorruptStorageError(str(path), offset, "the length of the record is corrupt")
-        start = offset + HEADER.size
-        record = FileRecord(path, offset, data[start : start + length])
-        if len(record.body) < length:
-            return
-        actual = zlib.crc32(record.body)
-        if actual != checksum:
-            raise CorruptStorageError(
-                str(path), offset, f"the checksum of the record is {actual:#x}, expected {checksum:#x}"
-            )
-        yield record
-        offset = record.end_offset
+    if not path.exists():
+        return
+    with path.open("rb") as file:
+        size_bytes = os.fstat(file.fileno()).st_size
+        offset = 0
+        while record := _read_record(file, path, offset, size_bytes):
+            yield record
+            offset = record.end_offset
+
+
+def _read_record(file: BinaryIO, path: Path, offset: int, size_bytes: int) -> FileRecord | None:
+    """Read the record at the current position, which is `offset`. Return None if it is incomplete."""
+    header = file.read(HEADER.size)
+    if len(header) < HEADER.size:
+        return None
+    length, length_checksum, checksum = HEADER.unpack(header)
+    if _length_checksum(length) != length_checksum:
+        raise CorruptStorageError(str(path), offset, "the length of the record is corrupt")
+    if length > size_bytes - offset - HEADER.size:
+        return None
+    body = file.read(length)
+    actual = zlib.crc32(body)
+    if actual != checksum:
+        reason = f"the checksum of the record is {actual:#x}, expected {checksum:#x}"
+        raise CorruptStorageError(str(path), offset, reason)
+    return FileRecord(path, offset, body)
--- a/wheatstile/store/storage.py
+++ b/wheatstile/store/storage.py
@@ -1,10 +1,10 @@
 """Stores the persistent state of a Raft node in one directory: a log of records and a snapshot.
 
 The file `snapshot` is replaced atomically: the new file is written and synced under another name and renamed,
-then the directory is synced. For each `Ready`, at most one record is appended to the file `log`, with at most
-one fsync. The log is replaced with each snapshot. Its first record contains the format, the owner of the
-directory, and the index and term of the snapshot that precedes the log. The entries of a record replace all
-earlier entries from their first index on.
+then the directory is synced. For each `Ready`, one record is appended to the file `log`, or several if the
+entries are too large for one (`log_records`), with at most one fsync. The log is replaced with each snapshot.
+Its first record contains the format, the owner of the directory, and the index and term of the snapshot that
+precedes the log. The entries of a record replace all earlier entries from their first index on.
 
 A crash during an append leaves an incomplete record, which is truncated when the directory is opened, because
 none of its contents was acknowledged. Any other damage may affect acknowledged entries. The member then
@@ -24,8 +24,10 @@
 import msgspec
 
 from wheatstile.store.errors import CorruptStorageError
+from wheatstile.store.log_records import LogRecord, divide_into_records
 from wheatstile.store.raft.messages import Entry, HardState, Snapshot
 from wheatstile.store.record_file import FileRecord, encode_record, read_records, replace_file
+from wheatstile.store.snapshot_file import read_snapshot, snapshot_records
 
 FORMAT = 1
 LOG_FILE = "log"
@@ -43,13 +45,6 @@
     snapshot_term: int = msgspec.field(default=0, name="term")
 
 
-class LogRecord(msgspec.Struct, frozen=True, array_like=True):
-    """A record of the log after the header, with the hard state and the entries of one `Ready`."""
-
-    hard_state: HardState | None
-    entries: list[Entry]
-
-
 class TermAndVote(NamedTuple):
     """The part of the hard state that must be synced before a message is sent."""
 
@@ -73,7 +68,7 @@
 
 def read_directory(directory: Path) -> DirectoryContents:
     """Read a member's directory without changing it. Raises `CorruptStorageError`, OSError."""
-    contents = DirectoryContents(snapshot=_read_snapshot(directory / SNAPSHOT_FILE))
+    contents = DirectoryContents(snapshot=read_snapshot(directory / SNAPSHOT_FILE))
     log_path = directory / LOG_FILE
     for record in read_records(log_path):
         if contents.header is None:
@@ -87,15 +82,6 @@
     return contents
 
 
-def _read_snapshot(path: Path) -> Snapshot | None:
-    snapshot = None
-    for record in read_records(path):
-        snapshot = record.decode(Snapshot)
-    if snapshot is None and path.exists():
-        raise CorruptStorageError(str(path), 0, "the record is incomplete")
-    return snapshot
-
-
 def _read_header(record: FileRecord) -> LogHeader:
     header = record.decode(LogHeader)
     check_format(record.path, header.format)
@@ -207,10 +193,8 @@
         """
         if hard_state is None and not entries:
             return
-        data = memoryview(encode_record(LogRecord(hard_state, entries)))
-        while data:
-            written_bytes = os.write(self._log, data)
-            data = data[written_bytes:]
+        for record in divide_into_records(hard_state, entries):
+            self._write(encode_record(record))
         term_and_vote = (
             TermAndVote(hard_state.term, hard_state.vote) if hard_state else self._synced_term_and_vote
         )
@@ -220,11 +204,17 @@
             self._fsync(self._log)
         self._synced_term_and_vote = term_and_vote
 
+    def _write(self, data: bytes) -> None:
+        remaining = memoryview(data)
+        while remaining:
+            written_bytes = os.write(self._log, remaining)
+            remaining = remaining[written_bytes:]
+
     def save_snapshot(self, snapshot: Snapshot, hard_state: HardState, entries: list[Entry]) -> None:
         """Replace the snapshot, and then the log with one of `entries`, which follow it. Raises OSError."""
-        self._replace(SNAPSHOT_FILE, [snapshot])
+        self._replace(SNAPSHOT_FILE, snapshot_records(snapshot))
         header = LogHeader(FORMAT, self.cluster, self.name, snapshot.index, snapshot.term)
-        self._replace(LOG_FILE, [header, LogRecord(hard_state, entries)])
+        self._replace(LOG_FILE, [header, *divide_into_records(hard_state, entries)])
         os.close(self._log)
         self._log = os.open(self.directory / LOG_FILE, os.O_WRONLY | os.O_APPEND)
         self._synced_term_and_vote = TermAndVote(hard_state.term, hard_state.vote)
