Store: end a member if the processing of a Ready fails for any reason

What callers saw: nothing so far. Member._flush is a callback of the event loop, which logs an error and goes on, so a member would have continued without the entries that it could not persist or apply, and acknowledged them. Only OSError of the storage ended it.

Cause: RaftNode.ready hands its work out once, so an error loses it.

Change: any error in _process_ready makes Member.run raise it.

Result: the new test in test_member.py ran into its timeout before, and passes.

--- a/tests/store/test_member.py
+++ b/tests/store/test_member.py
@@ -7,6 +7,8 @@
 from contextlib import ExitStack, closing
 from pathlib import Path
 
+import pytest
+
 from wheatstile.store.member import Member
 from wheatstile.store.member_config import MemberConfig
 from wheatstile.store.raft.messages import Message, Role
@@ -77,3 +79,20 @@
                 task.cancel()
 
     asyncio.run(asyncio.wait_for(scenario(), TIMEOUT_S))
+
+
+def test_an_unexpected_error_while_entries_are_applied_ends_the_member(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a member that goes on without the entries that it could not apply."""
+
+    def fail(*_arguments: object) -> None:
+        raise ValueError("the command cannot be applied")
+
+    async def scenario() -> None:
+        with closing(Member(MemberConfig("a", frozenset("a"), tmp_path), fail)) as member:
+            monkeypatch.setattr(member.applied, "apply", fail)
+            await member.run()
+
+    with pytest.raises(ValueError, match="cannot be applied"):
+        asyncio.run(asyncio.wait_for(scenario(), TIMEOUT_S))
--- a/wheatstile/store/member.py
+++ b/wheatstile/store/member.py
@@ -54,8 +54,8 @@
         self.applied = AppliedState(self.node, recovered.snapshot, self._trace)
         self._proposals = ProposalQueue(self.node, self.applied.clock_ms)
         self._reads = PendingReads(self.node, self.schedule_flush)
-        # This future never has a result. If the storage fails, it fails with StorageFailedError.
-        self._storage_failure: asyncio.Future[None] = self._loop.create_future()
+        # This future never has a result. It fails with StorageFailedError or any error that ends the member.
+        self._failure: asyncio.Future[None] = self._loop.create_future()
         self._is_flush_scheduled = False
         self._last_logged_role = Role.FOLLOWER
 
@@ -64,13 +64,17 @@
         self._storage.close()
 
     async def run(self) -> None:
-        """Advance Raft's clock until the storage fails, and then raise `StorageFailedError`."""
-        while not self._storage_failure.done():
+        """Advance Raft's clock until the member fails.
+
+        Raises `StorageFailedError`, and any unexpected error in the processing of a `Ready`: the member must
+        stop then, because the state that it would continue from is incomplete.
+        """
+        while not self._failure.done():
             catch_up(self.node)
             self._propose_due_expiration()
             self.schedule_flush()
-            await asyncio.wait([self._storage_failure], timeout=TICK_S)
-        self._storage_failure.result()
+            await asyncio.wait([self._failure], timeout=TICK_S)
+        self._failure.result()
 
     @property
     def commit_age_ms(self) -> int:
@@ -152,35 +156,40 @@
 
     def schedule_flush(self) -> None:
         """Schedule the processing of Raft's `Ready` in the next iteration of the event loop."""
-        if not self._is_flush_scheduled and not self._storage_failure.done():
+        if not self._is_flush_scheduled and not self._failure.done():
             self._is_flush_scheduled = True
             self._loop.call_soon(self._flush)
 
     def _flush(self) -> None:
-        """Persist one `Ready`, then send its messages and apply its entries. Stop if the storage fails."""
+        """Process one `Ready`. Make `run` raise the error if that fails."""
         self._is_flush_scheduled = False
-        if self._storage_failure.done():
+        if self._failure.done():
             return
+        try:
+            self._process_ready()
+        except Exception as error:
+            self._failure.set_exception(error)
+
+    def _process_ready(self) -> None:
+        """Persist one `Ready`, then send its messages and apply its entries. Raises `StorageFailedError`."""
         self._proposals.propose_due()
         ready = self.node.ready()
         if ready.is_empty():
             return
-        with self._fail_on_storage_error():
+        with self._storage_errors():
             self._persist(ready)
-        if self._storage_failure.done():
-            return
         self._process_persisted(ready)
         if self.applied.index - self.node.log.snapshot.index >= self.config.compact_every:
-            with self._fail_on_storage_error():
+            with self._storage_errors():
                 self._compact()
 
     @contextmanager
-    def _fail_on_storage_error(self) -> Iterator[None]:
-        """Make `run` raise `StorageFailedError` if the `with` block raises OSError."""
+    def _storage_errors(self) -> Iterator[None]:
+        """Raise `StorageFailedError` if the `with` block raises OSError."""
         try:
             yield
         except OSError as error:
-            self._storage_failure.set_exception(StorageFailedError(str(self.config.directory), error))
+            raise StorageFailedError(str(self.config.directory), error) from error
 
     def _persist(self, ready: Ready) -> None:
         if ready.snapshot is None:
