Store: let reads wait for the state itself, not for the index of the Raft log

Change: AppliedState has an index of its own, raised after the installation or the application. Related: the age of a stale read also came from a number that runs ahead (a state that had never been confirmed was called 50 ms old between the arrival of an append and its application), and Member.close left a flush behind that wrote to a closed file.

--- a/wheatstile/store/applied_state.py
+++ b/wheatstile/store/applied_state.py
@@ -26,13 +26,20 @@
         self._trace = trace
         self._leader_clock = LeaderClock()
         self.state_machine = StateMachine.load(snapshot.data if snapshot else b"")
+        self.index = snapshot.index if snapshot else 0
+        """Index of the last entry that the state includes, which is the revision of this member's state.
+
+        It may be lower than the log's `applied_index`, which includes what the node has handed out, and a
+        snapshot that it has yet to hand out.
+        """
+        self._confirmed_at_tick = node.confirmed_at_tick
         self.next_apply = asyncio.Event()
         """Set when the next entry or snapshot has been applied, and then replaced by a new event."""
 
     @property
-    def index(self) -> int:
-        """Index of the last applied entry, which is the revision of this member's state."""
-        return self._node.log.applied_index
+    def age_ticks(self) -> int:
+        """Upper bound, in ticks, on the time by which the state lags behind the leader's commit index."""
+        return self._node.ticks - self._confirmed_at_tick
 
     async def wait_for(self, index: int) -> None:
         """Wait until the entry at `index` is applied."""
@@ -56,6 +63,7 @@
     def install(self, snapshot: Snapshot) -> None:
         """Replace the state with that of a snapshot."""
         self.state_machine = StateMachine.load(snapshot.data)
+        self.index = snapshot.index
         self._trace(f"snapshot {snapshot.index}")
 
     def apply(self, entry: Entry) -> CommandResult:
@@ -66,6 +74,7 @@
             result = self.state_machine.apply(entry.index, command)
         elif self._is_first_entry_as_leader(entry):
             self._leader_clock.start(entry.term, self.state_machine.clock_ms)
+        self.index = entry.index
         self._trace(f"applied {entry.index} {entry.term} {zlib.crc32(entry.data):08x} {int(result.ok)}")
         return result
 
@@ -73,6 +82,10 @@
         is_leader = entry.term == self._node.term and self._node.role is Role.LEADER
         return is_leader and self._leader_clock.term != entry.term
 
+    def on_ready_processed(self) -> None:
+        """Record that the state includes everything up to the node's commit index."""
+        self._confirmed_at_tick = self._node.confirmed_at_tick
+
     def notify_applied(self) -> None:
         """Wake all tasks that wait for `next_apply`."""
         event = self.next_apply
--- a/wheatstile/store/member.py
+++ b/wheatstile/store/member.py
@@ -60,7 +60,8 @@
         self._last_logged_role = Role.FOLLOWER
 
     def close(self) -> None:
-        """Close the files of the directory."""
+        """Close the files of the directory, and process no further `Ready`."""
+        self._failure.cancel()
         self._storage.close()
 
     async def run(self) -> None:
@@ -80,7 +81,7 @@
     def commit_age_ms(self) -> int:
         """Upper bound, in milliseconds, for the age of the state that this member can read locally."""
         catch_up(self.node)
-        return (self.node.commit_age_ticks + 1) * TICK_MS
+        return (self.applied.age_ticks + 1) * TICK_MS
 
     def status(self) -> MemberStatus:
         """Return the member's role, term, log indices, configuration and counters."""
@@ -92,7 +93,7 @@
             leader=self.node.leader or "",
             term=self.node.term,
             commit_index=raft_log.commit_index,
-            applied_index=raft_log.applied_index,
+            applied_index=self.applied.index,
             snapshot_index=raft_log.snapshot.index,
             voters=sorted(configuration.voters),
             learners=sorted(configuration.learners),
@@ -174,11 +175,11 @@
         """Persist one `Ready`, then send its messages and apply its entries. Raises `StorageFailedError`."""
         self._proposals.propose_due()
         ready = self.node.ready()
-        if ready.is_empty():
-            return
-        with self._storage_errors():
-            self._persist(ready)
-        self._process_persisted(ready)
+        if not ready.is_empty():
+            with self._storage_errors():
+                self._persist(ready)
+            self._process_persisted(ready)
+        self.applied.on_ready_processed()
         if self.applied.index - self.node.log.snapshot.index >= self.config.compact_every:
             with self._storage_errors():
                 self._compact()
--- a/wheatstile/store/raft/log.py
+++ b/wheatstile/store/raft/log.py
@@ -25,7 +25,9 @@
     """A snapshot and the contiguous entries from `snapshot.index + 1` on.
 
     `unpersisted_entries` and `unpersisted_snapshot` have not been returned to the caller yet (etcd's unstable
-    log). Raises ValueError if the indices of `entries` are not contiguous.
+    log). `applied_index` is the last index of what was returned to the caller for its state machine, or of an
+    unpersisted snapshot: the caller's state may be older. Raises ValueError if the indices of `entries` are
+    not contiguous.
     """
 
     def __init__(self, snapshot: Snapshot, entries: Iterable[Entry], commit_index: int = 0) -> None:
--- a/wheatstile/store/raft/node.py
+++ b/wheatstile/store/raft/node.py
@@ -104,6 +104,11 @@
         """Upper bound, in ticks, on the time by which the commit index lags behind the leader's."""
         return self.state.commit_age_ticks
 
+    @property
+    def confirmed_at_tick(self) -> int:
+        """The latest tick at which the commit index is known to have been the leader's."""
+        return self.state.confirmed_at_tick
+
     def tick(self) -> None:
         """Advance the clock by one tick, which may start an election or send a heartbeat."""
         self.state.ticks += 1
