Store: limit the bytes of each reply, so that watches and lists fit into frames

Cause: a member put up to 256 events into a reply without a limit in bytes, and encode_frame encoded a frame of any size. The client rejects a frame above 16 MiB; StoreClient.watch took this for a lost connection and requested the same events again, for ever.

Change: a read of events ends with the revision that reaches 1 MiB; encode_frame rejects what its recipient would reject; a watch ends with status 4 and its reason if no member sends a reply that can be decoded.

--- a/tests/store/test_backup.py
+++ b/tests/store/test_backup.py
@@ -6,17 +6,16 @@
 import json
 import resource
 import shutil
-import signal
 import subprocess
 import sys
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Iterator
 from contextlib import closing, suppress
 from pathlib import Path
 
 import pytest
+from member_process import run_with_member
 from process_cluster import ProcessCluster, run_scenario
 from store_cli import run_store_command
-from support.program_process import ProgramProcess
 
 from wheatstile.store.client import StoreClient
 from wheatstile.store.errors import OutcomeUnknownError
@@ -26,24 +25,6 @@
 EXIT_STORAGE_FAILED = 3
 
 
-def run_with_member(
-    directory: Path, cluster: str, use: Callable[[StoreClient], Awaitable[None]], name: str = "a"
-) -> None:
-    """Start one member in the directory, call `use` with a client, and end the member with SIGTERM."""
-    process = ProgramProcess("store", "serve", "--name", name, "--cluster", cluster, "--dir", str(directory))
-
-    async def run(port: int) -> None:
-        with closing(StoreClient({name: port}, 30)) as client:
-            await use(client)
-
-    try:
-        _, _, _, client_port = process.expect("ready").split()
-        asyncio.run(run(int(client_port)))
-    finally:
-        process.signal(signal.SIGTERM)
-        assert process.close() == 0
-
-
 def create_backup(root: Path) -> tuple[Path, int]:
     """Return a backup file with the keys `k/0` to `k/59`, and the revision of the last key.
 
--- a/tests/store/test_framing.py
+++ b/tests/store/test_framing.py
@@ -48,6 +48,32 @@
     assert (caught.value.length_bytes, caught.value.max_bytes) == (102, 100)
 
 
+def test_a_frame_that_the_recipient_would_reject_is_not_encoded() -> None:
+    with pytest.raises(FrameTooLargeError) as caught:
+        encode_frame("x" * 100, max_frame_bytes=100)
+    assert (caught.value.length_bytes, caught.value.max_bytes) == (102, 100)
+
+
+def test_the_idle_timeout_starts_again_with_each_byte_that_arrives(
+    sockets: tuple[socket.socket, socket.socket],
+) -> None:
+    """Guards against a watch that discards a large reply on a slow connection, and requests it again."""
+    sender, receiver = sockets
+    frame = encode_frame("slow")
+
+    async def scenario() -> None:
+        frames = FrameReader(receiver)
+        read = asyncio.create_task(frames.read(str, idle_timeout_s=0.5))
+        for byte in frame:
+            await asyncio.sleep(0.1)
+            sender.send(bytes([byte]))
+        assert await read == "slow"
+        with pytest.raises(TimeoutError):
+            await frames.read(str, idle_timeout_s=0.05)
+
+    asyncio.run(scenario())
+
+
 def test_a_frame_whose_body_has_another_type_is_an_error(
     sockets: tuple[socket.socket, socket.socket],
 ) -> None:
--- a/tests/store/test_store_client.py
+++ b/tests/store/test_store_client.py
@@ -158,6 +158,30 @@
     asyncio.run(scenario())
 
 
+class MalformedMember(ScriptedMember):
+    """Sends a frame that is not a reply."""
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.read(1024)
+        writer.write(encode_frame("no reply"))
+        await reader.read()
+        writer.close()
+
+
+def test_a_watch_fails_if_no_member_sends_replies_that_can_be_decoded() -> None:
+    """Guards against a watch that requests the same events for ever, without an error."""
+
+    async def scenario() -> None:
+        working = ScriptedMember(Reply(events=[Event(5, "k", ChangeKind.PUT, b"")], revision=5))
+        async with serve_members(a=MalformedMember(), b=working, c=MalformedMember()) as client:
+            events = client.watch("k", 4)
+            assert (await anext(events)).revision == 5
+            with pytest.raises(OutcomeUnknownError, match="the reply after revision 5 cannot be decoded"):
+                await anext(events)
+
+    asyncio.run(asyncio.wait_for(scenario(), 10))
+
+
 class MemberThatStopsReplying(ScriptedMember):
     """Replies to the scripted requests of the first connection, and to no later request."""
 
--- a/wheatstile/cli/store_keys.py
+++ b/wheatstile/cli/store_keys.py
@@ -121,7 +121,7 @@
 async def watch(client: StoreClient, pattern: str, after: int | None, as_json: bool) -> ExitStatus:
     """Print every change of the keys that match PATTERN, until interrupted."""
     if after is None:
-        after = (await client.list_matching(pattern)).revision
+        after = await client.current_revision()
     async for event in client.watch(pattern, after):
         _print_event(event, as_json)
     return ExitStatus.OK
--- a/wheatstile/store/client.py
+++ b/wheatstile/store/client.py
@@ -9,7 +9,7 @@
 import itertools
 import uuid
 from collections.abc import AsyncGenerator, AsyncIterator, Iterable, Mapping
-from contextlib import aclosing, suppress
+from contextlib import aclosing
 from dataclasses import dataclass
 
 import msgspec
@@ -45,7 +45,7 @@
 RETRY_DELAY_S = 0.05
 """Delay between an attempt that failed and the attempt with the next member."""
 WATCH_TIMEOUT_S = 3.0
-"""Time without a reply after which a watch tries the next member; a member sends a reply every second."""
+"""Time in which nothing arrives after which a watch tries the next member; a member sends every second."""
 
 RETRYABLE_ERRORS = (ErrorCode.NOT_LEADER, ErrorCode.OUTCOME_UNKNOWN, ErrorCode.STALE)
 CONNECTION_ERRORS = (OSError, TimeoutError, ValueError)
@@ -78,7 +78,7 @@
     def __init__(self, members: Mapping[str, int], timeout_s: float = DEFAULT_TIMEOUT_S) -> None:
         if not members:
             raise ValueError("a store client needs at least one member")
-        self._members = members
+        self.members = members
         self._timeout_s = timeout_s
         self._member_cycle = itertools.cycle(sorted(members))
         self._target = next(self._member_cycle)
@@ -133,6 +133,10 @@
         reply = await self.request(request)
         return Listing(reply.revision, reply.versions)
 
+    async def current_revision(self) -> int:
+        """Return the current revision of the store. The read is linearizable."""
+        return (await self.request(Request(RequestKind.GET))).revision
+
     async def status(self, name: str) -> MemberStatus:
         """Return the status of a member. Raises OSError, TimeoutError, ValueError."""
         async with asyncio.timeout(min(self._timeout_s, MAX_ATTEMPT_S)):
@@ -143,7 +147,7 @@
     async def statuses(self) -> dict[str, MemberStatus | str]:
         """Return the status of each member, or the reason why the member could not be reached."""
         statuses: dict[str, MemberStatus | str] = {}
-        for name in sorted(self._members):
+        for name in sorted(self.members):
             try:
                 statuses[name] = await self.status(name)
             except CONNECTION_ERRORS as error:
@@ -207,18 +211,30 @@
                 raise RequestRejectedError(reply.error, reply.reason)
             last_failure = f"{target}: {reply.error}: {reply.reason}"
             has_error_reply = True
-            if reply.error is ErrorCode.NOT_LEADER and reply.leader in self._members:
+            if reply.error is ErrorCode.NOT_LEADER and reply.leader in self.members:
                 self._target = reply.leader
             else:
                 await self._select_next_member(deadline_s)
         raise OutcomeUnknownError(last_failure)
 
     async def _attempt(self, request: Request, remaining_s: float) -> Reply:
-        """Send a request to the current target, with a timeout of up to `MAX_ATTEMPT_S`."""
+        """Send a request to the current target, and return its reply with the versions of all parts.
+
+        The attempt has a timeout of up to `MAX_ATTEMPT_S`, which starts again with each part.
+        """
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + remaining_s
         timeout_ms = max(1, int(min(remaining_s, MAX_ATTEMPT_S) * 1000))
         bounded_request = msgspec.structs.replace(request, timeout_ms=timeout_ms)
-        async with asyncio.timeout(min(remaining_s, MAX_ATTEMPT_S + ATTEMPT_MARGIN_S)):
-            return await self._connections.request(self._target, bounded_request)
+        target = self._target
+        async with asyncio.timeout(min(remaining_s, MAX_ATTEMPT_S + ATTEMPT_MARGIN_S)) as timeout:
+            reply = await self._connections.request(target, bounded_request)
+            versions: list[KeyVersion] = []
+            while reply.error is ErrorCode.PARTIAL:
+                versions += reply.versions
+                timeout.reschedule(min(deadline_s, loop.time() + MAX_ATTEMPT_S + ATTEMPT_MARGIN_S))
+                reply = await self._connections.receive(target)
+        return msgspec.structs.replace(reply, versions=versions + reply.versions) if versions else reply
 
     async def _select_next_member(self, deadline_s: float) -> None:
         """Select the next member as the target, and wait `RETRY_DELAY_S`, but not beyond the deadline."""
@@ -229,17 +245,27 @@
     async def watch(self, pattern: str, after_revision: int) -> AsyncIterator[Event]:
         """Yield the events of matching keys after a revision, without gaps or duplicates.
 
-        Continue with the next member when a connection is lost. Raises `WatchCompactedError`.
+        Continue with the next member when a connection is lost. Raises `WatchCompactedError`, and
+        `OutcomeUnknownError` if no member sends replies that this client can decode.
         """
         revision = after_revision
+        undecodable_replies = 0
         while True:
             name = next(self._member_cycle)
-            with suppress(*CONNECTION_ERRORS):
+            try:
                 async with aclosing(self._watch_member(name, pattern, revision)) as replies:
                     async for reply in replies:
                         revision = max(revision, reply.revision)
                         for event in reply.events:
+                            undecodable_replies = 0
                             yield event
+            except ValueError as error:  # a protocol error or a decoding error
+                undecodable_replies += 1
+                if undecodable_replies >= len(self.members):
+                    reason = f"{name}: the reply after revision {revision} cannot be decoded: {error}"
+                    raise OutcomeUnknownError(reason) from error
+            except (OSError, TimeoutError):
+                pass
             await asyncio.sleep(RETRY_DELAY_S)
 
     async def _watch_member(self, name: str, pattern: str, revision: int) -> AsyncGenerator[Reply, None]:
@@ -249,14 +275,13 @@
         reply.
         """
         async with asyncio.timeout(WATCH_TIMEOUT_S):
-            sock = await connect(self._members[name])
+            sock = await connect(self.members[name])
         with sock:
             request = Request(RequestKind.WATCH, key=pattern, after_revision=revision)
             await asyncio.get_running_loop().sock_sendall(sock, encode_frame(request))
             frames = FrameReader(sock)
             while True:
-                async with asyncio.timeout(WATCH_TIMEOUT_S):
-                    reply = await frames.read(Reply)
+                reply = await frames.read(Reply, WATCH_TIMEOUT_S)
                 if reply is None:
                     return
                 if reply.error is ErrorCode.WATCH_COMPACTED:
--- a/wheatstile/store/client_connections.py
+++ b/wheatstile/store/client_connections.py
@@ -5,8 +5,9 @@
 import asyncio
 from collections.abc import Mapping
 
-from wheatstile.store.framing import FrameReader, connect, encode_frame
-from wheatstile.store.protocol import Reply, Request
+from wheatstile.store.errors import FrameTooLargeError, RequestRejectedError
+from wheatstile.store.framing import MAX_REQUEST_BYTES, FrameReader, connect, encode_frame
+from wheatstile.store.protocol import ErrorCode, Reply, Request
 
 
 class ClientConnections:
@@ -23,13 +24,15 @@
     async def request(self, name: str, request: Request) -> Reply:
         """Send a request to a member and return its reply.
 
-        Raises OSError, `ProtocolError`, `msgspec.DecodeError`.
+        Raises OSError, `ProtocolError`, `msgspec.DecodeError`, and `RequestRejectedError` if the request is
+        larger than a member accepts.
         """
+        frame = _encode_request(request)
         if name not in self._readers:
             self._readers[name] = FrameReader(await connect(self._members[name]))
         try:
             sock = self._readers[name].sock
-            await asyncio.get_running_loop().sock_sendall(sock, encode_frame(request))
+            await asyncio.get_running_loop().sock_sendall(sock, frame)
         except BaseException:
             self.discard(name)
             raise
@@ -55,3 +58,11 @@
         """Close all connections."""
         for name in list(self._readers):
             self.discard(name)
+
+
+def _encode_request(request: Request) -> bytes:
+    try:
+        return encode_frame(request, MAX_REQUEST_BYTES)
+    except FrameTooLargeError as error:
+        reason = f"request of {error.length_bytes} bytes; the limit is {error.max_bytes} bytes"
+        raise RequestRejectedError(ErrorCode.INVALID, reason) from error
--- a/wheatstile/store/client_service.py
+++ b/wheatstile/store/client_service.py
@@ -17,13 +17,14 @@
 from wheatstile.store.framing import MAX_REQUEST_BYTES, FrameReader, encode_frame
 from wheatstile.store.member import Member
 from wheatstile.store.protocol import LINEARIZABLE, ErrorCode, KeyVersion, Reply, Request, RequestKind
+from wheatstile.store.reply_parts import divide_reply
 from wheatstile.store.state_machine import Version
 from wheatstile.store.watch_stream import WatchStream
 
 MAX_CLIENTS = 1024
 """Maximum number of concurrent client connections. Further connections are closed."""
 MAX_LISTED_KEYS = 10_000
-"""Maximum number of keys in one reply."""
+"""Maximum number of keys in the result of one read."""
 MAX_REQUEST_TIMEOUT_MS = 60_000
 BACKUP_CHUNK_BYTES = 1 << 20
 SEND_TIMEOUT_S = 5.0
@@ -65,7 +66,8 @@
             if request.kind is RequestKind.BACKUP and reply.error is ErrorCode.NONE:
                 await self._send_backup(sock)
             else:
-                await send_reply(sock, reply)
+                for part in divide_reply(reply):
+                    await send_reply(sock, part)
 
     async def _reply_to(self, request: Request) -> Reply:
         """Process a request within its timeout, and return the result or the error as a reply."""
--- a/wheatstile/store/errors.py
+++ b/wheatstile/store/errors.py
@@ -103,7 +103,7 @@
 
 
 class FrameTooLargeError(ProtocolError):
-    """The length prefix of a frame exceeds the receiver's limit."""
+    """The body of a frame exceeds the receiver's limit. It is neither sent nor accepted."""
 
     def __init__(self, length_bytes: int, max_bytes: int) -> None:
         super().__init__(f"frame of {length_bytes} bytes; the limit is {max_bytes} bytes")
--- a/wheatstile/store/event_history.py
+++ b/wheatstile/store/event_history.py
@@ -14,6 +14,8 @@
 MAX_EVENTS = 10_000
 """Maximum number of stored events. A watch that requires older events is rejected."""
 MAX_EVENTS_PER_READ = 256
+MAX_EVENT_BYTES_PER_READ = 1 << 20
+"""Maximum bytes of keys and values in one read; the revision that reaches this size is still included."""
 
 
 class ChangeKind(enum.StrEnum):
@@ -33,6 +35,11 @@
     change: ChangeKind
     value: bytes
 
+    @property
+    def size_bytes(self) -> int:
+        """Bytes of the key and the value."""
+        return len(self.key.encode()) + len(self.value)
+
 
 class EventHistory:
     """The last `MAX_EVENTS` events; `compacted_revision` is the revision of the latest discarded event."""
@@ -48,17 +55,22 @@
             self.compacted_revision = self.events.popleft().revision
 
     def after(self, revision: int, limit: int = MAX_EVENTS_PER_READ) -> list[Event]:
-        """Return at most `limit` events after `revision`, plus the remaining events of the last revision.
+        """Return the next events after `revision`, up to a limit of their number and their bytes.
 
-        Raises `WatchCompactedError` if events after `revision` were discarded.
+        The revision that reaches `limit` or `MAX_EVENT_BYTES_PER_READ` is the last one, and complete. One
+        revision has at most the values of one request and `MAX_EVENTS` keys. Raises `WatchCompactedError` if
+        events after `revision` were discarded.
         """
         if revision < self.compacted_revision:
             raise WatchCompactedError(self.compacted_revision)
         start = bisect_right(self.events, revision, key=lambda event: event.revision)
         found: list[Event] = []
+        found_bytes = 0
         for position in range(start, len(self.events)):
             event = self.events[position]
-            if len(found) >= limit and event.revision != found[-1].revision:
+            is_full = len(found) >= limit or found_bytes >= MAX_EVENT_BYTES_PER_READ
+            if is_full and event.revision != found[-1].revision:
                 break
             found.append(event)
+            found_bytes += event.size_bytes
         return found
--- a/wheatstile/store/framing.py
+++ b/wheatstile/store/framing.py
@@ -23,9 +23,11 @@
 """Maximum number of bytes in one read from a socket."""
 
 
-def encode_frame(value: object) -> bytes:
-    """Return `value` as one frame."""
+def encode_frame(value: object, max_frame_bytes: int = MAX_FRAME_BYTES) -> bytes:
+    """Return `value` as one frame. Raises `FrameTooLargeError` if its recipient would reject it."""
     body = msgspec.msgpack.encode(value)
+    if len(body) > max_frame_bytes:
+        raise FrameTooLargeError(len(body), max_frame_bytes)
     return LENGTH_PREFIX.pack(len(body)) + body
 
 
@@ -38,16 +40,18 @@
         self._buffer = bytearray()
         self._loop = asyncio.get_running_loop()
 
-    async def read(self, value_type: type[Decoded]) -> Decoded | None:
+    async def read(self, value_type: type[Decoded], idle_timeout_s: float | None = None) -> Decoded | None:
         """Return the body of the next frame, decoded as `value_type`, or None at the end of the stream.
 
-        Raises `FrameTooLargeError`, OSError, and `msgspec.DecodeError` if the body has another type.
+        Raises `FrameTooLargeError`, OSError, `msgspec.DecodeError` if the body has another type, and
+        TimeoutError after `idle_timeout_s` in which nothing arrives.
         """
         while True:
             body = self._take_body()
             if body is not None:
                 return msgspec.msgpack.decode(body, type=value_type)
-            data = await self._loop.sock_recv(self.sock, RECEIVE_BYTES)
+            async with asyncio.timeout(idle_timeout_s):
+                data = await self._loop.sock_recv(self.sock, RECEIVE_BYTES)
             if not data:
                 return None
             self._buffer += data
--- a/wheatstile/store/protocol.py
+++ b/wheatstile/store/protocol.py
@@ -1,10 +1,10 @@
 """Defines the messages on the store's connections. Each is a MessagePack map in a frame (`framing`).
 
 A connection between members is used in one direction: the sender sends a `PeerHandshake` and then
-`raft.messages.Message`s. A client sends `Request`s and receives one `Reply` for each, in order. There are two
-exceptions: a watch receives replies until either side closes the connection, and a backup receives replies
-until no bytes remain. If a key on the wire differs from the name of the field, `msgspec.field(name=...)`
-defines the key.
+`raft.messages.Message`s. A client sends `Request`s and receives one `Reply` for each, in order. There are
+three exceptions: a watch receives replies until either side closes the connection, a backup receives replies
+until no bytes remain, and a read with a large result receives replies with `ErrorCode.PARTIAL` before the
+last one. If a key on the wire differs from the name of the field, `msgspec.field(name=...)` defines the key.
 """
 
 from __future__ import annotations
@@ -45,6 +45,7 @@
     REJECTED = "refused"  # the membership change or the leadership transfer is not possible now
     STALE = "stale"  # this member's state may be older than the read allows
     WATCH_COMPACTED = "behind"  # events that the watch requires were discarded
+    PARTIAL = "partial"  # not an error: the reply has the first versions, and further replies follow
     INVALID = "bad"  # the request is malformed or violates a limit
 
 
