--- a/tests/store/test_large_results.py
+++ b/tests/store/test_large_results.py
@@ -10,7 +10,7 @@
 from store_cli import run_store_command
 
 from wheatstile.store.client import StoreClient
-from wheatstile.store.commands import MAX_VALUE_BYTES, Operation, OperationKind
+from wheatstile.store.commands import MAX_TTL_MS, MAX_VALUE_BYTES, Operation, OperationKind
 from wheatstile.store.errors import RequestRejectedError
 from wheatstile.store.framing import MAX_FRAME_BYTES, MAX_REQUEST_BYTES
 
@@ -59,7 +59,7 @@
     run_with_member(tmp_path, "wheatstile", use)
 
 
-def test_a_write_that_is_larger_than_a_request_is_rejected_with_its_reason(tmp_path: Path) -> None:
+def test_a_write_above_a_limit_is_rejected_with_its_reason(tmp_path: Path) -> None:
     """Guards against an unknown outcome of a write that no member accepts."""
 
     async def use(client: StoreClient) -> None:
@@ -72,5 +72,8 @@
         assert (await client.write(operations[1:])).ok
         with pytest.raises(RequestRejectedError, match=f"the limit is {MAX_VALUE_BYTES} bytes"):
             await client.put("k", bytes(MAX_VALUE_BYTES + 1))
+        for ttl_ms, reason in ((MAX_TTL_MS + 1, "ttl of"), (2**64, "exceeds 64 bits")):
+            with pytest.raises(RequestRejectedError, match=reason):
+                await client.put("k", b"", ttl_ms=ttl_ms)
 
     run_with_member(tmp_path, "wheatstile", use)
--- a/tests/store/test_state_machine.py
+++ b/tests/store/test_state_machine.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from wheatstile.store.commands import Command, Operation, OperationKind, Precondition
+from wheatstile.store.commands import MAX_TTL_MS, Command, Operation, OperationKind, Precondition
 from wheatstile.store.event_history import ChangeKind, Event
 from wheatstile.store.state_machine import StateMachine
 
@@ -113,3 +113,9 @@
     machine.apply(6, Command(clock_ms=1199))
     assert machine.get("k") is None
     assert machine.events.after(5) == [Event(6, "k", ChangeKind.EXPIRE, b"")]
+
+
+def test_a_very_long_time_to_live_fits_into_a_snapshot(machine: StateMachine) -> None:
+    """Guards against a command in a log of an earlier version that makes each later snapshot fail."""
+    machine.apply(1, Command([Operation(PUT, "k", b"1", ttl_ms=2**64 - 1)], clock_ms=1))
+    assert StateMachine.load(machine.dump()).next_expiration_ms() == 1 + MAX_TTL_MS
--- a/tests/store/test_store_commands.py
+++ b/tests/store/test_store_commands.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from wheatstile.store.commands import Command, Operation, OperationKind, Precondition, validate
+from wheatstile.store.commands import MAX_TTL_MS, Command, Operation, OperationKind, Precondition, validate
 from wheatstile.store.errors import InvalidCommandError
 
 PUT = OperationKind.PUT
@@ -18,6 +18,7 @@
         (Command([Operation(PUT, "k", bytes(2 << 20))]), "k: value of"),
         (Command([Operation(PUT, "k"), Operation(DELETE, "k")]), "twice"),
         (Command([Operation(PUT, "k", ttl_ms=-1)]), "ttl"),
+        (Command([Operation(PUT, "k", ttl_ms=MAX_TTL_MS + 1)]), "ttl"),
         (Command(preconditions=[Precondition("k", 0)] * 65), "65 operations"),
     ],
 )
--- a/wheatstile/store/client_connections.py
+++ b/wheatstile/store/client_connections.py
@@ -25,7 +25,7 @@
         """Send a request to a member and return its reply.
 
         Raises OSError, `ProtocolError`, `msgspec.DecodeError`, and `RequestRejectedError` if the request is
-        larger than a member accepts.
+        larger than a member accepts or cannot be encoded.
         """
         frame = _encode_request(request)
         if name not in self._readers:
@@ -66,3 +66,5 @@
     except FrameTooLargeError as error:
         reason = f"request of {error.length_bytes} bytes; the limit is {error.max_bytes} bytes"
         raise RequestRejectedError(ErrorCode.INVALID, reason) from error
+    except OverflowError as error:
+        raise RequestRejectedError(ErrorCode.INVALID, "a number in the request exceeds 64 bits") from error
--- a/wheatstile/store/commands.py
+++ b/wheatstile/store/commands.py
@@ -12,6 +12,8 @@
 MAX_VALUE_BYTES = 1 << 20
 MAX_COMMAND_CLAUSES = 64
 """Maximum number of operations and preconditions in one command."""
+MAX_TTL_MS = 100 * 365 * 24 * 3600 * 1000
+"""Maximum time to live: 100 years. The time when a key expires has to fit into 64 bits in a snapshot."""
 
 ANY_REVISION = -1
 """Expected revision of a key that may be at any revision, or absent."""
@@ -100,5 +102,7 @@
         raise InvalidCommandError(
             f"{operation.key}: value of {value_bytes} bytes; the limit is {MAX_VALUE_BYTES} bytes"
         )
-    if operation.ttl_ms < 0:
-        raise InvalidCommandError(f"{operation.key}: ttl of {operation.ttl_ms} ms is negative")
+    if not 0 <= operation.ttl_ms <= MAX_TTL_MS:
+        raise InvalidCommandError(
+            f"{operation.key}: ttl of {operation.ttl_ms} ms; it must be 0 to {MAX_TTL_MS} ms"
+        )
--- a/wheatstile/store/state_machine.py
+++ b/wheatstile/store/state_machine.py
@@ -17,6 +17,7 @@
 from wheatstile.store.commands import (
     ABSENT_REVISION,
     ANY_REVISION,
+    MAX_TTL_MS,
     Command,
     CommandResult,
     Operation,
@@ -169,7 +170,9 @@
 
     def _execute_operation(self, index: int, operation: Operation) -> None:
         if operation.kind is OperationKind.PUT:
-            expires_at_ms = self.clock_ms + operation.ttl_ms if operation.ttl_ms else 0
+            # Logs of earlier versions may contain a longer time to live.
+            ttl_ms = min(operation.ttl_ms, MAX_TTL_MS)
+            expires_at_ms = self.clock_ms + ttl_ms if ttl_ms else 0
             version = Version(index, ChangeKind.PUT, operation.value, self.clock_ms, expires_at_ms)
             self._add_version(operation.key, version)
         elif operation.key in self.keys:
