Store: count configurations in the size of an append

What callers saw: nothing so far. An append is limited to 1 MiB of data, but the members in a configuration did not count, so that several changes with very many or very long names would exceed a frame, which the recipient rejects each time.

Cause: RaftLog.batch_from added up the data of entries only.

Change: batches are limited by an upper bound for the encoded entries, which the records of the log use as well.

--- a/tests/store/test_raft_log.py
+++ b/tests/store/test_raft_log.py
@@ -5,8 +5,9 @@
 import pytest
 from raft_nodes import make_node
 
+from wheatstile.store.framing import MAX_REQUEST_BYTES, encode_frame
 from wheatstile.store.raft.log import MAX_BATCH_BYTES, MAX_BATCH_ENTRIES, RaftLog
-from wheatstile.store.raft.messages import Configuration, Entry, EntryKind, Snapshot
+from wheatstile.store.raft.messages import Configuration, Entry, EntryKind, Message, MessageKind, Snapshot
 
 
 def test_a_log_with_a_gap_is_rejected() -> None:
@@ -44,6 +45,15 @@
     assert len(make_log(9, bytes(MAX_BATCH_BYTES // 2)).batch_from(3)) == 2
 
 
+def test_a_batch_of_large_configurations_fits_into_a_frame() -> None:
+    """Guards against an append that the recipient rejects each time it is sent."""
+    learners = frozenset(f"{number}{'x' * 100_000}" for number in range(MAX_REQUEST_BYTES // 100_010))
+    configuration = Configuration(frozenset("a"), learners=learners)
+    entries = [Entry(1, index, EntryKind.CONFIGURATION, b"", configuration) for index in range(1, 9)]
+    log = RaftLog(Snapshot(0, 0, configuration, b""), entries)
+    encode_frame(Message(MessageKind.APPEND, "a", "b", 1, entries=log.batch_from(1)))  # may raise an error
+
+
 @pytest.mark.parametrize(("term", "remaining"), [(1, [4, 5]), (2, [])])
 def test_an_installed_snapshot_keeps_later_entries_only_if_the_log_matches_it(
     term: int, remaining: list[int]
--- a/wheatstile/store/log_records.py
+++ b/wheatstile/store/log_records.py
@@ -10,8 +10,6 @@
 
 MAX_ENTRIES_BYTES = 16 * 1024 * 1024
 """Maximum size of the entries in one record. An entry that is larger has a record of its own."""
-ENTRY_OVERHEAD_BYTES = 64
-"""Upper bound for the encoded size of an entry without its data and its configuration."""
 
 
 class LogRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -30,7 +28,7 @@
     batch: list[Entry] = []
     batch_bytes = 0
     for entry in entries:
-        entry_bytes = _max_encoded_bytes(entry)
+        entry_bytes = entry.max_encoded_bytes
         if batch and batch_bytes + entry_bytes > MAX_ENTRIES_BYTES:
             yield LogRecord(None, batch)
             batch = []
@@ -38,9 +36,3 @@
         batch.append(entry)
         batch_bytes += entry_bytes
     yield LogRecord(hard_state, batch)
-
-
-def _max_encoded_bytes(entry: Entry) -> int:
-    """Return an upper bound for the encoded size of an entry."""
-    configuration_bytes = len(msgspec.msgpack.encode(entry.configuration)) if entry.configuration else 0
-    return ENTRY_OVERHEAD_BYTES + len(entry.data) + configuration_bytes
--- a/wheatstile/store/raft/log.py
+++ b/wheatstile/store/raft/log.py
@@ -10,7 +10,7 @@
 MAX_BATCH_ENTRIES = 256
 """Maximum number of entries in one append message."""
 MAX_BATCH_BYTES = 1 << 20
-"""Maximum bytes of data in one append message; the entry that reaches this size is still included."""
+"""Maximum bytes of entries in one append message; the entry that reaches this size is still included."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,7 +95,7 @@
         entries = self.entries[start : start + MAX_BATCH_ENTRIES]
         size_bytes = 0
         for count, entry in enumerate(entries, 1):
-            size_bytes += len(entry.data)
+            size_bytes += entry.max_encoded_bytes
             if size_bytes >= MAX_BATCH_BYTES:
                 return tuple(entries[:count])
         return tuple(entries)
--- a/wheatstile/store/raft/messages.py
+++ b/wheatstile/store/raft/messages.py
@@ -12,6 +12,9 @@
 
 import msgspec
 
+ENTRY_OVERHEAD_BYTES = 64
+"""Upper bound for the encoded size of an entry without its data and its configuration."""
+
 
 class Role(enum.StrEnum):
     """The role of a node in its term (§3.3, §9.6)."""
@@ -92,6 +95,12 @@
     data: bytes = b""
     configuration: Configuration | None = msgspec.field(default=None, name="config")
 
+    @property
+    def max_encoded_bytes(self) -> int:
+        """Upper bound for the encoded size."""
+        configuration_bytes = len(msgspec.msgpack.encode(self.configuration)) if self.configuration else 0
+        return ENTRY_OVERHEAD_BYTES + len(self.data) + configuration_bytes
+
 
 class Snapshot(msgspec.Struct, frozen=True):
     """The state after the entry at `index` with `term` was applied, and the configuration at that index."""
