--- a/wheatstile/store/client.py
+++ b/wheatstile/store/client.py
@@ -8,8 +8,7 @@
 import asyncio
 import itertools
 import uuid
-from collections.abc import AsyncGenerator, AsyncIterator, Iterable, Mapping
-from contextlib import aclosing
+from collections.abc import AsyncIterator, Iterable, Mapping
 from dataclasses import dataclass
 
 import msgspec
@@ -23,9 +22,8 @@
     OperationKind,
     Precondition,
 )
-from wheatstile.store.errors import OutcomeUnknownError, RequestRejectedError, WatchCompactedError
+from wheatstile.store.errors import OutcomeUnknownError, RequestRejectedError
 from wheatstile.store.event_history import Event
-from wheatstile.store.framing import FrameReader, connect, encode_frame
 from wheatstile.store.protocol import (
     LINEARIZABLE,
     ErrorCode,
@@ -36,6 +34,7 @@
     RequestKind,
 )
 from wheatstile.store.raft.messages import Role
+from wheatstile.store.watch_client import watch_events
 
 DEFAULT_TIMEOUT_S = 5.0
 MAX_ATTEMPT_S = 2.0
@@ -44,8 +43,6 @@
 """Time added to the timeout of an attempt, so that the reply of the member can arrive."""
 RETRY_DELAY_S = 0.05
 """Delay between an attempt that failed and the attempt with the next member."""
-WATCH_TIMEOUT_S = 3.0
-"""Time in which nothing arrives after which a watch tries the next member; a member sends every second."""
 
 RETRYABLE_ERRORS = (ErrorCode.NOT_LEADER, ErrorCode.OUTCOME_UNKNOWN, ErrorCode.STALE)
 CONNECTION_ERRORS = (OSError, TimeoutError, ValueError)
@@ -242,48 +239,10 @@
         remaining_s = deadline_s - asyncio.get_running_loop().time()
         await asyncio.sleep(min(RETRY_DELAY_S, max(0.0, remaining_s)))
 
-    async def watch(self, pattern: str, after_revision: int) -> AsyncIterator[Event]:
+    def watch(self, pattern: str, after_revision: int) -> AsyncIterator[Event]:
         """Yield the events of matching keys after a revision, without gaps or duplicates.
 
         Continue with the next member when a connection is lost. Raises `WatchCompactedError`, and
         `OutcomeUnknownError` if no member sends replies that this client can decode.
         """
-        revision = after_revision
-        undecodable_replies = 0
-        while True:
-            name = next(self._member_cycle)
-            try:
-                async with aclosing(self._watch_member(name, pattern, revision)) as replies:
-                    async for reply in replies:
-                        revision = max(revision, reply.revision)
-                        for event in reply.events:
-                            undecodable_replies = 0
-                            yield event
-            except ValueError as error:  # a protocol error or a decoding error
-                undecodable_replies += 1
-                if undecodable_replies >= len(self.members):
-                    reason = f"{name}: the reply after revision {revision} cannot be decoded: {error}"
-                    raise OutcomeUnknownError(reason) from error
-            except (OSError, TimeoutError):
-                pass
-            await asyncio.sleep(RETRY_DELAY_S)
-
-    async def _watch_member(self, name: str, pattern: str, revision: int) -> AsyncGenerator[Reply, None]:
-        """Yield one member's replies to a watch until the connection ends.
-
-        Raises `WatchCompactedError`, OSError, ValueError, and TimeoutError after `WATCH_TIMEOUT_S` without a
-        reply.
-        """
-        async with asyncio.timeout(WATCH_TIMEOUT_S):
-            sock = await connect(self.members[name])
-        with sock:
-            request = Request(RequestKind.WATCH, key=pattern, after_revision=revision)
-            await asyncio.get_running_loop().sock_sendall(sock, encode_frame(request))
-            frames = FrameReader(sock)
-            while True:
-                reply = await frames.read(Reply, WATCH_TIMEOUT_S)
-                if reply is None:
-                    return
-                if reply.error is ErrorCode.WATCH_COMPACTED:
-                    raise WatchCompactedError(reply.revision)
-                yield reply
+        return watch_events(self.members, self._member_cycle, pattern, after_revision)
