--- a/tests/store/test_storage.py
+++ b/tests/store/test_storage.py
@@ -9,6 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from wheatstile.store import log_records
 from wheatstile.store.errors import CorruptStorageError
 from wheatstile.store.raft.messages import Configuration, Entry, EntryKind, HardState, Snapshot
 from wheatstile.store.storage import LOG_FILE, DirectoryContents, Storage
@@ -83,6 +84,31 @@
         assert recover(directory).torn_bytes == 0, "the incomplete record was not truncated"
 
 
+@settings(max_examples=60, deadline=None)
+@given(st.data())
+def test_a_crash_during_an_append_of_several_records_commits_no_replaced_entry(data: st.DataObject) -> None:
+    """The hard state follows the entries, because its commit index includes entries that replace others."""
+    with tempfile.TemporaryDirectory() as name, pytest.MonkeyPatch.context() as patch:
+        patch.setattr(log_records, "MAX_ENTRIES_BYTES", 1)  # a record for each entry
+        directory = Path(name)
+        [before_bytes, after_bytes] = append_records(
+            directory,
+            (HardState(1, "a", 3), make_entries(1, 6, term=1)),
+            (HardState(2, None, 6), make_entries(4, 4, term=2)),
+        )
+        log = (directory / LOG_FILE).read_bytes()
+        assert len(log) == after_bytes
+        written_bytes = data.draw(st.integers(before_bytes, after_bytes), label="bytes written")
+        (directory / LOG_FILE).write_bytes(log[:written_bytes])
+        recovered = recover(directory)
+        assert recovered.hard_state == HardState(
+            *((2, None, 6) if written_bytes == after_bytes else (1, "a", 3))
+        )
+        assert [entry.index for entry in recovered.entries] == list(range(1, len(recovered.entries) + 1))
+        committed = recovered.entries[: recovered.hard_state.commit]
+        assert [entry.term for entry in committed] == [1, 1, 1, 2, 2, 2][: recovered.hard_state.commit]
+
+
 @settings(max_examples=60, deadline=None)
 @given(st.data())
 def test_a_flipped_bit_is_always_detected(data: st.DataObject) -> None:
