--- a/tests/resolvers/test_last_known_good.py
+++ b/tests/resolvers/test_last_known_good.py
@@ -1,14 +1,17 @@
 """Tests that copies stored by an older version can be read, and that the stored format is unchanged."""
 
+from dataclasses import replace
 from pathlib import Path
 
 import msgspec
+import pytest
 
 from wheatstile import interface as api
 from wheatstile.config.endpoints import ResolvedEndpoint
+from wheatstile.config.networks import Networks
 from wheatstile.config.operator import Servers
 from wheatstile.resolvers import last_known_good
-from wheatstile.resolvers.endpoint_file import EndpointFile, EndpointFileRules
+from wheatstile.resolvers.endpoint_file import EndpointFile, EndpointFileRules, parse_endpoint_file
 
 FORMAT_1 = Path(__file__).parent / "format-1"
 RULES = EndpointFileRules.from_settings(Servers(file="servers.json"))
@@ -57,3 +60,21 @@
     assert set(saved["document"]) == {"servers", "sites", "generation"}
     for row in saved["document"]["servers"]:
         assert set(row) == {"id", "address", "site", "weight", "state", "started"}
+
+
+@pytest.mark.parametrize("weight", ["", ',"weight":1e15', ',"weight":1e-5'])
+def test_copy_of_the_largest_file_with_short_rows_is_restored(tmp_path: Path, weight: str) -> None:
+    """Guards against a restart without servers because the stored copy is larger than its limit."""
+    rows = [
+        f'{{"id":"{number:x}","address":"10.0.{number >> 8}.{number & 255}:1"{weight}}}'
+        for number in range(9999)
+    ]
+    document = f'{{"servers":[{",".join(rows)}]}}'.encode()
+    rules = replace(RULES, max_bytes=len(document), max_servers=len(rows), networks=Networks(["10.0.0.0/8"]))
+    accepted = parse_endpoint_file("servers.json", document, rules)
+    last_known_good.save(tmp_path, accepted, SAVED_AT_MS)
+
+    restored = last_known_good.restore(tmp_path, rules)
+
+    assert restored
+    assert restored.endpoint_file.servers == accepted.servers
--- a/wheatstile/resolvers/last_known_good.py
+++ b/wheatstile/resolvers/last_known_good.py
@@ -21,8 +21,9 @@
 FILE_NAME = "servers-last-good.json"
 FORMAT_VERSION = 1
 MAX_ENVELOPE_BYTES = 4096  # maximum size of the stored copy without its servers
-# A server is stored with all its keys, so it may take more bytes than in the endpoint file.
-MAX_SERVER_GROWTH_FACTOR = 2
+# A server is stored with all its keys and with numbers in another notation than in the endpoint file.
+MAX_SERVER_GROWTH_BYTES = 96  # upper bound for the bytes that this adds to one server
+MIN_GROWTH_FACTOR = 2  # a copy of up to this multiple of the limit of the file has always been read
 
 STATE_VALUES = {state: value for value, state in ENDPOINT_STATES.items()}
 
@@ -100,7 +101,7 @@
     path = directory / FILE_NAME
     if not path.exists():
         return None
-    max_bytes = MAX_SERVER_GROWTH_FACTOR * rules.max_bytes + MAX_ENVELOPE_BYTES
+    max_bytes = _max_copy_bytes(rules)
     _, value = load_json(str(path), read_regular_file(path, max_bytes), max_bytes)
     if not _is_intact(value):
         reason = "does not match the content of the file, or the format is unknown"
@@ -111,6 +112,13 @@
     return LastKnownGood(replace(parsed, digest=stored.digest), stored.taken_at_ms)
 
 
+def _max_copy_bytes(rules: EndpointFileRules) -> int:
+    """Return the maximum size of a copy, which includes the copy of any file that the rules allow."""
+    growth_bytes = rules.max_servers * MAX_SERVER_GROWTH_BYTES
+    copy_bytes = max(rules.max_bytes + growth_bytes, MIN_GROWTH_FACTOR * rules.max_bytes)
+    return copy_bytes + MAX_ENVELOPE_BYTES
+
+
 def _is_intact(value: JsonValue) -> bool:
     """Return whether the value is a stored copy of the known format with a valid seal."""
     if not isinstance(value, dict):
