Endpoint files: check a file with its seal before `servers seal` replaces it

What callers saw: `servers seal` of a compact file near its size limit ended with status 0 and left a file that the balancers reject as too large, because the sealed form has one line for each server and the seal.

Cause: seal checked the file that it read and not the one that it wrote, as publish does.

Change: the sealed document is checked, and the file is left as it was if it breaks a rule.

Result: the new test failed on the text before (status 0) and passes.

--- a/tests/cli/test_servers_command.py
+++ b/tests/cli/test_servers_command.py
@@ -50,6 +50,19 @@
     assert run_command("servers", "accept", "new.json").status == 0
 
 
+def test_seal_leaves_a_file_that_would_be_too_large_with_its_seal() -> None:
+    """Guards against a sealed file that no balancer accepts."""
+    unsealed = Path("few.json").read_bytes()
+    section = {"file": "live.json", "most_bytes": len(unsealed)}
+    Path("op.json").write_text(json.dumps({"servers": section}))
+
+    result = run_command("servers", "seal", "few.json", "--file", "op.json")
+
+    assert result.status == 1
+    assert f"larger than the limit of {len(unsealed)} bytes" in result.errors
+    assert Path("few.json").read_bytes() == unsealed
+
+
 def test_explain_prints_the_active_source_and_the_reason() -> None:
     member = {"id": "link-1", "host_port": "127.0.0.1:9001", "locality": "home", "phase": "draining"}
     answer = {"revision": 1, "complete": True, "members": [member]}
--- a/wheatstile/cli/servers.py
+++ b/wheatstile/cli/servers.py
@@ -98,8 +98,11 @@
 @operator_file_option
 def seal(file: str, operator_file: str | None) -> ExitStatus:
     """Seal FILE in place, so that a damaged copy can be detected."""
-    value = read_without_seal(file, _rules(operator_file))
-    write_file(Path(file), sealed_document(value))
+    rules = _rules(operator_file)
+    value = read_without_seal(file, rules)
+    data = sealed_document(value)
+    parse_endpoint_file(file, data, rules)
+    write_file(Path(file), data)
     click.echo(f"{file}: sealed, {digest_of(value)}")
     return ExitStatus.OK
 
