Store: reject a duration that is not finite as a usage error

Cause: click's FloatRange without an upper limit accepts infinity, which has no integer number of milliseconds.

--- a/tests/store/test_large_results.py
+++ b/tests/store/test_large_results.py
@@ -16,6 +16,7 @@
 
 KEY_COUNT = MAX_FRAME_BYTES // MAX_VALUE_BYTES + 1
 TIMEOUT_S = 20
+EXIT_USAGE = 2
 
 
 async def write_values(client: StoreClient) -> list[int]:
@@ -59,6 +60,14 @@
     run_with_member(tmp_path, "wheatstile", use)
 
 
+@pytest.mark.parametrize("command", [("put", "k", "v", "--ttl"), ("get", "k", "--stale")])
+def test_a_duration_that_is_not_finite_is_rejected(command: tuple[str, ...]) -> None:
+    """Guards against a traceback of the command."""
+    completed = run_store_command(*command, "inf", "--member=a=1")
+    assert completed.returncode == EXIT_USAGE
+    assert "inf is not in the range" in completed.stderr
+
+
 def test_a_write_above_a_limit_is_rejected_with_its_reason(tmp_path: Path) -> None:
     """Guards against an unknown outcome of a write that no member accepts."""
 
--- a/wheatstile/cli/store_keys.py
+++ b/wheatstile/cli/store_keys.py
@@ -11,12 +11,13 @@
 from wheatstile.cli.output import TableStyle, print_json, print_table
 from wheatstile.cli.store_client import client_command
 from wheatstile.store.client import StoreClient
-from wheatstile.store.commands import ANY_REVISION
+from wheatstile.store.commands import ANY_REVISION, MAX_TTL_MS
 from wheatstile.store.event_history import Event
 from wheatstile.store.protocol import LINEARIZABLE, KeyVersion, Request, RequestKind
 
 WILDCARDS = frozenset("*>")
 STANDARD_INPUT = "-"
+MAX_DURATION_S = MAX_TTL_MS // 1000
 
 
 class VersionRow(msgspec.Struct):
@@ -44,7 +45,10 @@
 @click.command()
 @click.argument("key")
 @click.option(
-    "--stale", "staleness_s", type=click.FloatRange(0), help="Maximum staleness of the answer in seconds."
+    "--stale",
+    "staleness_s",
+    type=click.FloatRange(0, MAX_DURATION_S),
+    help="Maximum staleness of the answer in seconds.",
 )
 @click.option("--history", is_flag=True, help="Print all versions that the store retains.")
 @json_option
@@ -88,7 +92,11 @@
     help="Set KEY only if this is its current revision; 0 requires that KEY does not exist.",
 )
 @click.option(
-    "--ttl", "ttl_s", type=click.FloatRange(0), default=0.0, help="Time to live in seconds; 0 for no limit."
+    "--ttl",
+    "ttl_s",
+    type=click.FloatRange(0, MAX_DURATION_S),
+    default=0.0,
+    help="Time to live in seconds; 0 for no limit.",
 )
 @client_command
 async def put(client: StoreClient, key: str, value: str, revision: int, ttl_s: float) -> ExitStatus:
