--- a/tests/store/test_large_state.py
+++ b/tests/store/test_large_state.py
@@ -9,13 +9,13 @@
 import msgspec
 import pytest
 
-from wheatstile.store.backup import read_backup, restore_backup, write_backup
+from wheatstile.store.backup import BackupHeader, read_backup, restore_backup, write_backup
 from wheatstile.store.commands import MAX_VALUE_BYTES, Command, Operation, OperationKind
 from wheatstile.store.errors import CorruptStorageError
 from wheatstile.store.raft.messages import Configuration, Entry, EntryKind, HardState, Snapshot
-from wheatstile.store.record_file import HEADER, MAX_RECORD_BYTES, read_records
+from wheatstile.store.record_file import HEADER, MAX_RECORD_BYTES, encode_record, read_records
 from wheatstile.store.state_machine import StateMachine
-from wheatstile.store.storage import SNAPSHOT_FILE, Storage, read_directory
+from wheatstile.store.storage import FORMAT, SNAPSHOT_FILE, Storage, read_directory
 
 CONFIGURATION = Configuration(frozenset("abc"))
 WRITE_COUNT = MAX_RECORD_BYTES // MAX_VALUE_BYTES + 1
@@ -72,6 +72,14 @@
     assert read(tmp_path) == large_state
 
 
+def test_a_small_state_is_stored_as_by_earlier_versions(tmp_path: Path) -> None:
+    """Guards against files that an earlier version cannot read, although it could have written them."""
+    snapshot = Snapshot(WRITE_COUNT, 1, CONFIGURATION, b"state")
+    assert write_snapshot(tmp_path, b"state").read_bytes() == encode_record(snapshot)
+    header = encode_record(BackupHeader(FORMAT, "c", WRITE_COUNT))
+    assert write_backup_file(tmp_path, b"state").read_bytes() == header + encode_record(b"state")
+
+
 @FILES
 def test_a_missing_part_is_detected(tmp_path: Path, large_state: bytes, write: Write, read: Read) -> None:
     path = write(tmp_path, large_state)
