--- a/wheatstile/store/member.py
+++ b/wheatstile/store/member.py
@@ -9,6 +9,7 @@
 import random
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
+from pathlib import Path
 
 import msgspec
 import structlog
@@ -176,22 +177,14 @@
         self._proposals.propose_due()
         ready = self.node.ready()
         if not ready.is_empty():
-            with self._storage_errors():
+            with storage_errors(self.config.directory):
                 self._persist(ready)
             self._process_persisted(ready)
         self.applied.on_ready_processed()
         if self.applied.index - self.node.log.snapshot.index >= self.config.compact_every:
-            with self._storage_errors():
+            with storage_errors(self.config.directory):
                 self._compact()
 
-    @contextmanager
-    def _storage_errors(self) -> Iterator[None]:
-        """Raise `StorageFailedError` if the `with` block raises OSError."""
-        try:
-            yield
-        except OSError as error:
-            raise StorageFailedError(str(self.config.directory), error) from error
-
     def _persist(self, ready: Ready) -> None:
         if ready.snapshot is None:
             self._storage.append(ready.hard_state, ready.entries)
@@ -232,3 +225,12 @@
     def _trace(self, line: str) -> None:
         if self.config.trace:
             print(line, flush=True)
+
+
+@contextmanager
+def storage_errors(directory: Path) -> Iterator[None]:
+    """Raise `StorageFailedError` if the `with` block raises OSError."""
+    try:
+        yield
+    except OSError as error:
+        raise StorageFailedError(str(directory), error) from error
