Soak: keep the ending of a client whose idle period ends between MOVE and the end of its connection

Cause, by reading: a client waits for the end of its connection after MOVE within the timeout of its idle period. If that timeout ends in between, it sends another line, reads the end of the connection, and replaces its ending by "closed without a final line", which is reported as a violation.

Change: what follows the final line is read outside the idle period. The check is as strict: every line after MOVE or BYE is still recorded, now without that timeout.

--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -153,7 +153,12 @@
         self._loop = asyncio.get_running_loop()
 
     async def run(self) -> None:
-        """Send lines and wait for their echoes until either side ends the session."""
+        """Send lines and wait for their echoes until either side ends the session, and read what follows."""
+        await self._exchange_lines()
+        if self._request.ending in (Ending.MIGRATED, Ending.SERVED):
+            await self._read_after_final_line()
+
+    async def _exchange_lines(self) -> None:
         for number in itertools.count():
             line = f"m{number} {self._request.id}"
             sent_at_s = self._loop.time()
@@ -184,7 +189,6 @@
             if text in ("MOVE", "BYE"):
                 ending = Ending.MIGRATED if text == "MOVE" else Ending.SERVED
                 self._request.end(ending, self._loop.time())
-                await self._read_after_final_line()
                 return False
             if not text.startswith("LOAD "):
                 self._request.unexpected_lines.append(ReceivedLine(self._loop.time(), text))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,15 +7,19 @@
 
 import asyncio
 import os
+import random
+import socket
 from collections.abc import Callable
 
 import pytest
 from soak.balancers import planted_program
 from soak.checks import check
-from soak.clients import SAFE_CLASS
+from soak.clients import MAX_LINE_INTERVAL_S, SAFE_CLASS, SessionTraffic
 from soak.records import Attempt, ClientRequest, Ending, Outcome, ProcessRecord, ReceivedLine, RunRecord
 from soak.report import run_seed, run_seeds
 
+from wheatstile.net.line_stream import LineStream
+
 FIRST, _, LAST = os.environ.get("WHEATSTILE_SEEDS", "1-4").partition("-")
 SEEDS = range(int(FIRST), int(LAST or FIRST) + 1)
 PARALLEL_RUNS = 4
@@ -44,6 +48,33 @@
     pytest.fail(f"{fault} was not found by {MAX_SEEDS_PER_FAULT} seeds")
 
 
+def test_a_client_that_is_idle_when_it_is_migrated_keeps_that_ending() -> None:
+    """Guards against a migrated client that is reported as closed without MOVE.
+
+    Its idle period ends between MOVE and the end of the connection.
+    """
+
+    async def scenario() -> Ending:
+        process_record = ProcessRecord("n0", 0.0)
+        request = ClientRequest("r", SAFE_CLASS, process_record, 0.0, 1.0, ReceivedLine(0.1, "UP s0-0"))
+        with (
+            socket.create_server(("127.0.0.1", 0)) as listener,
+            socket.create_connection(listener.getsockname()) as client_end,
+            listener.accept()[0] as balancer_end,
+        ):
+            client = SessionTraffic(LineStream(client_end), request, random.Random(1), lambda: True)
+            traffic = asyncio.create_task(client.run())
+            balancer = LineStream(balancer_end)
+            await balancer.send(await balancer.read_line())  # the echo of the first line
+            await balancer.send(b"MOVE\r\n")
+            await asyncio.sleep(2 * MAX_LINE_INTERVAL_S)
+            balancer_end.shutdown(socket.SHUT_WR)
+            await traffic
+        return request.ending
+
+    assert asyncio.run(asyncio.wait_for(scenario(), 10)) is Ending.MIGRATED
+
+
 class RecordedRun:
     """The record of a request with a timeout of 1 s, whose client ends the established session at 2 s."""
 
