--- a/review/bench_2.py
+++ b/review/bench_2.py
@@ -151,6 +151,97 @@
         }
 
 
+class Link:
+    """Relays one direction between two members, or a client and a member, until it is cut.
+
+    While it is cut, nothing passes, and its connections stay open and silent. `heal` resets them.
+    """
+
+    def __init__(self, target_port: int, before_request: Callable[[bytes], None] | None = None) -> None:
+        self.port = 0
+        self.is_cut = False
+        self._target_port = target_port
+        self._before_request = before_request
+        self._silenced: list[asyncio.StreamWriter] = []
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        server = await asyncio.start_server(self._serve, HOST, 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.is_cut:
+            self._silenced.append(writer)
+            return
+        try:
+            from_target, to_target = await asyncio.open_connection(HOST, self._target_port)
+        except OSError:
+            writer.close()
+            return
+        back = asyncio.create_task(self._relay(from_target, writer, None))
+        await self._relay(reader, to_target, self._before_request)
+        await back
+
+    async def _relay(
+        self,
+        source: asyncio.StreamReader,
+        target: asyncio.StreamWriter,
+        before: Callable[[bytes], None] | None,
+    ) -> None:
+        with contextlib.suppress(OSError, asyncio.CancelledError):
+            while data := await source.read(65536):
+                if before:
+                    before(data)
+                if self.is_cut:
+                    break
+                target.write(data)
+                await target.drain()
+        if self.is_cut:
+            self._silenced.append(target)
+        else:
+            target.close()
+
+    def heal(self) -> None:
+        """Let bytes pass again, and reset the connections of the time before."""
+        self.is_cut = False
+        for writer in self._silenced:
+            writer.transport.abort()
+        self._silenced.clear()
+
+
+class Network:
+    """The connections between the members, each through a `Link`."""
+
+    def __init__(self, members: StoreMembers) -> None:
+        self._names = list(members.peer_ports)
+        self.links = {
+            (sender, recipient): Link(members.peer_ports[recipient])
+            for sender in self._names
+            for recipient in self._names
+            if sender != recipient
+        }
+
+    async def start(self) -> None:
+        """Start all links."""
+        for link in self.links.values():
+            await link.start()
+
+    def ports_of(self, sender: str) -> dict[str, int]:
+        """Return the ports at which a member reaches the others."""
+        return {recipient: link.port for (name, recipient), link in self.links.items() if name == sender}
+
+    def isolate(self, name: str) -> None:
+        """Cut a member off from the others."""
+        for pair, link in self.links.items():
+            link.is_cut = link.is_cut or name in pair
+
+    def heal(self) -> None:
+        """End the partition."""
+        for link in self.links.values():
+            if link.is_cut:
+                link.heal()
+
+
 async def run_store_command(record: Record, *arguments: str) -> tuple[int, str]:
     """Run a client command of the store, and return its exit status and its output."""
     process = await asyncio.create_subprocess_exec(
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,5 +6,5 @@
 for case in 6 7 8 9 10; do
     PYTHONPATH=review:. .run/bin/python -m py_compile review/bench_2.py "review/$case/case.py"
 done
-PYTHONPATH=review:. .run/bin/python -m py_compile review/6/record.py
+PYTHONPATH=review:. .run/bin/python -m py_compile review/7/record.py review/6/kill_at_snapshot.py
 PYTHONPATH=review:. .run/bin/python -c "import bench_2, wheatstile.store.client, wheatstile.process.main"
