Review: take ports that a restarted member can use again

The ports of the cases were those that the system also gives to clients, so a member that was started again could have found its port in use. It was not seen.

--- a/review/bench_2.py
+++ b/review/bench_2.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -265,12 +266,17 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports of loopback that are free now."""
-    sockets = [socket.create_server((HOST, 0)) for _ in range(count)]
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
+    """Return ports of loopback that are free now, below those that the system gives to clients.
+
+    A member that is started again can then use its port again.
+    """
+    ports: list[int] = []
+    for port in random.sample(range(12_000, 32_000), 2_000):
+        with contextlib.suppress(OSError), socket.create_server((HOST, port)):
+            ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise CannotRunError("too few ports are free")
 
 
 async def wait_until(condition: Callable[[], bool], timeout_s: float, what: str) -> None:
