--- a/tests/store/test_large_state.py
+++ b/tests/store/test_large_state.py
@@ -11,11 +11,12 @@
 
 from wheatstile.store.backup import BackupHeader, read_backup, restore_backup, write_backup
 from wheatstile.store.commands import MAX_VALUE_BYTES, Command, Operation, OperationKind
+from wheatstile.store.directory_contents import FORMAT, SNAPSHOT_FILE, read_directory
 from wheatstile.store.errors import CorruptStorageError
 from wheatstile.store.raft.messages import Configuration, Entry, EntryKind, HardState, Snapshot
 from wheatstile.store.record_file import HEADER, MAX_RECORD_BYTES, encode_record, read_records
 from wheatstile.store.state_machine import StateMachine
-from wheatstile.store.storage import FORMAT, SNAPSHOT_FILE, Storage, read_directory
+from wheatstile.store.storage import Storage
 
 CONFIGURATION = Configuration(frozenset("abc"))
 WRITE_COUNT = MAX_RECORD_BYTES // MAX_VALUE_BYTES + 1
--- a/tests/store/test_storage.py
+++ b/tests/store/test_storage.py
@@ -10,9 +10,12 @@
 from hypothesis import strategies as st
 
 from wheatstile.store import log_records
+from wheatstile.store.directory_contents import FORMAT, LOG_FILE, DirectoryContents, LogHeader
 from wheatstile.store.errors import CorruptStorageError
+from wheatstile.store.log_records import LogRecord
 from wheatstile.store.raft.messages import Configuration, Entry, EntryKind, HardState, Snapshot
-from wheatstile.store.storage import LOG_FILE, DirectoryContents, Storage
+from wheatstile.store.record_file import encode_record
+from wheatstile.store.storage import Storage
 
 
 def make_entries(first: int, count: int, term: int) -> list[Entry]:
@@ -68,6 +71,76 @@
     assert [entry.index for entry in recover(tmp_path).entries] == remaining
 
 
+def store_snapshot_halfway(directory: Path, snapshot: Snapshot) -> None:
+    """Replace the snapshot, but not the log, as a crash between the two does."""
+    log = (directory / LOG_FILE).read_bytes()
+    with Storage(directory, "c", "a", sync=False) as storage:
+        storage.save_snapshot(snapshot, HardState(snapshot.term, None, snapshot.index), [])
+    (directory / LOG_FILE).write_bytes(log)
+
+
+INTERRUPTED_SNAPSHOTS = pytest.mark.parametrize(
+    ("snapshot", "remaining"),
+    [
+        (make_snapshot(4, term=1), [5, 6]),
+        (make_snapshot(4, term=2), []),
+        (make_snapshot(6, term=2), []),
+        (make_snapshot(9, term=2), []),
+    ],
+    ids=["included", "conflicts", "conflicts-at-the-end", "ahead"],
+)
+
+
+@INTERRUPTED_SNAPSHOTS
+def test_entries_appended_after_an_interrupted_snapshot_survive_further_restarts(
+    tmp_path: Path, snapshot: Snapshot, remaining: list[int]
+) -> None:
+    """Guards against acknowledged entries that follow the snapshot in a log that does not name it."""
+    append_records(tmp_path, (HardState(1, None, 2), make_entries(1, 6, term=1)))
+    store_snapshot_halfway(tmp_path, snapshot)
+    first_index = max([snapshot.index, *remaining]) + 1
+    append_records(tmp_path, (None, make_entries(first_index, 3, term=2)))
+    for _ in range(2):
+        recovered = recover(tmp_path)
+        expected = [*remaining, *range(first_index, first_index + 3)]
+        assert [entry.index for entry in recovered.entries] == expected
+        assert not recovered.is_log_outdated
+
+
+@INTERRUPTED_SNAPSHOTS
+def test_entries_that_an_earlier_version_appended_to_an_outdated_log_are_read(
+    tmp_path: Path, snapshot: Snapshot, remaining: list[int]
+) -> None:
+    """Guards against the loss of entries that earlier versions acknowledged after an interrupted snapshot."""
+    append_records(tmp_path, (HardState(1, None, 2), make_entries(1, 6, term=1)))
+    store_snapshot_halfway(tmp_path, snapshot)
+    first_index = max([snapshot.index, *remaining]) + 1
+    with (tmp_path / LOG_FILE).open("ab") as log:
+        appended = make_entries(first_index, 3, term=2)
+        log.write(encode_record(LogRecord(None, appended[:2])))
+        log.write(encode_record(LogRecord(HardState(2, None, first_index), appended[2:])))
+    recovered = recover(tmp_path)
+    assert [entry.index for entry in recovered.entries] == [*remaining, *range(first_index, first_index + 3)]
+    assert recovered.hard_state == HardState(2, None, first_index)
+    assert recover(tmp_path).entries == recovered.entries
+
+
+@pytest.mark.parametrize(
+    ("header_term", "first_index", "reason"),
+    [(1, 6, "between index 4 and index 6 are missing"), (2, 5, "a snapshot of term 2, not of term 1")],
+)
+def test_a_log_that_does_not_follow_the_snapshot_is_rejected(
+    tmp_path: Path, header_term: int, first_index: int, reason: str
+) -> None:
+    with Storage(tmp_path, "c", "a", sync=False) as storage:
+        storage.save_snapshot(make_snapshot(4, term=1), HardState(1, None, 4), [])
+    header = LogHeader(FORMAT, "c", "a", 4, header_term)
+    record = LogRecord(None, make_entries(first_index, 1, term=2))
+    (tmp_path / LOG_FILE).write_bytes(encode_record(header) + encode_record(record))
+    with pytest.raises(CorruptStorageError, match=reason):
+        recover(tmp_path)
+
+
 @settings(max_examples=60, deadline=None)
 @given(st.integers(1, 8), st.data())
 def test_a_crash_during_an_append_loses_only_that_record(record_count: int, data: st.DataObject) -> None:
--- a/tests/store/test_store_protocol.py
+++ b/tests/store/test_store_protocol.py
@@ -6,10 +6,10 @@
 import pytest
 
 from wheatstile.store.backup import BackupHeader
+from wheatstile.store.directory_contents import LogHeader
 from wheatstile.store.protocol import MemberStatus, PeerHandshake, Reply, Request
 from wheatstile.store.raft.messages import Configuration, Entry, HardState, Message, Snapshot
 from wheatstile.store.state_machine import SnapshotData
-from wheatstile.store.storage import LogHeader
 
 STATUS_KEYS = (
     "name role leader term commit applied snapshot voters learners changing age_ms clock_ms "
--- a/wheatstile/store/backup.py
+++ b/wheatstile/store/backup.py
@@ -14,11 +14,12 @@
 import msgspec
 
 from wheatstile.store.data_parts import decode_stored_data, load_data, parts_of, store_data
+from wheatstile.store.directory_contents import FORMAT, check_format
 from wheatstile.store.errors import CorruptStorageError, RestoreRejectedError
 from wheatstile.store.raft.messages import Configuration, HardState, Snapshot
 from wheatstile.store.record_file import read_records, replace_file
 from wheatstile.store.state_machine import SnapshotData
-from wheatstile.store.storage import FORMAT, Storage, check_format
+from wheatstile.store.storage import Storage
 
 MIN_RECORD_COUNT = 2
 RESTORED_TERM = 1
--- a/wheatstile/store/inspection.py
+++ b/wheatstile/store/inspection.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
+from wheatstile.store.directory_contents import DirectoryContents, read_directory
 from wheatstile.store.raft.messages import Configuration, HardState, Snapshot
 from wheatstile.store.state_machine import StateMachine
-from wheatstile.store.storage import DirectoryContents, read_directory
 
 NO_FORMAT = 0
 """Value of `DirectorySummary.format` if the directory has no log."""
--- a/wheatstile/store/member.py
+++ b/wheatstile/store/member.py
@@ -43,6 +43,12 @@
         recovered = self._storage.recovered
         if recovered.torn_bytes:
             log.warning("store_torn_record_truncated", truncated_bytes=recovered.torn_bytes)
+        if recovered.is_log_outdated:
+            log.warning(
+                "store_outdated_log_replaced",
+                snapshot_index=recovered.snapshot_index,
+                entries=len(recovered.entries),
+            )
         self.node = RaftNode(
             config.name,
             config.voters,
