Store: sync what an earlier process left unsynced before a member relies on it

What callers saw: nothing yet. A member that was killed, started again and then lost power could have lost entries, its vote or its directory, although it had acknowledged them after the start.

Cause: a killed process leaves its writes in the memory of the system, where the next process reads them.

Change: opening a directory syncs it before it is read, and the log before the member uses it; the first start syncs the ancestors. The writing functions that stood in two packages are in `durable_files.py`.

--- a/wheatstile/resolvers/atomic_write.py
+++ b/wheatstile/resolvers/atomic_write.py
@@ -8,6 +8,8 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+from wheatstile.durable_files import sync_directory, write_all
+
 TEMPORARY_SUFFIX = ".new"
 FILE_MODE = 0o644
 
@@ -32,15 +34,14 @@
             # process ends.
             fcntl.flock(descriptor, fcntl.LOCK_EX)
             os.fchmod(descriptor, FILE_MODE)
-            _write_all(descriptor, data)
+            write_all(descriptor, data)
             os.fsync(descriptor)
             os.replace(temporary_name, path)
     except BaseException:
         with contextlib.suppress(OSError):
             os.unlink(temporary_name)
         raise
-    with _closing(os.open(path.parent, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)) as directory:
-        os.fsync(directory)
+    sync_directory(path.parent)
 
 
 @contextlib.contextmanager
@@ -52,13 +53,6 @@
         os.close(descriptor)
 
 
-def _write_all(descriptor: int, data: bytes) -> None:
-    remaining = memoryview(data)
-    while remaining:
-        written = os.write(descriptor, remaining)
-        remaining = remaining[written:]
-
-
 def _remove_if_abandoned(path: Path) -> None:
     """Remove a temporary file, unless its writer still holds the lock."""
     with contextlib.suppress(OSError):
--- a/wheatstile/store/record_file.py
+++ b/wheatstile/store/record_file.py
@@ -17,12 +17,15 @@
 
 import msgspec
 
+from wheatstile.durable_files import sync_directory, write_all
 from wheatstile.store.errors import CorruptStorageError, RecordTooLargeError
 
 Decoded = TypeVar("Decoded")
 
 HEADER = struct.Struct(">III")
 LENGTH_BYTES = 4
+FILE_MODE = 0o666
+"""Permissions of a new file, which the umask of the process restricts."""
 MAX_RECORD_BYTES = 256 * 1024 * 1024
 """Maximum size of the body of a record that is written. Larger records of earlier versions are read."""
 
@@ -70,20 +73,27 @@
 
 
 def replace_file(path: Path, values: Iterable[object], fsync: Callable[[int], None]) -> None:
-    """Replace a file atomically with one that has `values` as its records.
+    """Replace a file atomically with one that has `values` as its records, and sync its directory.
 
-    `fsync` is called with the descriptor of the new file. The directory is not synced. Raises OSError,
+    `fsync` is called with the descriptors of the new file and of the directory. Raises OSError,
     `RecordTooLargeError`.
     """
     temporary = path.with_name(f".{path.name}.new")
-    with temporary.open("wb") as file:
+    _write_records(temporary, values, fsync)
+    temporary.replace(path)
+    sync_directory(path.parent, fsync)
+
+
+def _write_records(path: Path, values: Iterable[object], fsync: Callable[[int], None]) -> None:
+    descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, FILE_MODE)
+    try:
         for value in values:
             body = _encode_body(value)
-            file.write(_encode_header(body))
-            file.write(body)
-        file.flush()
-        fsync(file.fileno())
-    temporary.replace(path)
+            write_all(descriptor, _encode_header(body))
+            write_all(descriptor, body)
+        fsync(descriptor)
+    finally:
+        os.close(descriptor)
 
 
 def read_records(path: Path) -> Iterator[FileRecord]:
--- a/wheatstile/store/storage.py
+++ b/wheatstile/store/storage.py
@@ -21,6 +21,7 @@
 from types import TracebackType
 from typing import NamedTuple, Self
 
+from wheatstile.durable_files import sync_ancestors, sync_directory, write_all
 from wheatstile.store.directory_contents import (
     FORMAT,
     LOG_FILE,
@@ -63,7 +64,7 @@
         try:
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
             self.recovered = self._recover()
-            self._log = os.open(directory / LOG_FILE, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o600)
+            self._log = self._open_synced_log()
         except BaseException:
             os.close(self._lock)
             raise
@@ -84,20 +85,37 @@
         os.close(self._lock)
 
     def _recover(self) -> DirectoryContents:
-        """Read the directory, and complete what a crash has interrupted; create the log if there is none."""
+        """Read the directory, and complete what a crash has interrupted; create the log if there is none.
+
+        An earlier process may have ended between a write, or the replacement of a file, and its fsync. So
+        whatever is read is synced before anything is based on it.
+        """
+        sync_directory(self.directory, self._fsync)
         contents = read_directory(self.directory)
         if contents.header is None:
+            sync_ancestors(self.directory, self._fsync)
             self._replace(LOG_FILE, [LogHeader(FORMAT, self.cluster, self.name)])
             return contents
         self._check_owner(contents.header)
         if contents.snapshot and contents.is_log_outdated:
             self._replace_log(contents.snapshot, contents.hard_state, contents.entries)
         elif contents.torn_bytes:
-            with open(self.directory / LOG_FILE, "r+b") as file:
-                file.truncate(contents.log_end_offset)
-                os.fsync(file.fileno())
+            os.truncate(self.directory / LOG_FILE, contents.log_end_offset)
         return contents
 
+    def _open_synced_log(self) -> int:
+        """Open the log for appending, and sync what an earlier process has appended."""
+        log = self._open_log()
+        try:
+            self._fsync(log)
+        except BaseException:
+            os.close(log)
+            raise
+        return log
+
+    def _open_log(self) -> int:
+        return os.open(self.directory / LOG_FILE, os.O_WRONLY | os.O_APPEND | os.O_CLOEXEC)
+
     def _check_owner(self, header: LogHeader) -> None:
         """Raise `CorruptStorageError` if the directory belongs to another member."""
         if (header.cluster, header.name) != (self.cluster, self.name):
@@ -113,7 +131,7 @@
         if hard_state is None and not entries:
             return
         for record in divide_into_records(hard_state, entries):
-            self._write(encode_record(record))
+            write_all(self._log, encode_record(record))
         term_and_vote = (
             TermAndVote(hard_state.term, hard_state.vote) if hard_state else self._synced_term_and_vote
         )
@@ -123,18 +141,13 @@
             self._fsync(self._log)
         self._synced_term_and_vote = term_and_vote
 
-    def _write(self, data: bytes) -> None:
-        remaining = memoryview(data)
-        while remaining:
-            written_bytes = os.write(self._log, remaining)
-            remaining = remaining[written_bytes:]
-
     def save_snapshot(self, snapshot: Snapshot, hard_state: HardState, entries: list[Entry]) -> None:
         """Replace the snapshot, and then the log with one of `entries`, which follow it. Raises OSError."""
         self._replace(SNAPSHOT_FILE, snapshot_records(snapshot))
         self._replace_log(snapshot, hard_state, entries)
+        log = self._open_log()
         os.close(self._log)
-        self._log = os.open(self.directory / LOG_FILE, os.O_WRONLY | os.O_APPEND)
+        self._log = log
         self._synced_term_and_vote = TermAndVote(hard_state.term, hard_state.vote)
 
     def _replace_log(self, snapshot: Snapshot, hard_state: HardState | None, entries: list[Entry]) -> None:
@@ -148,10 +161,5 @@
             os.fsync(descriptor)
 
     def _replace(self, file_name: str, values: Iterable[object]) -> None:
-        """Replace a file atomically with one that has `values` as its records, and sync the directory."""
+        """Replace a file atomically with one that has `values` as its records. Raises OSError."""
         replace_file(self.directory / file_name, values, self._fsync)
-        descriptor = os.open(self.directory, os.O_RDONLY)
-        try:
-            self._fsync(descriptor)
-        finally:
-            os.close(descriptor)
