--- a/tests/store/test_storage.py
+++ b/tests/store/test_storage.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import errno
+import os
 import tempfile
 from pathlib import Path
 
@@ -10,11 +12,11 @@
 from hypothesis import strategies as st
 
 from wheatstile.store import log_records
-from wheatstile.store.directory_contents import FORMAT, LOG_FILE, DirectoryContents, LogHeader
+from wheatstile.store.directory_contents import FORMAT, LOG_FILE, SNAPSHOT_FILE, DirectoryContents, LogHeader
 from wheatstile.store.errors import CorruptStorageError
 from wheatstile.store.log_records import LogRecord
 from wheatstile.store.raft.messages import Configuration, Entry, EntryKind, HardState, Snapshot
-from wheatstile.store.record_file import encode_record
+from wheatstile.store.record_file import encode_record, temporary_path
 from wheatstile.store.storage import Storage
 
 
@@ -198,6 +200,28 @@
             recover(directory)
 
 
+def test_a_full_disk_gets_the_space_of_an_interrupted_replacement_back(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a member that cannot start on a disk that its own unfinished snapshot has filled."""
+
+    def write_half(descriptor: int, data: bytes) -> int:
+        original_write(descriptor, data[: len(data) // 2])
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    original_write = os.write
+    with Storage(tmp_path, "c", "a", sync=False) as storage, monkeypatch.context() as patch:
+        files = sorted(tmp_path.iterdir())
+        patch.setattr(os, "write", write_half)
+        with pytest.raises(OSError, match="No space"):
+            storage.save_snapshot(make_snapshot(4, term=1), HardState(1, None, 4), [])
+        assert sorted(tmp_path.iterdir()) == files
+    for file_name in (LOG_FILE, SNAPSHOT_FILE):  # as after a kill
+        temporary_path(tmp_path / file_name).write_bytes(b"incomplete")
+    recover(tmp_path)
+    assert sorted(tmp_path.iterdir()) == files
+
+
 @pytest.mark.parametrize(("cluster", "name"), [("other", "a"), ("c", "b")])
 def test_the_directory_of_another_member_is_rejected(tmp_path: Path, cluster: str, name: str) -> None:
     append_records(tmp_path, (None, make_entries(1, 1, term=1)))
--- a/wheatstile/store/record_file.py
+++ b/wheatstile/store/record_file.py
@@ -11,6 +11,7 @@
 import struct
 import zlib
 from collections.abc import Callable, Iterable, Iterator
+from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
 from typing import BinaryIO, TypeVar
@@ -72,15 +73,26 @@
     return zlib.crc32(length.to_bytes(LENGTH_BYTES, "big"))
 
 
+def temporary_path(path: Path) -> Path:
+    """Return the path of the file that `replace_file` writes before it replaces `path`."""
+    return path.with_name(f".{path.name}.new")
+
+
 def replace_file(path: Path, values: Iterable[object], fsync: Callable[[int], None]) -> None:
     """Replace a file atomically with one that has `values` as its records, and sync its directory.
 
-    `fsync` is called with the descriptors of the new file and of the directory. Raises OSError,
-    `RecordTooLargeError`.
+    `fsync` is called with the descriptors of the new file and of the directory. A crash leaves the old or the
+    new file, and possibly the temporary one. Raises OSError, `RecordTooLargeError`; the temporary file is
+    removed then, so that it does not use the space of a full disk.
     """
-    temporary = path.with_name(f".{path.name}.new")
-    _write_records(temporary, values, fsync)
-    temporary.replace(path)
+    temporary = temporary_path(path)
+    try:
+        _write_records(temporary, values, fsync)
+        temporary.replace(path)
+    except Exception:
+        with suppress(OSError):
+            temporary.unlink()
+        raise
     sync_directory(path.parent, fsync)
 
 
--- a/wheatstile/store/storage.py
+++ b/wheatstile/store/storage.py
@@ -33,7 +33,7 @@
 from wheatstile.store.errors import CorruptStorageError
 from wheatstile.store.log_records import divide_into_records
 from wheatstile.store.raft.messages import Entry, HardState, Snapshot
-from wheatstile.store.record_file import encode_record, replace_file
+from wheatstile.store.record_file import encode_record, replace_file, temporary_path
 from wheatstile.store.snapshot_file import snapshot_records
 
 LOCK_FILE = "lock"
@@ -91,6 +91,7 @@
         whatever is read is synced before anything is based on it.
         """
         sync_directory(self.directory, self._fsync)
+        self._remove_temporary_files()
         contents = read_directory(self.directory)
         if contents.header is None:
             sync_ancestors(self.directory, self._fsync)
@@ -103,6 +104,11 @@
             os.truncate(self.directory / LOG_FILE, contents.log_end_offset)
         return contents
 
+    def _remove_temporary_files(self) -> None:
+        """Remove the files of interrupted replacements."""
+        for file_name in (LOG_FILE, SNAPSHOT_FILE):
+            temporary_path(self.directory / file_name).unlink(missing_ok=True)
+
     def _open_synced_log(self) -> int:
         """Open the log for appending, and sync what an earlier process has appended."""
         log = self._open_log()
