--- a/benchmarks/storage_crashes/disk.py
+++ b/benchmarks/storage_crashes/disk.py
@@ -186,7 +186,8 @@
         """Return what was synced of a file, and a random part of what was appended to it since then."""
         synced = self._durable.contents.get(inode, b"")
         appended = written.get(inode, synced)
-        if not appended.startswith(synced):  # it was truncated
+        is_truncated = not appended.startswith(synced)
+        if is_truncated:
             return self._rng.choice((synced, appended))
         return appended[: self._rng.randint(len(synced), len(appended))]
 
--- a/benchmarks/storage_crashes/history.py
+++ b/benchmarks/storage_crashes/history.py
@@ -66,9 +66,11 @@
 
     @property
     def hard_state(self) -> HardState:
+        """The hard state that Raft would store."""
         return HardState(self.term, self.vote, self.log.commit_index)
 
     def state(self) -> StoredState:
+        """Return what the directory has to return once the member's state is stored."""
         return StoredState(self.term, self.vote, self.log.snapshot, tuple(self.log.entries))
 
 
--- a/wheatstile/store/state_machine.py
+++ b/wheatstile/store/state_machine.py
@@ -8,9 +8,7 @@
 
 from __future__ import annotations
 
-import heapq
 from collections.abc import Iterator
-from typing import NamedTuple
 
 import msgspec
 
@@ -25,6 +23,7 @@
     Precondition,
 )
 from wheatstile.store.event_history import ChangeKind, Event, EventHistory
+from wheatstile.store.expiration_queue import ExpirationQueue
 from wheatstile.store.key_pattern import matches_pattern
 
 SNAPSHOT_FORMAT = 1
@@ -41,7 +40,7 @@
 class Version(msgspec.Struct, frozen=True, array_like=True):
     """One version of a key.
 
-    `expires_at_ms` is the time of its `Expiration`, or 0 if it has none.
+    `expires_at_ms` is the time when it expires, or when a deleted key is discarded, or 0 if it has none.
     """
 
     revision: int
@@ -70,19 +69,6 @@
     compacted_revision: int = msgspec.field(name="forgotten")
 
 
-class Expiration(NamedTuple):
-    """The time when a key expires, or when a deleted key is discarded.
-
-    It applies to the latest version of the key only if that has the same revision and the same time. The
-    revision alone does not identify a version: if a command writes a key whose value has just expired, the
-    version that marks the key as expired and the new one have the revision of this command.
-    """
-
-    at_ms: int
-    key: str
-    revision: int
-
-
 class StateMachine:
     """The state of the store after the commands that have been applied."""
 
@@ -91,7 +77,7 @@
         self.keys: dict[str, list[Version]] = {}  # versions ordered from the oldest to the latest
         self.sessions: dict[str, Session] = {}  # ordered from the least to the most recently used
         self.events = EventHistory()
-        self._expirations: list[Expiration] = []  # a heap ordered by time
+        self._expirations = ExpirationQueue()
 
     def get(self, key: str) -> Version | None:
         """Return the key's latest version, or None if the key is absent or deleted."""
@@ -107,17 +93,7 @@
 
     def next_expiration_ms(self) -> int | None:
         """Return the time, by the committed clock, when the next key expires or is discarded, or None."""
-        while self._expirations and self._is_superseded(self._expirations[0]):
-            heapq.heappop(self._expirations)
-        return self._expirations[0].at_ms if self._expirations else None
-
-    def _is_superseded(self, expiration: Expiration) -> bool:
-        """Return whether the expiration belongs to an earlier version than the key's latest one."""
-        versions = self.keys.get(expiration.key)
-        if not versions:
-            return True
-        latest = versions[-1]
-        return (latest.revision, latest.expires_at_ms) != (expiration.revision, expiration.at_ms)
+        return self._expirations.next_ms()
 
     def apply(self, index: int, command: Command) -> CommandResult:
         """Apply the command at log index `index`, unless it repeats a command of its session."""
@@ -201,20 +177,16 @@
         """Add a key's latest version, discard its oldest one above the limit, and record the event."""
         previous = self.keys.get(key, [])
         self.keys[key] = [*previous[-MAX_VERSIONS_PER_KEY + 1 :], version]
-        if version.expires_at_ms:
-            heapq.heappush(self._expirations, Expiration(version.expires_at_ms, key, version.revision))
+        self._expirations.set_time(key, version.expires_at_ms)
         self.events.append(Event(version.revision, key, version.change, version.value))
 
     def _expire_keys(self, index: int) -> None:
         """Mark expired keys as removed, and discard keys that were removed `DELETED_KEY_TTL_MS` ago."""
-        while self._expirations and self._expirations[0].at_ms <= self.clock_ms:
-            expiration = heapq.heappop(self._expirations)
-            if self._is_superseded(expiration):
-                continue
-            if self.get(expiration.key):
-                self._remove(index, expiration.key, ChangeKind.EXPIRE)
+        while key := self._expirations.pop_due(self.clock_ms):
+            if self.get(key):
+                self._remove(index, key, ChangeKind.EXPIRE)
             else:
-                del self.keys[expiration.key]
+                del self.keys[key]
 
     def dump(self) -> bytes:
         """Return the state as the data of a snapshot."""
@@ -245,12 +217,8 @@
         machine.keys = state.keys
         machine.sessions = state.sessions
         machine.events = EventHistory(state.events, state.compacted_revision)
-        machine._expirations = [
-            Expiration(versions[-1].expires_at_ms, key, versions[-1].revision)
-            for key, versions in state.keys.items()
-            if versions[-1].expires_at_ms
-        ]
-        heapq.heapify(machine._expirations)
+        for key, versions in state.keys.items():
+            machine._expirations.set_time(key, versions[-1].expires_at_ms)
         return machine
 
 
--- a/wheatstile/store/storage.py
+++ b/wheatstile/store/storage.py
@@ -87,8 +87,8 @@
     def _recover(self) -> DirectoryContents:
         """Read the directory, and complete what a crash has interrupted; create the log if there is none.
 
-        An earlier process may have ended between a write, or the replacement of a file, and its fsync. So
-        whatever is read is synced before anything is based on it.
+        An earlier process may have ended between a write, or the replacement of a file, and its fsync. The
+        directory is therefore synced before it is read.
         """
         sync_directory(self.directory, self._fsync)
         self._remove_temporary_files()
