--- a/wheatstile/store/member.py
+++ b/wheatstile/store/member.py
@@ -16,6 +16,7 @@
 
 from wheatstile.store.applied_state import AppliedState
 from wheatstile.store.commands import Command, CommandResult
+from wheatstile.store.directory_contents import DirectoryContents
 from wheatstile.store.errors import NotLeaderError, StorageFailedError
 from wheatstile.store.member_config import MemberConfig
 from wheatstile.store.pending_reads import PendingReads
@@ -41,14 +42,7 @@
         self._loop = asyncio.get_running_loop()
         self._storage = Storage(config.directory, config.cluster, config.name)
         recovered = self._storage.recovered
-        if recovered.torn_bytes:
-            log.warning("store_torn_record_truncated", truncated_bytes=recovered.torn_bytes)
-        if recovered.is_log_outdated:
-            log.warning(
-                "store_outdated_log_replaced",
-                snapshot_index=recovered.snapshot_index,
-                entries=len(recovered.entries),
-            )
+        log_recovery(recovered)
         self.node = RaftNode(
             config.name,
             config.voters,
@@ -240,3 +234,15 @@
         yield
     except OSError as error:
         raise StorageFailedError(str(directory), error) from error
+
+
+def log_recovery(recovered: DirectoryContents) -> None:
+    """Log what a crash of an earlier process has interrupted."""
+    if recovered.torn_bytes:
+        log.warning("store_torn_record_truncated", truncated_bytes=recovered.torn_bytes)
+    if recovered.is_log_outdated:
+        log.warning(
+            "store_outdated_log_replaced",
+            snapshot_index=recovered.snapshot_index,
+            entries=len(recovered.entries),
+        )
